--- /dev/null
+++ b/cmd/coltsfoot-demo/main.go
@@ -0,0 +1,157 @@
+// Command coltsfoot-demo starts two small deployments on loopback, sends requests of
+// several organisations while an availability zone leaves and returns, and prints the
+// answers, the counts and the merged time line. It ends with status 0 only when every
+// answer was whole and right.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/coltsfootpitch/coltsfootpitch/internal/client"
+	"github.com/coltsfootpitch/coltsfootpitch/internal/fleet"
+	"github.com/coltsfootpitch/coltsfootpitch/internal/load"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/configuration"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/ctl"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
+)
+
+const demoLimit = 55 * time.Second
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "demo failed:", err)
+		os.Exit(1)
+	}
+}
+
+func deployments() []fleet.Deployment {
+	return []fleet.Deployment{
+		{
+			Region: "trondelag", Zones: []string{"gate-north", "gate-south", "lab-hall"}, Entries: 3,
+			Model: "intake-llm", Workers: 4, Service: "weighbridge-app", ServiceWorkers: 3,
+		},
+		{
+			Region: "mu-north", Zones: []string{"mu-north-a", "mu-north-b", "mu-north-c"}, Entries: 3,
+			Model: "coltsfoot-pool", Workers: 4, Service: "records-api", ServiceWorkers: 3,
+		},
+	}
+}
+
+// zoneOut is the availability zone that leaves in each deployment.
+var zoneOut = map[string]string{"trondelag": "gate-north", "mu-north": "mu-north-b"}
+
+var organisations = []string{"fjordbeet", "innherred-growers", "skolen", "lagoon-air"}
+
+func run() error {
+	ctx, cancel := context.WithTimeout(context.Background(), demoLimit)
+	defer cancel()
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	dir, err := os.MkdirTemp("", "coltsfoot-demo")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	f, err := fleet.Start(ctx, fleet.Options{Bin: filepath.Dir(self), Dir: dir, Deployments: deployments(), Organisations: organisations})
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	fmt.Printf("started %d processes\n", len(f.Processes))
+	wrong := 0
+	for _, d := range deployments() {
+		n, err := showZone(ctx, f, d)
+		if err != nil {
+			return err
+		}
+		wrong += n
+	}
+	if err := showTimeline(ctx, f); err != nil {
+		return err
+	}
+	if wrong > 0 {
+		return fmt.Errorf("%d answers were not whole", wrong)
+	}
+	fmt.Println("every answer was whole")
+	return nil
+}
+
+// showZone sends requests to a deployment before, while and after one of its zones is out.
+func showZone(ctx context.Context, f *fleet.Fleet, d fleet.Deployment) (int, error) {
+	zone := zoneOut[d.Region]
+	wrong := 0
+	for _, s := range []struct {
+		name  string
+		state configuration.ZoneState
+	}{{"before", configuration.ZoneIn}, {"out", configuration.ZoneOut}, {"back", configuration.ZoneIn}} {
+		if s.name != "before" {
+			version, err := f.SetZone(ctx, zone, s.state)
+			if err != nil {
+				return wrong, err
+			}
+			fmt.Printf("%s: zone %s is %s from configuration %d\n", d.Region, zone, s.state, version)
+		}
+		wrong += showPhase(ctx, f, d, s.name)
+	}
+	return wrong, nil
+}
+
+func showPhase(ctx context.Context, f *fleet.Fleet, d fleet.Deployment, phase string) int {
+	const count = 80
+	all := load.Run(ctx, load.Mix{
+		Clients: clients(f, d), Model: d.Model, Service: d.Service,
+		Count: count, Parallel: 8, Tokens: 12, Prefix: d.Region + " " + phase,
+	})
+	wrong := load.Wrong(all)
+	fmt.Printf("%s: phase %s: %d answers whole, %d not\n", d.Region, phase, count-len(wrong), len(wrong))
+	fmt.Printf("  e.g. %.70q\n", all[0].Answer.Text)
+	for _, o := range wrong {
+		fmt.Printf("  request %d: status %d code %d error %v\n", o.Number, o.Answer.Status, o.Answer.Code, o.Err)
+	}
+	return len(wrong)
+}
+
+// clients returns a caller for each organisation that knows the entries of the deployment.
+func clients(f *fleet.Fleet, d fleet.Deployment) []*client.Client {
+	var seeds []string
+	for i := range d.Entries {
+		seeds = append(seeds, f.Callers[fmt.Sprintf("%s-entry-%d", d.Region, i)])
+	}
+	var out []*client.Client
+	for _, o := range organisations {
+		out = append(out, client.New(fleet.Token(o), seeds))
+	}
+	return out
+}
+
+// showTimeline prints the events that are not about requests, and those of the last request.
+func showTimeline(ctx context.Context, f *fleet.Fleet) error {
+	var all []event.Event
+	for _, a := range f.Operators() {
+		list, err := ctl.Events(ctx, a, fleet.OperatorToken)
+		if err != nil {
+			return err
+		}
+		all = append(all, list...)
+	}
+	ctl.Sort(all)
+	last := ""
+	for _, e := range all {
+		if e.Request != "" {
+			last = e.Request
+		}
+	}
+	fmt.Printf("time line: %d events; shown are those of the fleet and of request %s\n", len(all), last)
+	for _, e := range all {
+		if e.Request == "" || e.Request == last {
+			fmt.Println(ctl.Line(e))
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/client/client.go
@@ -0,0 +1,205 @@
+package client
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/caller"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/directory"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/engine"
+)
+
+// Client sends the requests of one organisation. It is safe for concurrent use.
+type Client struct {
+	token string
+	seeds []string
+	http  *http.Client
+
+	mu      sync.Mutex
+	list    []string
+	expires time.Time
+	turn    int
+}
+
+// New returns a client with a bearer token that knows the seed addresses.
+func New(token string, seeds []string) *Client {
+	return &Client{token: token, seeds: seeds, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+}
+
+// Answer is what came back.
+type Answer struct {
+	Status int
+	Code   int
+	// Text is the generated text of a model request or the body of a service call.
+	Text     string
+	Whole    bool
+	Request  string
+	Upstream string
+}
+
+// Call describes a request.
+type Call struct {
+	Method  string
+	Path    string
+	Body    []byte
+	Stream  bool
+	Headers map[string]string
+}
+
+// Chat returns the call of a model request.
+func Chat(model, prompt string, tokens int, stream bool) Call {
+	// Encoding this struct cannot fail.
+	body, _ := json.Marshal(chat{
+		Model: model, Stream: stream, MaxTokens: tokens,
+		Messages: []message{{Role: "user", Content: prompt}},
+	})
+	return Call{Method: http.MethodPost, Path: "/v1/chat/completions", Body: body, Stream: stream}
+}
+
+type chat struct {
+	Model     string    `json:"model"`
+	Messages  []message `json:"messages"`
+	Stream    bool      `json:"stream"`
+	MaxTokens int       `json:"max_tokens"`
+}
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Addresses returns the entry addresses to use, asking again when the answer has expired.
+func (c *Client) Addresses(ctx context.Context) ([]string, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if time.Now().Before(c.expires) {
+		return c.list, nil
+	}
+	err := errors.New("client: no address to ask")
+	for _, a := range append(append([]string(nil), c.list...), c.seeds...) {
+		var d directory.Answer
+		if d, err = c.ask(ctx, a); err == nil {
+			c.list = d.Addresses
+			c.expires = time.Now().Add(time.Duration(d.TTLSeconds) * time.Second)
+			return c.list, nil
+		}
+	}
+	return nil, err
+}
+
+func (c *Client) ask(ctx context.Context, address string) (directory.Answer, error) {
+	var d directory.Answer
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/addresses", nil)
+	if err != nil {
+		return d, err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return d, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return d, errors.New("client: directory status " + resp.Status)
+	}
+	err = json.NewDecoder(resp.Body).Decode(&d)
+	return d, err
+}
+
+// Do sends a call to the next address of the directory.
+func (c *Client) Do(ctx context.Context, call Call) (Answer, error) {
+	list, err := c.Addresses(ctx)
+	if err != nil {
+		return Answer{}, err
+	}
+	c.mu.Lock()
+	c.turn++
+	address := list[c.turn%len(list)]
+	c.mu.Unlock()
+	return c.DoAt(ctx, address, call)
+}
+
+// DoAt sends a call to an entry address.
+func (c *Client) DoAt(ctx context.Context, address string, call Call) (Answer, error) {
+	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return Answer{}, err
+	}
+	req.Header.Set("Authorization", "Bearer "+c.token)
+	for k, v := range call.Headers {
+		req.Header.Set(k, v)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return Answer{}, err
+	}
+	defer resp.Body.Close()
+	a := Answer{
+		Status:   resp.StatusCode,
+		Request:  resp.Header.Get(caller.HeaderRequestID),
+		Upstream: resp.Header.Get(caller.HeaderUpstream),
+	}
+	a.Code, _ = strconv.Atoi(resp.Header.Get(caller.HeaderCode))
+	if call.Stream && resp.StatusCode == http.StatusOK {
+		return a, readStream(resp.Body, &a)
+	}
+	body, err := io.ReadAll(resp.Body)
+	a.Text = string(body)
+	a.Whole = err == nil && resp.StatusCode == http.StatusOK
+	return a, err
+}
+
+// readStream reads server-sent events up to the last one.
+func readStream(r io.Reader, a *Answer) error {
+	lines := bufio.NewReader(r)
+	failed := false
+	for {
+		line, err := lines.ReadString('\n')
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		switch {
+		case strings.HasPrefix(line, "event: error"):
+			failed = true
+		case failed && strings.HasPrefix(line, "data:"):
+			a.Code = faultCode(line)
+			failed = false
+		case line+"\n" == engine.EventDone:
+			a.Whole = true
+		default:
+			a.Text += strings.Join(engine.Texts([]byte(line)), "")
+		}
+	}
+}
+
+func faultCode(line string) int {
+	var f caller.Fault
+	if json.Unmarshal([]byte(strings.TrimPrefix(line, "data:")), &f) != nil {
+		return 0
+	}
+	return f.Error.Code
+}
+
+// Content returns the generated text of an answer that is not a stream.
+func Content(body string) string {
+	var out struct {
+		Choices []struct {
+			Message message `json:"message"`
+		} `json:"choices"`
+	}
+	if json.Unmarshal([]byte(body), &out) != nil || len(out.Choices) == 0 {
+		return ""
+	}
+	return out.Choices[0].Message.Content
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,340 @@
+package fleet
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/agent"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/configstore"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/configuration"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/controller"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/entry"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/instancelist"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/platform"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/process"
+)
+
+// Deployment describes what one provider runs in a region.
+type Deployment struct {
+	Region string
+	Zones  []string
+	// Entries is the number of entry instances, spread over the zones.
+	Entries int
+	// Model is served by Workers model engines.
+	Model   string
+	Workers int
+	// Service is served by ServiceWorkers plain services.
+	Service        string
+	ServiceWorkers int
+}
+
+// Options configure a fleet.
+type Options struct {
+	// Bin is the directory of the binaries.
+	Bin string
+	// Dir is the directory for settings and logs.
+	Dir           string
+	Deployments   []Deployment
+	Organisations []string
+	// EngineArgs are further arguments of the model engine stand-ins.
+	EngineArgs []string
+	// ServiceArgs are further arguments of the plain service stand-ins.
+	ServiceArgs []string
+	// Limits of the first configuration; the zero value means a directory life of 1 s.
+	Limits configuration.Limits
+}
+
+// OperatorToken is the operators' token of all processes of a fleet.
+const OperatorToken = "operator-token"
+
+// Token returns the bearer token of an organisation.
+func Token(organisation string) string { return "token-" + organisation }
+
+// Fleet is a set of running processes.
+type Fleet struct {
+	Processes map[string]*Process
+	// Upstreams maps the name of an agent to the base URL of its stand-in.
+	Upstreams map[string]string
+	Platform  *platform.Client
+	Store     *configstore.Store
+	// PlatformURL is the base URL of the platform stand-in.
+	PlatformURL string
+	// Callers maps the name of an entry to its address for callers.
+	Callers map[string]string
+
+	opts  Options
+	order []string
+}
+
+// startLimit bounds the start of a fleet.
+const startLimit = 30 * time.Second
+
+// Start starts all processes and waits until the entries are ready.
+func Start(ctx context.Context, o Options) (*Fleet, error) {
+	ctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	f := &Fleet{opts: o, Processes: map[string]*Process{}, Upstreams: map[string]string{}, Callers: map[string]string{}}
+	err := f.startAll(ctx)
+	if err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) startAll(ctx context.Context) error {
+	if err := f.startPlatform(ctx); err != nil {
+		return err
+	}
+	if _, err := f.Store.Apply(ctx, f.document()); err != nil {
+		return err
+	}
+	for _, d := range f.opts.Deployments {
+		if err := f.startDeployment(ctx, d); err != nil {
+			return err
+		}
+	}
+	for _, name := range f.order {
+		p := f.Processes[name]
+		if p.Operator == "" {
+			continue
+		}
+		if err := waitHTTP(ctx, "http://"+p.Operator+"/readyz"); err != nil {
+			return errors.Join(err, errors.New(p.Log()))
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startPlatform(ctx context.Context) error {
+	address, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	f.PlatformURL = "http://" + address
+	f.Platform = platform.New(platform.Options{URL: f.PlatformURL})
+	f.Store = configstore.New(f.Platform)
+	p := f.newProcess("platform", "coltsfoot-standin", "", "platform", "--address", address)
+	if err := p.start(); err != nil {
+		return err
+	}
+	return waitHTTP(ctx, f.PlatformURL+"/counts")
+}
+
+// document returns the first configuration.
+func (f *Fleet) document() *configuration.Document {
+	d := &configuration.Document{Limits: f.opts.Limits}
+	if d.Limits == (configuration.Limits{}) {
+		d.Limits = configuration.DefaultLimits()
+		d.Limits.DirectoryTTLSeconds = 1
+	}
+	for _, dep := range f.opts.Deployments {
+		for _, z := range dep.Zones {
+			d.Zones = append(d.Zones, configuration.Zone{Name: z, Region: dep.Region, State: configuration.ZoneIn})
+		}
+		d.Models = append(d.Models, configuration.Model{Name: dep.Model})
+		d.Services = append(d.Services, configuration.Service{Name: dep.Service})
+	}
+	for _, o := range f.opts.Organisations {
+		sum := sha256.Sum256([]byte(Token(o)))
+		d.Organisations = append(d.Organisations, configuration.Organisation{
+			Name: o, KeySHA256: hex.EncodeToString(sum[:]), Weight: 1,
+		})
+	}
+	return d
+}
+
+func (f *Fleet) startDeployment(ctx context.Context, d Deployment) error {
+	for i := range d.Workers {
+		name := fmt.Sprintf("%s-%d", d.Model, i)
+		args := append([]string{"model-engine", "--model", d.Model}, f.opts.EngineArgs...)
+		if err := f.startUpstream(ctx, name, d, i, agent.ModelEngine, args); err != nil {
+			return err
+		}
+	}
+	for i := range d.ServiceWorkers {
+		name := fmt.Sprintf("%s-%d", d.Service, i)
+		args := append([]string{"plain-service", "--service", d.Service}, f.opts.ServiceArgs...)
+		if err := f.startUpstream(ctx, name, d, i, agent.PlainService, args); err != nil {
+			return err
+		}
+	}
+	for i := range d.Entries {
+		if err := f.startEntry(ctx, fmt.Sprintf("%s-entry-%d", d.Region, i), d, i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startUpstream starts an upstream stand-in with its agent and lists the instance.
+func (f *Fleet) startUpstream(ctx context.Context, name string, d Deployment, i int, kind agent.UpstreamKind, args []string) error {
+	addresses, err := freeAddresses(3)
+	if err != nil {
+		return err
+	}
+	f.Upstreams[name] = "http://" + addresses[0]
+	standin := f.newProcess(name+"-upstream", "coltsfoot-standin", "", append(args, "--address", addresses[0])...)
+	if err := standin.start(); err != nil {
+		return err
+	}
+	s := agent.DefaultSettings()
+	s.Common = f.common(name, d, i, addresses[1])
+	s.ControlAddress = addresses[2]
+	s.ProbeMillis = 50
+	s.Upstream.Kind = kind
+	s.Upstream.URL = f.Upstreams[name]
+	if err := f.startWith(name, "coltsfoot-agent", s.OperatorAddress, s); err != nil {
+		return err
+	}
+	return f.list(ctx, instancelist.Instance{
+		ID: name, Role: instancelist.Upstream, Zone: s.Zone, Region: s.Region, State: instancelist.Live, Control: s.ControlAddress,
+	})
+}
+
+// startEntry starts an entry and a controller on one instance and lists it.
+func (f *Fleet) startEntry(ctx context.Context, name string, d Deployment, i int) error {
+	addresses, err := freeAddresses(4)
+	if err != nil {
+		return err
+	}
+	s := entry.DefaultSettings()
+	s.Common = f.common(name, d, i, addresses[0])
+	s.CallerAddress = addresses[1]
+	s.ControlAddress = addresses[2]
+	s.PlatformURL = f.PlatformURL
+	s.StatusMillis = 200
+	f.Callers[name] = s.CallerAddress
+	if err := f.startWith(name, "coltsfoot-entry", s.OperatorAddress, s); err != nil {
+		return err
+	}
+	c := controller.DefaultSettings()
+	c.Common = f.common(name+"-controller", d, i, addresses[3])
+	c.PlatformURL = f.PlatformURL
+	if err := f.startWith(c.Name, "coltsfoot-controller", c.OperatorAddress, c); err != nil {
+		return err
+	}
+	return f.list(ctx, instancelist.Instance{
+		ID: name, Role: instancelist.Entry, Zone: s.Zone, Region: s.Region, State: instancelist.Live,
+		Address: s.CallerAddress, Control: s.ControlAddress,
+	})
+}
+
+func freeAddresses(n int) ([]string, error) {
+	out := make([]string, n)
+	for i := range out {
+		a, err := freeAddress()
+		if err != nil {
+			return nil, err
+		}
+		out[i] = a
+	}
+	return out, nil
+}
+
+func (f *Fleet) common(name string, d Deployment, i int, operator string) process.Common {
+	c := process.DefaultCommon()
+	c.Name = name
+	c.Region = d.Region
+	c.Zone = d.Zones[i%len(d.Zones)]
+	c.OperatorAddress = operator
+	c.OperatorToken = OperatorToken
+	return c
+}
+
+// startWith writes a settings file and starts a binary with it.
+func (f *Fleet) startWith(name, binary, operator string, settings any) error {
+	text, err := yaml.Marshal(settings)
+	if err != nil {
+		return err
+	}
+	file := filepath.Join(f.opts.Dir, name+".yaml")
+	if err := os.WriteFile(file, text, 0o644); err != nil {
+		return err
+	}
+	return f.newProcess(name, binary, operator, "--settings", file).start()
+}
+
+// list writes an instance to the instance list.
+func (f *Fleet) list(ctx context.Context, i instancelist.Instance) error {
+	o, err := f.Platform.Get(ctx, instancelist.Kind, i.ID)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return err
+	}
+	_, err = f.Platform.Put(ctx, instancelist.Kind, i.ID, o.Revision, i)
+	return err
+}
+
+// SetZone applies a configuration in which the zone has the state, and returns its version.
+func (f *Fleet) SetZone(ctx context.Context, zone string, state configuration.ZoneState) (int64, error) {
+	d, _, err := f.Store.Load(ctx)
+	if err != nil {
+		return 0, err
+	}
+	for i := range d.Zones {
+		if d.Zones[i].Name == zone {
+			d.Zones[i].State = state
+		}
+	}
+	return f.Store.Apply(ctx, d)
+}
+
+// Stop starts a planned stop of a process.
+func (f *Fleet) Stop(name string) error { return f.Processes[name].Signal(syscall.SIGTERM) }
+
+// Kill ends a process at once.
+func (f *Fleet) Kill(name string) error { return f.Processes[name].Signal(syscall.SIGKILL) }
+
+// Restart starts a process that has ended, with the same settings.
+func (f *Fleet) Restart(name string) error { return f.Processes[name].start() }
+
+// Operators returns the operators' addresses of all processes that run.
+func (f *Fleet) Operators() []string {
+	var out []string
+	for _, name := range f.order {
+		p := f.Processes[name]
+		if p.Operator != "" && !p.Ended() {
+			out = append(out, p.Operator)
+		}
+	}
+	return out
+}
+
+// Close kills all processes.
+func (f *Fleet) Close() {
+	for _, p := range f.Processes {
+		if p.cmd == nil || p.cmd.Process == nil {
+			continue
+		}
+		_ = p.cmd.Process.Kill()
+		<-p.done
+	}
+}
+
+// List changes the state of an instance in the instance list; "gone" removes it.
+func (f *Fleet) List(ctx context.Context, name, state string) error {
+	o, err := f.Platform.Get(ctx, instancelist.Kind, name)
+	if err != nil {
+		return err
+	}
+	if state == "gone" {
+		return f.Platform.Delete(ctx, instancelist.Kind, name, o.Revision)
+	}
+	var i instancelist.Instance
+	if err := json.Unmarshal(o.Value, &i); err != nil {
+		return err
+	}
+	i.State = instancelist.State(state)
+	_, err = f.Platform.Put(ctx, instancelist.Kind, name, o.Revision, i)
+	return err
+}
--- /dev/null
+++ b/internal/fleet/process.go
@@ -0,0 +1,144 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// Process is one process of the fleet.
+type Process struct {
+	Name string
+	// Operator is the host:port for operators, empty for stand-ins.
+	Operator string
+
+	path string
+	args []string
+	log  string
+	cmd  *exec.Cmd
+	done chan struct{}
+}
+
+// start starts the process; its log is appended to its file.
+func (p *Process) start() error {
+	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	p.cmd = exec.Command(p.path, p.args...)
+	p.cmd.Stdout = out
+	p.cmd.Stderr = out
+	if err := p.cmd.Start(); err != nil {
+		return err
+	}
+	done := make(chan struct{})
+	p.done = done
+	go func() {
+		// The exit state is read from cmd.ProcessState.
+		_ = p.cmd.Wait()
+		out.Close()
+		close(done)
+	}()
+	return nil
+}
+
+// Signal sends a signal to the process.
+func (p *Process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
+
+// Wait waits for the end of the process and returns its exit code.
+func (p *Process) Wait(limit time.Duration) (int, error) {
+	select {
+	case <-p.done:
+		return p.cmd.ProcessState.ExitCode(), nil
+	case <-time.After(limit):
+		return 0, fmt.Errorf("%s did not end within %s", p.Name, limit)
+	}
+}
+
+// Ended reports whether the process has ended.
+func (p *Process) Ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// Log returns what the process has written.
+func (p *Process) Log() string {
+	text, _ := os.ReadFile(p.log)
+	return string(text)
+}
+
+// waitHTTP waits until url answers with status 200.
+func waitHTTP(ctx context.Context, url string) error {
+	for {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+		if err != nil {
+			return err
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Join(ctx.Err(), fmt.Errorf("%s is not ready", url))
+		case <-time.After(waitPoll):
+		}
+	}
+}
+
+const waitPoll = 20 * time.Millisecond
+
+// Ports come from below the range from which systems usually take the ports of
+// outgoing connections, so that such a connection does not take a port between its
+// choice here and the start of the process that listens on it.
+const (
+	firstPort = 10_000
+	lastPort  = 30_000
+)
+
+var nextPort atomic.Int64
+
+func init() {
+	nextPort.Store(int64(os.Getpid()))
+}
+
+// freeAddress returns a loopback address with a port that is free now.
+func freeAddress() (string, error) {
+	for range lastPort - firstPort {
+		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			return address, l.Close()
+		}
+	}
+	return "", errors.New("no free port")
+}
+
+func (f *Fleet) newProcess(name, binary, operator string, args ...string) *Process {
+	p := &Process{
+		Name:     name,
+		Operator: operator,
+		path:     filepath.Join(f.opts.Bin, binary),
+		args:     args,
+		log:      filepath.Join(f.opts.Dir, name+".log"),
+	}
+	f.Processes[name] = p
+	f.order = append(f.order, name)
+	return p
+}
--- /dev/null
+++ b/internal/load/mix.go
@@ -0,0 +1,104 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/coltsfootpitch/coltsfootpitch/internal/client"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/standin/model"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/standin/plain"
+)
+
+// Mix describes the requests to send.
+type Mix struct {
+	// Clients are the callers, one for each organisation.
+	Clients []*client.Client
+	Model   string
+	Service string
+	// Count is the number of requests and Parallel how many are sent at a time.
+	Count    int
+	Parallel int
+	// Tokens is the length of the answers of model requests.
+	Tokens int
+	// Prefix makes the prompts and bodies of this mix differ from others.
+	Prefix string
+	// Between is the pause of each sender between two requests.
+	Between time.Duration
+}
+
+// Outcome is the end of one request.
+type Outcome struct {
+	Number int
+	Answer client.Answer
+	Err    error
+	// Right is set when the answer is whole and the one that was asked for.
+	Right bool
+}
+
+// Run sends the requests and returns their ends in order of their numbers.
+func Run(ctx context.Context, m Mix) []Outcome {
+	out := make([]Outcome, m.Count)
+	numbers := make(chan int)
+	var senders sync.WaitGroup
+	for range m.Parallel {
+		senders.Go(func() {
+			for n := range numbers {
+				out[n] = m.send(ctx, n)
+				time.Sleep(m.Between)
+			}
+		})
+	}
+	for n := range m.Count {
+		numbers <- n
+	}
+	close(numbers)
+	senders.Wait()
+	return out
+}
+
+// Wrong returns the outcomes whose answers are not right.
+func Wrong(all []Outcome) []Outcome {
+	var out []Outcome
+	for _, o := range all {
+		if !o.Right {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+// send sends request n: a stream, a plain model request, a call that may be repeated
+// and one that may not, in turn.
+func (m Mix) send(ctx context.Context, n int) Outcome {
+	c := m.Clients[n%len(m.Clients)]
+	text := fmt.Sprintf("%s request %d", m.Prefix, n)
+	switch n % 4 {
+	case 0, 1:
+		return m.chat(ctx, c, n, text, n%4 == 0)
+	case 2:
+		return m.call(ctx, c, n, http.MethodGet, text)
+	}
+	return m.call(ctx, c, n, http.MethodPost, text)
+}
+
+func (m Mix) chat(ctx context.Context, c *client.Client, n int, prompt string, stream bool) Outcome {
+	a, err := c.Do(ctx, client.Chat(m.Model, prompt, m.Tokens, stream))
+	if !stream {
+		a.Text = client.Content(a.Text)
+	}
+	want := model.Text("user:"+prompt+"\n", m.Tokens)
+	return Outcome{Number: n, Answer: a, Err: err, Right: err == nil && a.Whole && a.Text == want}
+}
+
+func (m Mix) call(ctx context.Context, c *client.Client, n int, method, text string) Outcome {
+	path := fmt.Sprintf("/slips/%s/%d", method, n)
+	a, err := c.Do(ctx, client.Call{Method: method, Path: "/services/" + m.Service + path, Body: []byte(text)})
+	var got plain.Answer
+	decoded := json.Unmarshal([]byte(a.Text), &got) == nil
+	right := err == nil && a.Whole && decoded && got.Path == path && got.Body == text && got.Request == a.Request
+	return Outcome{Number: n, Answer: a, Err: err, Right: right}
+}
--- /dev/null
+++ b/pkg/agent/agent.go
@@ -0,0 +1,136 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/admission"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/configuration"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/fairness"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/fence"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/upstream"
+)
+
+// Options configure an agent.
+type Options struct {
+	Settings Settings
+	Client   upstream.Client
+	Recorder *event.Recorder
+	Registry metrics.Registry
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
+}
+
+// Agent guards one upstream. It is safe for concurrent use.
+type Agent struct {
+	settings Settings
+	client   upstream.Client
+	events   *event.Recorder
+	now      func() time.Time
+	config   configuration.Holder
+	meters   meters
+
+	mu      sync.Mutex
+	wake    *sync.Cond
+	fence   *fence.Fence
+	queue   *fairness.Queue
+	limiter *admission.Limiter
+	tasks   map[string]*task
+	health  upstream.Health
+	up      bool
+	leaving bool
+	closed  bool
+	service float64
+
+	workers sync.WaitGroup
+	cancel  context.CancelFunc
+}
+
+// New returns an agent with a new incarnation.
+func New(o Options) *Agent {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	a := &Agent{
+		settings: o.Settings,
+		client:   o.Client,
+		events:   o.Recorder,
+		now:      o.Now,
+		meters:   newMeters(o.Registry),
+		fence:    fence.New(uuid.NewString()),
+		queue:    fairness.New(o.Settings.QueueLimit),
+		limiter: admission.New(admission.Options{
+			Cold: o.Settings.Upstream.ColdLimit,
+			Max:  o.Settings.Upstream.MaxLimit,
+			Idle: o.Settings.Upstream.Idle(),
+		}),
+		tasks: map[string]*task{},
+	}
+	a.wake = sync.NewCond(&a.mu)
+	return a
+}
+
+// Start starts the workers and the health probe.
+func (a *Agent) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	a.cancel = cancel
+	for range a.settings.Upstream.MaxLimit {
+		a.workers.Add(1)
+		go a.work()
+	}
+	a.workers.Add(1)
+	go a.probe(ctx)
+}
+
+// Leave refuses new and waiting work and waits until the running work has ended or
+// ctx ends.
+func (a *Agent) Leave(ctx context.Context) {
+	a.mu.Lock()
+	a.leaving = true
+	a.refuseWaiting()
+	a.mu.Unlock()
+	for ctx.Err() == nil && a.busy() {
+		pause(ctx, leavePoll)
+	}
+}
+
+// Stop ends the workers. Running work is cut off; call Leave first.
+func (a *Agent) Stop() {
+	a.mu.Lock()
+	a.closed = true
+	for _, t := range a.tasks {
+		t.cancel()
+	}
+	a.wake.Broadcast()
+	a.mu.Unlock()
+	a.cancel()
+	a.workers.Wait()
+}
+
+const leavePoll = 10 * time.Millisecond
+
+func (a *Agent) busy() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.tasks) > 0
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// news returns what every message of this agent carries.
+func (a *Agent) news() peer.News {
+	return peer.News{Stamp: a.events.Clock().Now(), ConfigVersion: a.config.View().Version()}
+}
--- /dev/null
+++ b/pkg/agent/doc.go
@@ -0,0 +1,12 @@
+// Package agent is the process beside one upstream and the only way to it.
+//
+// Every attempt passes the fence, which decides whether it may still start, waits
+// in the fairness queue, and is started by a worker when the admission limit of the
+// upstream allows it. Answers travel back as frames; the result is the terminal
+// frame. The agent refuses new work while its availability zone is out, while it or
+// its upstream leaves, and before it knows a configuration.
+//
+// A pool of workers shares the tables (fence, queue, limiter, tasks). One mutex
+// guards them all. Lock order: Agent.mu, then the mutex of the event recorder. No
+// I/O is done while Agent.mu is held.
+package agent
--- /dev/null
+++ b/pkg/agent/module.go
@@ -0,0 +1,72 @@
+package agent
+
+import (
+	"context"
+	"net"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/fx"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/engine"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/operator"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/service"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/upstream"
+)
+
+// Module returns the parts of an agent process.
+func Module(s Settings) fx.Option {
+	return fx.Options(
+		fx.Supply(s),
+		fx.Provide(newClient, newAgent, newServer),
+		fx.Invoke(register),
+	)
+}
+
+func newClient(s Settings) upstream.Client {
+	if s.Upstream.Kind == PlainService {
+		return service.New(s.Upstream.URL)
+	}
+	return engine.New(s.Upstream.URL)
+}
+
+func newAgent(s Settings, c upstream.Client, rec *event.Recorder, reg metrics.Registry) *Agent {
+	return New(Options{Settings: s, Client: c, Recorder: rec, Registry: reg})
+}
+
+func newServer(a *Agent) *peer.Server {
+	s := peer.NewServer()
+	peer.Handle(s, peer.MethodRun, a.Run)
+	peer.Handle(s, peer.MethodCancel, a.Cancel)
+	peer.Handle(s, peer.MethodStatus, a.AnswerStatus)
+	peer.Handle(s, peer.MethodConfigure, a.Configure)
+	return s
+}
+
+func register(lc fx.Lifecycle, a *Agent, srv *peer.Server, op *operator.Server, rec *event.Recorder) {
+	lc.Append(fx.Hook{
+		OnStart: func(ctx context.Context) error {
+			var cfg net.ListenConfig
+			l, err := cfg.Listen(ctx, "tcp", a.settings.ControlAddress)
+			if err != nil {
+				return err
+			}
+			a.Start()
+			go func() {
+				// Serve ends when the listener is closed at stop.
+				_ = srv.Serve(l)
+			}()
+			op.SetReady(true)
+			return nil
+		},
+		OnStop: func(ctx context.Context) error {
+			op.SetReady(false)
+			rec.Record(event.Event{Kind: event.ProcessStopping})
+			a.Leave(ctx)
+			err := srv.Shutdown(ctx)
+			a.Stop()
+			return err
+		},
+	})
+}
--- /dev/null
+++ b/pkg/agent/run.go
@@ -0,0 +1,173 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+)
+
+// Run takes in an attempt and returns its result when it has ended or was refused.
+func (a *Agent) Run(ctx context.Context, conn *jsonrpc2.Conn, r peer.RunRequest) (peer.RunResult, error) {
+	a.events.Clock().Observe(r.Stamp)
+	t := a.newTask(conn, r)
+	defer t.cancel()
+	if c := a.admit(t); c != code.OK {
+		a.refused(t, c)
+		return a.complete(peer.RunResult{Code: c}), nil
+	}
+	return a.complete(a.await(ctx, t)), nil
+}
+
+// admit puts the task in the queue, or returns the reason why it may not wait.
+func (a *Agent) admit(t *task) code.Code {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if c := a.closedTo(t.req); c != code.OK {
+		return c
+	}
+	budget := time.Duration(t.req.StartByMillis) * time.Millisecond
+	if c := a.fence.Admit(t.key, t.req.Incarnation, t.arrived, budget); c != code.OK {
+		return c
+	}
+	if !a.queue.Push(t.item()) {
+		a.fence.Refuse(t.key, t.arrived)
+		return code.Overloaded
+	}
+	a.tasks[t.id] = t
+	a.wake.Signal()
+	return code.OK
+}
+
+// closedTo returns the reason why the agent takes no new work of this kind, or OK.
+func (a *Agent) closedTo(r peer.RunRequest) code.Code {
+	if a.leaving || a.closed {
+		return code.UpstreamLeaving
+	}
+	view := a.config.View()
+	if view == nil {
+		return code.NotConfigured
+	}
+	if view.ZoneOut(a.settings.Zone) {
+		return code.ZoneOut
+	}
+	if !a.up {
+		return code.UpstreamUnreachable
+	}
+	if !a.holds(r) {
+		return code.NoUpstream
+	}
+	return code.OK
+}
+
+func (a *Agent) holds(r peer.RunRequest) bool {
+	names := a.health.Models
+	if r.Kind == peer.ServiceWork {
+		names = a.health.Services
+	}
+	for _, n := range names {
+		if n == r.Target {
+			return true
+		}
+	}
+	return false
+}
+
+// await waits for the end of a task. It refuses the task when its start budget runs
+// out in the queue and cancels it when the entry's connection is lost.
+func (a *Agent) await(ctx context.Context, t *task) peer.RunResult {
+	budget := time.NewTimer(time.Duration(t.req.StartByMillis) * time.Millisecond)
+	defer budget.Stop()
+	for {
+		select {
+		case r := <-t.ended:
+			return r
+		case <-budget.C:
+			a.dropWaiting(t, code.StartBudgetExpired)
+		case <-ctx.Done():
+			a.entryGone(t)
+			return <-t.ended
+		}
+	}
+}
+
+// entryGone ends a task whose entry no longer listens. A call that may not be
+// repeated and has started is left to end by itself.
+func (a *Agent) entryGone(t *task) {
+	if a.dropWaiting(t, code.CallerGone) || t.req.Idempotent {
+		t.cancel()
+	}
+}
+
+// dropWaiting ends a task that still waits and reports whether it did.
+func (a *Agent) dropWaiting(t *task, c code.Code) bool {
+	a.mu.Lock()
+	waiting := a.queue.Remove(t.id)
+	if waiting {
+		a.fence.Refuse(t.key, a.now())
+		delete(a.tasks, t.id)
+	}
+	a.mu.Unlock()
+	if waiting {
+		a.refused(t, c)
+		t.finish(c, "", 0)
+	}
+	return waiting
+}
+
+// refuseWaiting ends all waiting tasks. Agent.mu is held.
+func (a *Agent) refuseWaiting() {
+	for {
+		i, ok := a.queue.Pop()
+		if !ok {
+			return
+		}
+		t := a.tasks[i.ID]
+		a.fence.Refuse(t.key, a.now())
+		delete(a.tasks, i.ID)
+		t.finish(code.UpstreamLeaving, "", 0)
+	}
+}
+
+// Cancel ends an attempt, or sees that it never starts.
+func (a *Agent) Cancel(_ context.Context, _ *jsonrpc2.Conn, r peer.CancelRequest) (peer.CancelResult, error) {
+	a.events.Clock().Observe(r.Stamp)
+	id := taskID(r.Request, r.Attempt)
+	a.mu.Lock()
+	t := a.tasks[id]
+	a.mu.Unlock()
+	if t != nil && a.dropWaiting(t, code.Tombstoned) {
+		return peer.CancelResult{News: a.news(), State: peer.CancelNotRun}, nil
+	}
+	a.mu.Lock()
+	ran := a.fence.Cancel(keyOf(r), r.Incarnation, a.now())
+	a.mu.Unlock()
+	a.events.Record(event.Event{Kind: event.WorkCancelled, Request: r.Request, Attempt: r.Attempt, Upstream: a.settings.Name})
+	if !ran {
+		return peer.CancelResult{News: a.news(), State: peer.CancelNotRun}, nil
+	}
+	if t != nil {
+		t.cancel()
+	}
+	return peer.CancelResult{News: a.news(), State: peer.CancelStarted}, nil
+}
+
+// complete adds to a result what every result carries.
+func (a *Agent) complete(r peer.RunResult) peer.RunResult {
+	r.News = a.news()
+	r.Load = a.Status()
+	r.Incarnation = r.Load.Incarnation
+	return r
+}
+
+func (a *Agent) refused(t *task, c code.Code) {
+	a.meters.refused.Inc(1)
+	a.events.Record(event.Event{
+		Kind: event.WorkRefused, Request: t.req.Request, Attempt: t.req.Attempt,
+		Organisation: t.req.Organisation, Upstream: a.settings.Name, Code: int(c), Detail: c.String(),
+	})
+}
--- /dev/null
+++ b/pkg/agent/settings.go
@@ -0,0 +1,56 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/process"
+)
+
+// UpstreamKind tells model engines from plain services.
+type UpstreamKind string
+
+// Kinds of upstreams.
+const (
+	ModelEngine  UpstreamKind = "model-engine"
+	PlainService UpstreamKind = "plain-service"
+)
+
+// UpstreamSettings describe the upstream of an agent.
+type UpstreamSettings struct {
+	Kind UpstreamKind `yaml:"kind" validate:"oneof=model-engine plain-service"`
+	// URL is the base URL of the upstream.
+	URL string `yaml:"url" validate:"required,url"`
+	// ColdLimit is the number of requests that the upstream bears when it has just started.
+	ColdLimit int `yaml:"cold_limit" validate:"min=1"`
+	// MaxLimit is the number of requests that the warm upstream bears at most.
+	MaxLimit int `yaml:"max_limit" validate:"gtefield=ColdLimit,max=4096"`
+	// IdleMillis is the time without work after which the upstream counts as cold; 0 means never.
+	IdleMillis int64 `yaml:"idle_ms" validate:"min=0"`
+}
+
+// Idle returns the idle time after which the upstream counts as cold.
+func (u UpstreamSettings) Idle() time.Duration {
+	return time.Duration(u.IdleMillis) * time.Millisecond
+}
+
+// Settings are the settings of coltsfoot-agent.
+type Settings struct {
+	process.Common `yaml:",inline"`
+	// ControlAddress is the host:port for the other processes of the system.
+	ControlAddress string           `yaml:"control_address" validate:"required,tcp_addr"`
+	Upstream       UpstreamSettings `yaml:"upstream"`
+	// QueueLimit bounds the requests that wait.
+	QueueLimit int `yaml:"queue_limit" validate:"min=1"`
+	// ProbeMillis is the interval of the health probe.
+	ProbeMillis int64 `yaml:"probe_ms" validate:"min=10"`
+}
+
+// DefaultSettings returns the settings before the file is read.
+func DefaultSettings() Settings {
+	return Settings{
+		Common:      process.DefaultCommon(),
+		QueueLimit:  256,
+		ProbeMillis: 250,
+		Upstream:    UpstreamSettings{ColdLimit: 2, MaxLimit: 32, IdleMillis: 300_000},
+	}
+}
--- /dev/null
+++ b/pkg/agent/status.go
@@ -0,0 +1,78 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/upstream"
+)
+
+// Status returns the state of the agent and its upstream.
+func (a *Agent) Status() peer.Status {
+	news := a.news()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return peer.Status{
+		News:          news,
+		Upstream:      a.settings.Name,
+		Zone:          a.settings.Zone,
+		Incarnation:   a.fence.Incarnation(),
+		Models:        a.health.Models,
+		Services:      a.health.Services,
+		Limit:         a.limiter.Limit(a.now()),
+		Running:       a.limiter.Running(),
+		Queued:        a.queue.Len(),
+		Cold:          a.limiter.Cold(),
+		Leaving:       a.leaving,
+		Reachable:     a.up,
+		ServiceMillis: a.service,
+	}
+}
+
+// AnswerStatus serves peer.MethodStatus.
+func (a *Agent) AnswerStatus(_ context.Context, _ *jsonrpc2.Conn, r peer.StatusRequest) (peer.Status, error) {
+	a.events.Clock().Observe(r.Stamp)
+	return a.Status(), nil
+}
+
+// Configure serves peer.MethodConfigure: it adopts the document when it is newer.
+func (a *Agent) Configure(_ context.Context, _ *jsonrpc2.Conn, r peer.ConfigureRequest) (peer.ConfigureResult, error) {
+	a.events.Clock().Observe(r.Stamp)
+	if r.Document != nil && a.config.Adopt(r.Document) {
+		a.events.Record(event.Event{Kind: event.ConfigAdopted, ConfigVersion: r.Document.Version, Zone: a.settings.Zone})
+		a.mu.Lock()
+		a.wake.Broadcast()
+		a.mu.Unlock()
+	}
+	return peer.ConfigureResult{News: a.news()}, nil
+}
+
+// probe asks the upstream for its health until ctx ends.
+func (a *Agent) probe(ctx context.Context) {
+	defer a.workers.Done()
+	for ctx.Err() == nil {
+		h, err := a.client.Health(ctx)
+		a.observe(h, err == nil)
+		pause(ctx, time.Duration(a.settings.ProbeMillis)*time.Millisecond)
+	}
+}
+
+// observe takes in a health answer. A new incarnation of the upstream starts cold.
+func (a *Agent) observe(h upstream.Health, up bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.up = up
+	if !up {
+		return
+	}
+	if h.Incarnation != a.health.Incarnation {
+		a.limiter.Reset()
+		a.events.Record(event.Event{Kind: event.UpstreamCold, Upstream: a.settings.Name, Detail: "incarnation " + h.Incarnation})
+	}
+	a.health = h
+	a.wake.Broadcast()
+}
--- /dev/null
+++ b/pkg/agent/work.go
@@ -0,0 +1,117 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/fence"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/upstream"
+)
+
+// work is the loop of one worker.
+func (a *Agent) work() {
+	defer a.workers.Done()
+	for {
+		t := a.next()
+		if t == nil {
+			return
+		}
+		a.execute(t)
+	}
+}
+
+// next waits for a task that may start now and marks it as started. It returns nil
+// when the agent stops.
+func (a *Agent) next() *task {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for {
+		if a.closed {
+			return nil
+		}
+		if t := a.startOne(); t != nil {
+			return t
+		}
+		a.wake.Wait()
+	}
+}
+
+// startOne takes tasks from the queue until one may start. Agent.mu is held.
+func (a *Agent) startOne() *task {
+	for a.queue.Len() > 0 && a.limiter.Start(a.now()) {
+		i, _ := a.queue.Pop()
+		t := a.tasks[i.ID]
+		c := a.closedTo(t.req)
+		if c == code.OK {
+			c = a.fence.Start(t.key, a.now())
+		}
+		if c == code.OK {
+			return t
+		}
+		a.limiter.End(a.now(), false)
+		a.fence.Refuse(t.key, a.now())
+		delete(a.tasks, i.ID)
+		t.finish(c, "", 0)
+	}
+	return nil
+}
+
+// execute runs a started task at the upstream.
+func (a *Agent) execute(t *task) {
+	a.events.Record(event.Event{
+		Kind: event.WorkStarted, Request: t.req.Request, Attempt: t.req.Attempt,
+		Organisation: t.req.Organisation, Upstream: a.settings.Name, Zone: a.settings.Zone,
+	})
+	began := a.now()
+	answer, err := a.client.Run(t.ctx, t.req, func(p upstream.Part) error {
+		return t.send(a.fence.Incarnation(), p)
+	})
+	c, detail := a.verdict(t, answer, err)
+	a.end(t, began, c, answer)
+	t.finish(c, detail, answer.Tokens)
+	a.events.Record(event.Event{
+		Kind: event.WorkEnded, Request: t.req.Request, Attempt: t.req.Attempt,
+		Organisation: t.req.Organisation, Upstream: a.settings.Name, Code: int(c), Detail: c.String(),
+	})
+}
+
+// verdict turns the end of a run into a code.
+func (a *Agent) verdict(t *task, answer upstream.Answer, err error) (code.Code, string) {
+	switch {
+	case err == nil:
+		return code.OK, ""
+	case errors.Is(err, upstream.ErrNotSent) && answer.Status == 0:
+		return code.UpstreamUnreachable, err.Error()
+	case errors.Is(t.ctx.Err(), context.DeadlineExceeded):
+		return code.DeadlineExceeded, err.Error()
+	case t.ctx.Err() != nil:
+		return code.CallerGone, err.Error()
+	}
+	return code.UpstreamLost, err.Error()
+}
+
+// end updates the tables after a run.
+func (a *Agent) end(t *task, began time.Time, c code.Code, answer upstream.Answer) {
+	now := a.now()
+	took := now.Sub(began)
+	a.meters.ended(c, took)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.limiter.End(now, c == code.OK)
+	a.fence.End(t.key, now)
+	a.queue.Settle(t.req.Organisation, t.req.Cost, max(answer.Tokens, 1))
+	a.service += serviceGain * (float64(took.Milliseconds()) - a.service)
+	delete(a.tasks, t.id)
+	a.wake.Broadcast()
+}
+
+// serviceGain is the weight of the newest sample in the mean service time.
+const serviceGain = 0.1
+
+func keyOf(r peer.CancelRequest) fence.Key {
+	return fence.Key{Request: r.Request, Attempt: r.Attempt}
+}
--- /dev/null
+++ b/pkg/controller/module.go
@@ -0,0 +1,99 @@
+package controller
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/fx"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/lease"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/operator"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/platform"
+)
+
+// Module returns the parts of a controller process.
+func Module(s Settings) fx.Option {
+	return fx.Options(
+		fx.Supply(s),
+		fx.Provide(newPlatform, newNode),
+		fx.Invoke(register),
+	)
+}
+
+func newPlatform(s Settings, reg metrics.Registry) *platform.Client {
+	return platform.New(platform.Options{URL: s.PlatformURL, Registry: reg})
+}
+
+// node is the life cycle of a controller process.
+type node struct {
+	settings Settings
+	lease    *lease.Lease
+	events   *event.Recorder
+	operator *operator.Server
+
+	cancel context.CancelFunc
+	loops  sync.WaitGroup
+}
+
+func newNode(s Settings, p *platform.Client, rec *event.Recorder, op *operator.Server) *node {
+	return &node{
+		settings: s,
+		lease:    lease.New(p, "fleet", s.Name, s.Lease()),
+		events:   rec,
+		operator: op,
+	}
+}
+
+func register(lc fx.Lifecycle, n *node) {
+	lc.Append(fx.Hook{OnStart: n.start, OnStop: n.stop})
+}
+
+func (n *node) start(context.Context) error {
+	run, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	n.loops.Go(func() { n.hold(run) })
+	n.operator.SetReady(true)
+	return nil
+}
+
+func (n *node) stop(context.Context) error {
+	n.events.Record(event.Event{Kind: event.ProcessStopping})
+	n.operator.SetReady(false)
+	n.cancel()
+	n.loops.Wait()
+	return nil
+}
+
+// renewals is the number of renewals in each duration of a lease.
+const renewals = 3
+
+// hold keeps the lease until ctx ends.
+func (n *node) hold(ctx context.Context) {
+	tick := time.NewTicker(n.settings.Lease() / renewals)
+	defer tick.Stop()
+	for ctx.Err() == nil {
+		had := n.lease.Held()
+		err := n.lease.Step(ctx, time.Now())
+		n.report(had, err)
+		select {
+		case <-ctx.Done():
+		case <-tick.C:
+		}
+	}
+}
+
+func (n *node) report(had bool, err error) {
+	if has := n.lease.Held(); has != had {
+		e := event.Event{Kind: event.LeaseLost, Detail: "fleet"}
+		if has {
+			e.Kind = event.LeaseAcquired
+		}
+		if err != nil {
+			e.Detail += ": " + err.Error()
+		}
+		n.events.Record(e)
+	}
+}
--- /dev/null
+++ b/pkg/ctl/doc.go
@@ -0,0 +1,2 @@
+// Package ctl has the commands of coltsfootctl, the operators' tool.
+package ctl
--- /dev/null
+++ b/pkg/entry/module.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/fx"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/caller"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/configstore"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/configuration"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/dispatch"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/operator"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/platform"
+)
+
+// Module returns the parts of an entry process.
+func Module(s Settings) fx.Option {
+	return fx.Options(
+		fx.Supply(s),
+		fx.Provide(
+			newPlatform,
+			configstore.New,
+			func() *configuration.Holder { return &configuration.Holder{} },
+			newTable,
+			newPoller,
+			dispatch.New,
+			newCaller,
+			newNode,
+		),
+		fx.Invoke(register),
+	)
+}
+
+func newPlatform(s Settings, reg metrics.Registry) *platform.Client {
+	return platform.New(platform.Options{URL: s.PlatformURL, Registry: reg})
+}
+
+func newTable(s Settings, h *configuration.Holder, rec *event.Recorder) *dispatch.Table {
+	return dispatch.NewTable(s.Name, s.Zone, h, rec, time.Now)
+}
+
+func newPoller(s Settings, t *dispatch.Table) *dispatch.Poller {
+	return dispatch.NewPoller(t, time.Duration(s.StatusMillis)*time.Millisecond)
+}
+
+func newCaller(s Settings, d *dispatch.Dispatcher, t *dispatch.Table, h *configuration.Holder) *caller.Server {
+	return caller.New(caller.Options{Address: s.CallerAddress, Dispatcher: d, Directory: t, Config: h})
+}
+
+func register(lc fx.Lifecycle, n *node, op *operator.Server) {
+	n.operator = op
+	lc.Append(fx.Hook{OnStart: n.start, OnStop: n.stop})
+}
+
+func newNode(s Settings, p *platform.Client, st *configstore.Store, h *configuration.Holder, t *dispatch.Table, po *dispatch.Poller, c *caller.Server, rec *event.Recorder) *node {
+	return &node{settings: s, platform: p, store: st, config: h, table: t, poller: po, callers: c, events: rec, control: peer.NewServer()}
+}
--- /dev/null
+++ b/pkg/entry/node.go
@@ -0,0 +1,153 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/caller"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/configstore"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/configuration"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/dispatch"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/instancelist"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/operator"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/platform"
+)
+
+// node is the life cycle of an entry process.
+type node struct {
+	settings Settings
+	platform *platform.Client
+	store    *configstore.Store
+	config   *configuration.Holder
+	table    *dispatch.Table
+	poller   *dispatch.Poller
+	callers  *caller.Server
+	control  *peer.Server
+	operator *operator.Server
+	events   *event.Recorder
+
+	cancel context.CancelFunc
+	loops  sync.WaitGroup
+}
+
+func (n *node) start(ctx context.Context) error {
+	peer.Handle(n.control, peer.MethodStatus, n.answerStatus)
+	peer.Handle(n.control, peer.MethodConfigure, n.configure)
+	var cfg net.ListenConfig
+	l, err := cfg.Listen(ctx, "tcp", n.settings.ControlAddress)
+	if err != nil {
+		return err
+	}
+	go func() {
+		// Serve ends when the listener is closed at stop.
+		_ = n.control.Serve(l)
+	}()
+	run, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	list := instancelist.New(instancelist.Options{
+		OnChange:    n.instancesChanged,
+		OnLost:      n.platformLost,
+		OnRecovered: n.platformRecovered,
+	})
+	n.loops.Go(func() { list.Run(run, n.platform) })
+	n.loops.Go(func() { n.store.Follow(run, n.adopt) })
+	n.loops.Go(func() { n.poller.Run(run) })
+	n.loops.Go(func() { n.watchReady(run) })
+	return n.callers.Start(ctx)
+}
+
+// stop is a planned stop: no request in progress is cut off unless ctx ends first.
+func (n *node) stop(ctx context.Context) error {
+	n.events.Record(event.Event{Kind: event.ProcessStopping})
+	n.operator.SetReady(false)
+	n.callers.Leave()
+	n.linger(ctx)
+	err := n.callers.Stop(ctx)
+	n.cancel()
+	n.loops.Wait()
+	n.control.Close()
+	return err
+}
+
+// linger waits for the life of the newest address answer that names this entry.
+func (n *node) linger(ctx context.Context) {
+	view := n.config.View()
+	if view == nil {
+		return
+	}
+	life := time.Duration(view.Document.Limits.DirectoryTTLSeconds) * time.Second
+	select {
+	case <-ctx.Done():
+	case <-time.After(life + n.noticeTime()):
+	}
+}
+
+// noticeTime is the time within which the other entries see that this one leaves.
+func (n *node) noticeTime() time.Duration {
+	return 2 * time.Duration(n.settings.StatusMillis) * time.Millisecond
+}
+
+func (n *node) instancesChanged(list []instancelist.Instance) {
+	n.table.SetInstances(list)
+	n.poller.Wake()
+}
+
+func (n *node) adopt(d *configuration.Document) {
+	if !n.config.Adopt(d) {
+		return
+	}
+	n.events.Record(event.Event{Kind: event.ConfigAdopted, ConfigVersion: d.Version})
+	n.poller.Wake()
+}
+
+func (n *node) platformLost(err error) {
+	n.events.Record(event.Event{Kind: event.PlatformLost, Detail: err.Error()})
+}
+
+func (n *node) platformRecovered() {
+	n.events.Record(event.Event{Kind: event.PlatformRecovered})
+}
+
+// readyPoll is the interval at which readiness is looked at.
+const readyPoll = 50 * time.Millisecond
+
+func (n *node) watchReady(ctx context.Context) {
+	tick := time.NewTicker(readyPoll)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			n.operator.SetReady(n.table.Ready() && !n.callers.Leaving())
+		}
+	}
+}
+
+func (n *node) news() peer.News {
+	return peer.News{Stamp: n.events.Clock().Now(), ConfigVersion: n.config.View().Version()}
+}
+
+func (n *node) answerStatus(_ context.Context, _ *jsonrpc2.Conn, r peer.StatusRequest) (peer.Status, error) {
+	n.events.Clock().Observe(r.Stamp)
+	return peer.Status{
+		News:     n.news(),
+		Upstream: n.settings.Name,
+		Zone:     n.settings.Zone,
+		Leaving:  n.callers.Leaving(),
+	}, nil
+}
+
+func (n *node) configure(_ context.Context, _ *jsonrpc2.Conn, r peer.ConfigureRequest) (peer.ConfigureResult, error) {
+	n.events.Clock().Observe(r.Stamp)
+	if r.Document != nil {
+		n.adopt(r.Document)
+	}
+	return peer.ConfigureResult{News: n.news()}, nil
+}
--- /dev/null
+++ b/pkg/entry/settings.go
@@ -0,0 +1,21 @@
+package entry
+
+import "github.com/coltsfootpitch/coltsfootpitch/pkg/process"
+
+// Settings are the settings of coltsfoot-entry.
+type Settings struct {
+	process.Common `yaml:",inline"`
+	// CallerAddress is the host:port for callers.
+	CallerAddress string `yaml:"caller_address" validate:"required,tcp_addr"`
+	// ControlAddress is the host:port for the other processes of the system.
+	ControlAddress string `yaml:"control_address" validate:"required,tcp_addr"`
+	// PlatformURL is the base URL of the platform's object API.
+	PlatformURL string `yaml:"platform_url" validate:"required,url"`
+	// StatusMillis is the interval between two status calls to a process.
+	StatusMillis int64 `yaml:"status_ms" validate:"min=10"`
+}
+
+// DefaultSettings returns the settings before the file is read.
+func DefaultSettings() Settings {
+	return Settings{Common: process.DefaultCommon(), StatusMillis: 500}
+}
--- /dev/null
+++ b/pkg/peer/message.go
@@ -0,0 +1,163 @@
+package peer
+
+import (
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/configuration"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
+)
+
+// Methods of the protocol.
+const (
+	MethodRun       = "run"
+	MethodFrame     = "frame"
+	MethodCancel    = "cancel"
+	MethodStatus    = "status"
+	MethodConfigure = "configure"
+)
+
+// News travels with every message.
+type News struct {
+	Stamp         event.Stamp `json:"stamp"`
+	ConfigVersion int64       `json:"config_version"`
+}
+
+// WorkKind tells model requests from calls of a plain service.
+type WorkKind string
+
+// Kinds of work.
+const (
+	ModelWork   WorkKind = "model"
+	ServiceWork WorkKind = "service"
+)
+
+// Header is one HTTP header field of a call.
+type Header struct {
+	Name  string `json:"name"`
+	Value string `json:"value"`
+}
+
+// RunRequest asks an agent to run one attempt of a request at its upstream.
+type RunRequest struct {
+	News
+	Request string `json:"request"`
+	Attempt int    `json:"attempt"`
+	// Incarnation is the incarnation of the agent that the attempt is addressed to.
+	Incarnation  string   `json:"incarnation"`
+	Organisation string   `json:"organisation"`
+	Priority     int      `json:"priority"`
+	Weight       int      `json:"weight"`
+	Kind         WorkKind `json:"kind"`
+	// Target is the name of the model or of the service.
+	Target string `json:"target"`
+	// Method, Path and Headers are those of the call to the upstream.
+	Method  string   `json:"method"`
+	Path    string   `json:"path"`
+	Headers []Header `json:"headers,omitempty"`
+	Body    []byte   `json:"body,omitempty"`
+	// Stream is set when the answer is a stream of server-sent events.
+	Stream bool `json:"stream,omitempty"`
+	// Idempotent is set when the request may run more than once.
+	Idempotent bool `json:"idempotent"`
+	// IdempotencyKey is the caller's key, empty when there is none.
+	IdempotencyKey string `json:"idempotency_key,omitempty"`
+	// Cost is the expected cost in tokens; a service call costs 1.
+	Cost int64 `json:"cost"`
+	// StartByMillis is the time from receipt within which the attempt may start.
+	StartByMillis int64 `json:"start_by_ms"`
+	// TimeoutMillis is the time from receipt within which the answer must be whole.
+	TimeoutMillis int64 `json:"timeout_ms"`
+}
+
+// Frame carries bytes of an answer from the agent to the entry.
+type Frame struct {
+	Request     string `json:"request"`
+	Attempt     int    `json:"attempt"`
+	Incarnation string `json:"incarnation"`
+	// Offset is the number of answer bytes before this frame.
+	Offset int64  `json:"offset"`
+	Data   []byte `json:"data"`
+	// Status and Headers are set in the first frame only.
+	Status  int      `json:"status,omitempty"`
+	Headers []Header `json:"headers,omitempty"`
+}
+
+// RunResult ends an attempt.
+type RunResult struct {
+	News
+	Code        code.Code `json:"code"`
+	Detail      string    `json:"detail,omitempty"`
+	Incarnation string    `json:"incarnation"`
+	// Length is the number of bytes of the whole answer and Checksum their xxHash64.
+	Length   int64  `json:"length"`
+	Checksum uint64 `json:"checksum,string"`
+	// Tokens is the number of tokens generated, 0 for a service call.
+	Tokens int64 `json:"tokens,omitempty"`
+	// RetryAfterMillis is the agent's estimate of when it can take the work, 0 when unknown.
+	RetryAfterMillis int64  `json:"retry_after_ms,omitempty"`
+	Load             Status `json:"load"`
+}
+
+// CancelRequest asks an agent to end an attempt, or to see that it never starts.
+type CancelRequest struct {
+	News
+	Request string `json:"request"`
+	Attempt int    `json:"attempt"`
+	// Incarnation is the incarnation of the agent that the attempt was addressed to.
+	Incarnation string `json:"incarnation"`
+}
+
+// CancelState states what became of a cancelled attempt.
+type CancelState string
+
+// States after a cancel.
+const (
+	// CancelNotRun means that the attempt did not start and never will.
+	CancelNotRun CancelState = "not-run"
+	// CancelStarted means that the attempt had started; it is ended where possible.
+	CancelStarted CancelState = "started"
+)
+
+// CancelResult answers a CancelRequest.
+type CancelResult struct {
+	News
+	State CancelState `json:"state"`
+}
+
+// StatusRequest asks an agent for its state.
+type StatusRequest struct {
+	News
+	// From is the name of the asking process.
+	From string `json:"from"`
+}
+
+// Status is the state of an agent and its upstream.
+type Status struct {
+	News
+	Upstream    string   `json:"upstream"`
+	Zone        string   `json:"zone"`
+	Incarnation string   `json:"incarnation"`
+	Models      []string `json:"models,omitempty"`
+	Services    []string `json:"services,omitempty"`
+	// Limit is the number of requests that the upstream bears now.
+	Limit   int `json:"limit"`
+	Running int `json:"running"`
+	Queued  int `json:"queued"`
+	// Cold is set while the upstream warms up.
+	Cold    bool `json:"cold"`
+	Leaving bool `json:"leaving"`
+	// Reachable is set while the upstream answers its agent.
+	Reachable bool `json:"reachable"`
+	// ServiceMillis is the mean service time of the newest requests.
+	ServiceMillis float64 `json:"service_ms"`
+}
+
+// ConfigureRequest hands a configuration document to a process that is behind.
+type ConfigureRequest struct {
+	News
+	Document *configuration.Document `json:"document"`
+}
+
+// ConfigureResult answers with the version in force at the receiver.
+type ConfigureResult struct {
+	News
+}
--- /dev/null
+++ b/pkg/peer/server.go
@@ -0,0 +1,173 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
+)
+
+// method handles one request and returns its result.
+type method func(ctx context.Context, conn *jsonrpc2.Conn, params json.RawMessage) (any, error)
+
+// Server accepts connections of other processes and dispatches their calls.
+type Server struct {
+	methods map[string]method
+
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[*jsonrpc2.Conn]struct{}
+	active   int
+	draining bool
+}
+
+// NewServer returns a server without methods.
+func NewServer() *Server {
+	return &Server{methods: map[string]method{}, conns: map[*jsonrpc2.Conn]struct{}{}}
+}
+
+// Handle registers f for a method. It must be called before Serve. Each call runs
+// in its own goroutine; its context ends when the connection closes.
+func Handle[P, R any](s *Server, name string, f func(context.Context, *jsonrpc2.Conn, P) (R, error)) {
+	s.methods[name] = func(ctx context.Context, conn *jsonrpc2.Conn, params json.RawMessage) (any, error) {
+		var p P
+		if err := json.Unmarshal(params, &p); err != nil {
+			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+		}
+		return f(ctx, conn, p)
+	}
+}
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(l net.Listener) error {
+	s.mu.Lock()
+	s.listener = l
+	s.mu.Unlock()
+	for {
+		c, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return oops.Wrapf(err, "accept")
+		}
+		s.add(c)
+	}
+}
+
+// Shutdown refuses new calls, waits until the results of all calls in progress are
+// written or ctx ends, and closes the server.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.mu.Lock()
+	s.draining = true
+	s.mu.Unlock()
+	tick := time.NewTicker(drainPoll)
+	defer tick.Stop()
+	for s.calls() > 0 && ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-tick.C:
+		}
+	}
+	return s.Close()
+}
+
+const drainPoll = 5 * time.Millisecond
+
+func (s *Server) calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.active
+}
+
+// enter counts a call in progress and reports whether calls are still taken.
+func (s *Server) enter() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		return false
+	}
+	s.active++
+	return true
+}
+
+func (s *Server) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.active--
+}
+
+// Close closes the listener and all connections.
+func (s *Server) Close() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.Close()
+	}
+	if s.listener == nil {
+		return nil
+	}
+	return s.listener.Close()
+}
+
+func (s *Server) add(c net.Conn) {
+	stream := jsonrpc2.NewBufferedStream(c, jsonrpc2.VarintObjectCodec{})
+	conn := jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.AsyncHandler(s))
+	s.mu.Lock()
+	s.conns[conn] = struct{}{}
+	s.mu.Unlock()
+	go func() {
+		<-conn.DisconnectNotify()
+		s.mu.Lock()
+		delete(s.conns, conn)
+		s.mu.Unlock()
+	}()
+}
+
+// Handle implements jsonrpc2.Handler.
+func (s *Server) Handle(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) {
+	m, ok := s.methods[r.Method]
+	if !ok {
+		s.fail(ctx, conn, r, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method})
+		return
+	}
+	if !s.enter() {
+		s.fail(ctx, conn, r, &jsonrpc2.Error{Code: int64(code.UpstreamLeaving), Message: "process is stopping"})
+		return
+	}
+	defer s.leave()
+	params := json.RawMessage("null")
+	if r.Params != nil {
+		params = *r.Params
+	}
+	result, err := m(ctx, conn, params)
+	if err != nil {
+		s.fail(ctx, conn, r, wireError(err))
+		return
+	}
+	if !r.Notif {
+		// A failed reply means that the connection is gone; the caller sees that itself.
+		_ = conn.Reply(ctx, r.ID, result)
+	}
+}
+
+func (s *Server) fail(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request, err *jsonrpc2.Error) {
+	if !r.Notif {
+		_ = conn.ReplyWithError(ctx, r.ID, err)
+	}
+}
+
+func wireError(err error) *jsonrpc2.Error {
+	var e *jsonrpc2.Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return &jsonrpc2.Error{Code: int64(code.Internal), Message: err.Error()}
+}
--- /dev/null
+++ b/pkg/platform/follow.go
@@ -0,0 +1,83 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+)
+
+// Follower receives the state of one kind: first a full list, then changes.
+type Follower interface {
+	// Replace receives all objects of the kind.
+	Replace(items []Object)
+	// Change receives one changed or deleted object.
+	Change(o Object)
+	// Lost is called once when the platform stops answering, and Recovered when it answers again.
+	Lost(err error)
+	Recovered()
+}
+
+// WatchWait is the time that a watch waits at the platform.
+const WatchWait = 10 * time.Second
+
+// Follow lists and watches a kind until ctx ends. Failed calls are repeated with
+// exponential backoff and jitter.
+func (c *Client) Follow(ctx context.Context, kind string, f Follower) {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = 100 * time.Millisecond
+	pause.MaxInterval = 5 * time.Second
+	revision := int64(-1)
+	lost := false
+	for ctx.Err() == nil {
+		next, err := c.step(ctx, kind, revision, f)
+		if errors.Is(err, ErrGap) {
+			revision = -1
+			continue
+		}
+		if err != nil {
+			if !lost && ctx.Err() == nil {
+				f.Lost(err)
+			}
+			lost = true
+			sleep(ctx, pause.NextBackOff())
+			continue
+		}
+		if lost {
+			f.Recovered()
+		}
+		lost = false
+		pause.Reset()
+		revision = next
+	}
+}
+
+// step lists the kind when revision is negative and waits for changes otherwise.
+func (c *Client) step(ctx context.Context, kind string, revision int64, f Follower) (int64, error) {
+	if revision < 0 {
+		l, err := c.List(ctx, kind)
+		if err != nil {
+			return revision, err
+		}
+		f.Replace(l.Items)
+		return l.Revision, nil
+	}
+	l, err := c.Watch(ctx, kind, revision, WatchWait)
+	if err != nil {
+		return revision, err
+	}
+	for _, o := range l.Items {
+		f.Change(o)
+	}
+	return max(revision, l.Revision), nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/pkg/process/doc.go
@@ -0,0 +1,7 @@
+// Package process holds what all binaries share: the command line, checked
+// settings, logs, metrics, the time line, the operators' listener and the life cycle.
+//
+// Main parses the command line, loads the settings and runs an fx application. A
+// first SIGTERM or SIGINT starts a planned stop through the fx stop hooks; a second
+// signal, or the stop timeout of the settings, ends the process at once.
+package process
--- /dev/null
+++ b/pkg/process/log.go
@@ -0,0 +1,54 @@
+package process
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-logfmt/logfmt"
+	"github.com/hashicorp/go-hclog"
+)
+
+// NewLog returns a logger that writes one line of key=value pairs for each event.
+func NewLog(name, level string, out io.Writer) hclog.Logger {
+	l := hclog.NewInterceptLogger(&hclog.LoggerOptions{
+		Name:   name,
+		Level:  hclog.Off,
+		Output: io.Discard,
+	})
+	l.RegisterSink(&lineSink{out: out, level: hclog.LevelFromString(level)})
+	return l
+}
+
+// lineSink formats log entries as key=value lines.
+type lineSink struct {
+	level hclog.Level
+
+	mu  sync.Mutex
+	out io.Writer
+}
+
+// Accept implements hclog.SinkAdapter.
+func (s *lineSink) Accept(name string, level hclog.Level, msg string, args ...any) {
+	if level < s.level || s.level == hclog.Off {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := logfmt.NewEncoder(s.out)
+	pairs := append([]any{
+		"time", time.Now().UTC().Format(time.RFC3339Nano),
+		"level", strings.ToLower(level.String()),
+		"process", name,
+		"event", msg,
+	}, args...)
+	for i := 0; i+1 < len(pairs); i += 2 {
+		// A value of an unsupported type is written in its default format.
+		if e.EncodeKeyval(pairs[i], pairs[i+1]) != nil {
+			_ = e.EncodeKeyval(pairs[i], fmt.Sprint(pairs[i+1]))
+		}
+	}
+	_ = e.EndRecord()
+}
--- /dev/null
+++ b/pkg/process/main.go
@@ -0,0 +1,183 @@
+package process
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+	"github.com/urfave/cli/v3"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/operator"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/settings"
+)
+
+// Exit codes of all binaries.
+const (
+	ExitOK = 0
+	// ExitFailed means that the process or command failed while it ran.
+	ExitFailed = 1
+	// ExitUsage means that the command line is not valid.
+	ExitUsage = 2
+	// ExitSettings means that the settings are not valid.
+	ExitSettings = 3
+	// ExitStopTimeout means that a planned stop did not end in time or was cut short.
+	ExitStopTimeout = 4
+)
+
+// Settings are the settings of a binary; they embed Common.
+type Settings interface {
+	Base() Common
+}
+
+// Binary describes a binary to Main.
+type Binary[S Settings] struct {
+	Name  string
+	Usage string
+	// Defaults returns the settings before the file is read.
+	Defaults func() S
+	// Module returns the parts of the process.
+	Module func(S) fx.Option
+}
+
+// Main runs a binary and returns its exit code.
+func Main[S Settings](b Binary[S], args []string) int {
+	exit := ExitOK
+	cmd := &cli.Command{
+		Name:  b.Name,
+		Usage: b.Usage,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "path of the YAML settings `FILE`", Required: true},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+			&cli.BoolFlag{Name: "print-settings", Usage: "print the settings in force, with defaults, and exit"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			exit = run(b, c)
+			return nil
+		},
+	}
+	if err := cmd.Run(context.Background(), args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return ExitUsage
+	}
+	return exit
+}
+
+func run[S Settings](b Binary[S], c *cli.Command) int {
+	s := b.Defaults()
+	if err := settings.Load(c.String("settings"), &s); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return ExitSettings
+	}
+	if c.Bool("check") {
+		fmt.Println("settings are valid")
+		return ExitOK
+	}
+	if c.Bool("print-settings") {
+		return printSettings(s, os.Stdout)
+	}
+	return serve(s.Base(), b.Module(s))
+}
+
+func printSettings(s any, out io.Writer) int {
+	text, err := settings.Print(s)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return ExitFailed
+	}
+	fmt.Fprint(out, text)
+	return ExitOK
+}
+
+func serve(base Common, module fx.Option) int {
+	log := NewLog(base.Name, base.LogLevel, os.Stderr)
+	app := fx.New(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.Supply(base),
+		fx.Provide(
+			func() hclog.Logger { return log },
+			func() metrics.Registry { return metrics.NewRegistry() },
+			func() *event.Clock { return event.NewClock(nil) },
+			func(c *event.Clock) *event.Recorder { return event.NewRecorder(base.Name, c, log) },
+			newOperator,
+		),
+		fx.Invoke(registerOperator),
+		module,
+	)
+	if err := start(app); err != nil {
+		log.Error("start-failed", "error", err.Error())
+		return ExitFailed
+	}
+	return stop(app, base, log)
+}
+
+func start(app *fx.App) error {
+	if err := app.Err(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), fx.DefaultTimeout)
+	defer cancel()
+	return app.Start(ctx)
+}
+
+// stop waits for a signal or an internal shutdown and then stops the application.
+func stop(app *fx.App, base Common, log hclog.Logger) int {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	exit := ExitOK
+	select {
+	case <-signals:
+	case s := <-app.Wait():
+		exit = s.ExitCode
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), base.StopTimeout())
+	defer cancel()
+	go func() {
+		<-signals
+		cancel()
+	}()
+	err := app.Stop(ctx)
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
+		log.Error("stop-cut-short", "error", err.Error())
+		return ExitStopTimeout
+	}
+	if err != nil {
+		log.Error("stop-failed", "error", err.Error())
+		return ExitFailed
+	}
+	return exit
+}
+
+func newOperator(base Common, rec *event.Recorder, reg metrics.Registry) *operator.Server {
+	return operator.New(operator.Options{
+		Address:  base.OperatorAddress,
+		Token:    base.OperatorToken,
+		Recorder: rec,
+		Registry: reg,
+	})
+}
+
+// registerOperator makes the operators' listener the first to start and the last to stop.
+func registerOperator(lc fx.Lifecycle, s *operator.Server, rec *event.Recorder) {
+	lc.Append(fx.Hook{
+		OnStart: func(ctx context.Context) error {
+			if err := s.Start(ctx); err != nil {
+				return err
+			}
+			rec.Record(event.Event{Kind: event.ProcessStarted})
+			return nil
+		},
+		OnStop: func(ctx context.Context) error {
+			rec.Record(event.Event{Kind: event.ProcessStopped})
+			return s.Stop(ctx)
+		},
+	})
+}
--- /dev/null
+++ b/pkg/retry/budget.go
@@ -0,0 +1,33 @@
+package retry
+
+// Budget bounds the retries of one organisation. It is not safe for concurrent use.
+type Budget struct {
+	ratio   float64
+	max     float64
+	balance float64
+}
+
+// Default values of a budget.
+const (
+	// DefaultRatio is the share of retries in first attempts.
+	DefaultRatio = 0.1
+	// DefaultBurst is the largest number of retries saved up.
+	DefaultBurst = 10
+)
+
+// New returns a full budget.
+func New(ratio, burst float64) *Budget {
+	return &Budget{ratio: ratio, max: burst, balance: burst}
+}
+
+// Deposit notes a first attempt.
+func (b *Budget) Deposit() { b.balance = min(b.max, b.balance+b.ratio) }
+
+// Withdraw takes one retry and reports whether the budget allowed it.
+func (b *Budget) Withdraw() bool {
+	if b.balance < 1 {
+		return false
+	}
+	b.balance--
+	return true
+}
--- /dev/null
+++ b/pkg/service/client.go
@@ -0,0 +1,33 @@
+package service
+
+import (
+	"context"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/upstream"
+)
+
+// Client calls one plain service. It implements upstream.Client.
+type Client struct {
+	http *upstream.HTTP
+}
+
+// New returns a client of the service at the base URL.
+func New(base string) *Client {
+	return &Client{http: upstream.NewHTTP(base)}
+}
+
+// Health implements upstream.Client.
+func (c *Client) Health(ctx context.Context) (upstream.Health, error) {
+	return c.http.Health(ctx)
+}
+
+// Run implements upstream.Client.
+func (c *Client) Run(ctx context.Context, r peer.RunRequest, emit func(upstream.Part) error) (upstream.Answer, error) {
+	resp, err := c.http.Send(ctx, r)
+	if err != nil {
+		return upstream.Answer{}, err
+	}
+	defer resp.Body.Close()
+	return upstream.Answer{Status: resp.StatusCode}, upstream.Copy(resp, emit)
+}
--- /dev/null
+++ b/pkg/standin/model/server.go
@@ -0,0 +1,294 @@
+package model
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/google/uuid"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/upstream"
+)
+
+// Options configure a stand-in.
+type Options struct {
+	// Models are the names of the models held.
+	Models []string
+	// ColdLimit and WarmLimit are the requests borne at the start and when warm.
+	ColdLimit int
+	WarmLimit int
+	// TokenTime is the time between two tokens.
+	TokenTime time.Duration
+	// RestartTime is the pause after a crash.
+	RestartTime time.Duration
+}
+
+// Ledger tells what ran.
+type Ledger struct {
+	// Started and Finished count runs by request.
+	Started  map[string]int `json:"started"`
+	Finished map[string]int `json:"finished"`
+	Crashes  int            `json:"crashes"`
+	// Overshoots counts crashes because of too many requests at a time.
+	Overshoots int `json:"overshoots"`
+	// BadResumes counts resumed requests whose given beginning is not that of the answer.
+	BadResumes int `json:"bad_resumes"`
+	Running    int `json:"running"`
+	Peak       int `json:"peak"`
+}
+
+// Server is the stand-in. It is safe for concurrent use.
+type Server struct {
+	opts Options
+
+	mu          sync.Mutex
+	incarnation string
+	downUntil   time.Time
+	limit       int
+	crash       chan struct{}
+	ledger      Ledger
+}
+
+// New returns a cold engine.
+func New(o Options) *Server {
+	s := &Server{opts: o, ledger: Ledger{Started: map[string]int{}, Finished: map[string]int{}}}
+	s.restart()
+	return s
+}
+
+// restart starts a new incarnation. Server.mu is held or the server is not shared yet.
+func (s *Server) restart() {
+	s.incarnation = uuid.NewString()
+	s.limit = s.opts.ColdLimit
+	s.crash = make(chan struct{})
+	s.ledger.Running = 0
+}
+
+// Handler returns the HTTP handler.
+func (s *Server) Handler() http.Handler {
+	gin.SetMode(gin.ReleaseMode)
+	g := gin.New()
+	g.GET("/ledger", func(c *gin.Context) { c.JSON(http.StatusOK, s.Ledger()) })
+	g.POST("/crash", func(c *gin.Context) { s.Crash() })
+	g.GET("/health", s.health)
+	g.POST("/v1/chat/completions", s.completions)
+	return g
+}
+
+// Ledger returns a copy of the ledger.
+func (s *Server) Ledger() Ledger {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.ledger
+	l.Started = copyCounts(l.Started)
+	l.Finished = copyCounts(l.Finished)
+	return l
+}
+
+func copyCounts(m map[string]int) map[string]int {
+	out := make(map[string]int, len(m))
+	for k, v := range m {
+		out[k] = v
+	}
+	return out
+}
+
+// Crash cuts all connections and starts a new incarnation after the restart time.
+func (s *Server) Crash() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashLocked()
+}
+
+func (s *Server) crashLocked() {
+	s.ledger.Crashes++
+	s.downUntil = time.Now().Add(s.opts.RestartTime)
+	close(s.crash)
+	s.restart()
+}
+
+func (s *Server) down() bool {
+	return time.Now().Before(s.downUntil)
+}
+
+func (s *Server) health(c *gin.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down() {
+		panic(http.ErrAbortHandler)
+	}
+	c.JSON(http.StatusOK, upstream.Health{Incarnation: s.incarnation, Models: s.opts.Models})
+}
+
+// body is the part of a chat-completions request that the stand-in reads.
+type body struct {
+	Model    string `json:"model"`
+	Messages []struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	} `json:"messages"`
+	Stream               bool `json:"stream"`
+	MaxTokens            int  `json:"max_tokens"`
+	ContinueFinalMessage bool `json:"continue_final_message"`
+}
+
+// job is one request to run.
+type job struct {
+	id     string
+	prompt string
+	// from is the first token to generate and tokens the length of the whole answer.
+	from   int
+	tokens int
+	crash  <-chan struct{}
+}
+
+func (s *Server) completions(c *gin.Context) {
+	var b body
+	if err := c.ShouldBindJSON(&b); err != nil {
+		c.JSON(http.StatusBadRequest, gin.H{"error": err.Error()})
+		return
+	}
+	j, ok := s.begin(c.GetHeader("X-Request-Id"), b)
+	if !ok {
+		panic(http.ErrAbortHandler)
+	}
+	whole := false
+	defer func() { s.end(j, whole) }()
+	if b.Stream {
+		s.stream(c, j)
+	} else {
+		s.answer(c, b.Model, j)
+	}
+	whole = true
+}
+
+// begin notes the start of a run. It reports false when the engine is down or crashes.
+func (s *Server) begin(id string, b body) (job, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down() {
+		return job{}, false
+	}
+	j := s.read(id, b)
+	s.ledger.Started[id]++
+	s.ledger.Running++
+	s.ledger.Peak = max(s.ledger.Peak, s.ledger.Running)
+	if s.ledger.Running > s.limit {
+		s.ledger.Overshoots++
+		s.crashLocked()
+		return j, false
+	}
+	if strings.Contains(j.prompt, PoisonText) {
+		s.crashLocked()
+		return j, false
+	}
+	return j, true
+}
+
+// read works out the prompt and where the answer goes on.
+func (s *Server) read(id string, b body) job {
+	j := job{id: id, tokens: b.MaxTokens, crash: s.crash}
+	if j.tokens <= 0 {
+		j.tokens = 16
+	}
+	messages := b.Messages
+	if n := len(messages); b.ContinueFinalMessage && n > 0 {
+		given := messages[n-1].Content
+		messages = messages[:n-1]
+		j.from = strings.Count(given, " ")
+		defer func() {
+			if Text(j.prompt, j.from) != given {
+				s.ledger.BadResumes++
+			}
+		}()
+	}
+	var p strings.Builder
+	for _, m := range messages {
+		p.WriteString(m.Role + ":" + m.Content + "\n")
+	}
+	j.prompt = p.String()
+	return j
+}
+
+func (s *Server) end(j job, whole bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if whole {
+		s.ledger.Finished[j.id]++
+	}
+	if j.crash != s.crash {
+		return
+	}
+	s.ledger.Running--
+	if whole && s.limit < s.opts.WarmLimit {
+		s.limit++
+	}
+}
+
+// pause waits for the time of one token. It ends the request when the engine crashed
+// or the caller went away.
+func (s *Server) pause(c *gin.Context, j job) {
+	t := time.NewTimer(s.opts.TokenTime)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-j.crash:
+		panic(http.ErrAbortHandler)
+	case <-c.Request.Context().Done():
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (s *Server) stream(c *gin.Context, j job) {
+	c.Header("Content-Type", "text/event-stream")
+	for i := j.from; i < j.tokens; i++ {
+		s.pause(c, j)
+		s.chunk(c, j, Token(j.prompt, i), "null")
+	}
+	s.chunk(c, j, "", `"length"`)
+	fmt.Fprint(c.Writer, "data: [DONE]\n\n")
+	c.Writer.Flush()
+}
+
+func (s *Server) chunk(c *gin.Context, j job, text, finish string) {
+	fmt.Fprintf(c.Writer, "data: {\"id\":\"chatcmpl-%s\",\"object\":\"chat.completion.chunk\",\"choices\":[{\"index\":0,\"delta\":{\"content\":%q},\"finish_reason\":%s}]}\n\n", j.id, text, finish)
+	c.Writer.Flush()
+}
+
+// completion is the answer to a request without a stream.
+type completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+}
+
+type choice struct {
+	Index        int     `json:"index"`
+	Message      message `json:"message"`
+	FinishReason string  `json:"finish_reason"`
+}
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+func (s *Server) answer(c *gin.Context, model string, j job) {
+	for i := j.from; i < j.tokens; i++ {
+		s.pause(c, j)
+	}
+	text := strings.TrimPrefix(Text(j.prompt, j.tokens), Text(j.prompt, j.from))
+	out, err := json.Marshal(completion{
+		ID: "chatcmpl-" + j.id, Object: "chat.completion", Model: model,
+		Choices: []choice{{Message: message{Role: "assistant", Content: text}, FinishReason: "length"}},
+	})
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	c.Data(http.StatusOK, "application/json", out)
+}
--- /dev/null
+++ b/pkg/standin/model/text.go
@@ -0,0 +1,26 @@
+package model
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// PoisonText in a prompt crashes the engine.
+const PoisonText = "crash-this-engine"
+
+// Token returns token number i of the answer to a prompt.
+func Token(prompt string, i int) string {
+	h := xxhash.Sum64String(prompt + "#" + strconv.Itoa(i))
+	return "w" + strconv.FormatUint(h%100_000, 36) + " "
+}
+
+// Text returns the whole answer of n tokens to a prompt.
+func Text(prompt string, n int) string {
+	var b strings.Builder
+	for i := range n {
+		b.WriteString(Token(prompt, i))
+	}
+	return b.String()
+}
--- /dev/null
+++ b/pkg/standin/plain/server.go
@@ -0,0 +1,102 @@
+package plain
+
+import (
+	"maps"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/google/uuid"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/upstream"
+)
+
+// Options configure a stand-in.
+type Options struct {
+	// Services are the names of the services served.
+	Services []string
+	// WorkTime is the time that a call takes.
+	WorkTime time.Duration
+}
+
+// Ledger tells what ran.
+type Ledger struct {
+	// ByRequest and ByKey count the runs by request and by idempotency key.
+	ByRequest map[string]int `json:"by_request"`
+	ByKey     map[string]int `json:"by_key"`
+}
+
+// Answer is the body of an answer.
+type Answer struct {
+	Request string `json:"request"`
+	Method  string `json:"method"`
+	Path    string `json:"path"`
+	Body    string `json:"body"`
+	Run     int    `json:"run"`
+}
+
+// Server is the stand-in. It is safe for concurrent use.
+type Server struct {
+	opts        Options
+	incarnation string
+
+	mu     sync.Mutex
+	ledger Ledger
+	runs   int
+}
+
+// New returns a stand-in.
+func New(o Options) *Server {
+	return &Server{
+		opts:        o,
+		incarnation: uuid.NewString(),
+		ledger:      Ledger{ByRequest: map[string]int{}, ByKey: map[string]int{}},
+	}
+}
+
+// Handler returns the HTTP handler.
+func (s *Server) Handler() http.Handler {
+	gin.SetMode(gin.ReleaseMode)
+	g := gin.New()
+	g.GET("/health", func(c *gin.Context) {
+		c.JSON(http.StatusOK, upstream.Health{Incarnation: s.incarnation, Services: s.opts.Services})
+	})
+	g.GET("/ledger", func(c *gin.Context) { c.JSON(http.StatusOK, s.Ledger()) })
+	g.NoRoute(s.serve)
+	return g
+}
+
+// Ledger returns a copy of the ledger.
+func (s *Server) Ledger() Ledger {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Ledger{ByRequest: maps.Clone(s.ledger.ByRequest), ByKey: maps.Clone(s.ledger.ByKey)}
+}
+
+func (s *Server) serve(c *gin.Context) {
+	body, err := c.GetRawData()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	run := s.note(c.GetHeader("X-Request-Id"), c.GetHeader("Idempotency-Key"))
+	time.Sleep(s.opts.WorkTime)
+	c.JSON(http.StatusOK, Answer{
+		Request: c.GetHeader("X-Request-Id"),
+		Method:  c.Request.Method,
+		Path:    c.Request.URL.RequestURI(),
+		Body:    string(body),
+		Run:     run,
+	})
+}
+
+func (s *Server) note(request, key string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs++
+	s.ledger.ByRequest[request]++
+	if key != "" {
+		s.ledger.ByKey[key]++
+	}
+	return s.runs
+}
--- /dev/null
+++ b/pkg/upstream/http.go
@@ -0,0 +1,133 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+)
+
+// HTTP sends requests to an upstream that speaks HTTP.
+type HTTP struct {
+	base   string
+	reuse  *http.Client
+	single *http.Client
+}
+
+const (
+	dialTimeout   = time.Second
+	healthTimeout = time.Second
+	maxIdleConns  = 256
+)
+
+// NewHTTP returns a sender for the base URL.
+func NewHTTP(base string) *HTTP {
+	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
+	return &HTTP{
+		base:  base,
+		reuse: &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdleConns}},
+		// net/http repeats some requests by itself when a reused connection turns out to
+		// be closed. A request that may run only once therefore gets a connection of its own.
+		single: &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}},
+	}
+}
+
+// Health reads GET /health.
+func (h *HTTP) Health(ctx context.Context) (Health, error) {
+	var out Health
+	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, h.base+"/health", nil)
+	if err != nil {
+		return out, oops.Wrapf(err, "health request")
+	}
+	resp, err := h.reuse.Do(req)
+	if err != nil {
+		return out, oops.Wrapf(err, "health")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return out, oops.Errorf("health status %d", resp.StatusCode)
+	}
+	err = json.NewDecoder(resp.Body).Decode(&out)
+	return out, err
+}
+
+// Send sends a request and returns the response. It returns ErrNotSent when no
+// connection could be made, so that nothing was sent.
+func (h *HTTP) Send(ctx context.Context, r peer.RunRequest) (*http.Response, error) {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	req, err := http.NewRequestWithContext(ctx, r.Method, h.base+r.Path, bytes.NewReader(r.Body))
+	if err != nil {
+		return nil, errors.Join(ErrNotSent, err)
+	}
+	for _, f := range r.Headers {
+		req.Header.Add(f.Name, f.Value)
+	}
+	req.Header.Set("X-Request-Id", r.Request)
+	resp, err := h.client(r.Idempotent).Do(req)
+	if err != nil && !connected.Load() {
+		return nil, errors.Join(ErrNotSent, err)
+	}
+	return resp, err
+}
+
+func (h *HTTP) client(idempotent bool) *http.Client {
+	if idempotent {
+		return h.reuse
+	}
+	return h.single
+}
+
+// Copy hands the body to emit in parts of at most PartBytes. It returns ErrLost when
+// the body ended early or when its end cannot be told from a cut.
+func Copy(resp *http.Response, emit func(Part) error) error {
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.ProtoMajor < 2 {
+		return ErrLost
+	}
+	part := Part{Status: resp.StatusCode, Headers: passedHeaders(resp.Header)}
+	for {
+		buf := make([]byte, PartBytes)
+		n, err := resp.Body.Read(buf)
+		part.Data = buf[:n]
+		if n > 0 || part.Status != 0 {
+			if e := emit(part); e != nil {
+				return e
+			}
+			part = Part{}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return errors.Join(ErrLost, err)
+		}
+	}
+}
+
+// PartBytes is the size of the parts that Copy makes.
+const PartBytes = 32 << 10
+
+// passedHeaders returns the header fields of an answer that the caller receives.
+func passedHeaders(h http.Header) []peer.Header {
+	var out []peer.Header
+	for _, name := range []string{"Content-Type", "Content-Language", "Etag", "Last-Modified", "Location"} {
+		if v := h.Get(name); v != "" {
+			out = append(out, peer.Header{Name: name, Value: v})
+		}
+	}
+	return out
+}
