Let files of scenario commands register themselves

Cause: one literal held all commands of the scripts, so that each new matter had to change the same lines. Ruled out: one test function for each matter, which would start fleets that could be shared. Conclusion: new commands go into files of their own.

--- a/test/scenario_test.go
+++ b/test/scenario_test.go
@@ -41,6 +41,18 @@
 	return m.Run()
 }
 
+// commands are the commands of the scripts. Other files add theirs.
+var commands = map[string]func(*testscript.TestScript, bool, []string){
+	"fleet":  startFleet,
+	"send":   send,
+	"whole":  whole,
+	"signal": signal,
+	"ended":  ended,
+	"zone":   zone,
+	"list":   list,
+	"sleep":  sleep,
+}
+
 func TestScenarios(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata",
@@ -51,16 +63,7 @@
 			e.Defer(w.close)
 			return nil
 		},
-		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"fleet":  startFleet,
-			"send":   send,
-			"whole":  whole,
-			"signal": signal,
-			"ended":  ended,
-			"zone":   zone,
-			"list":   list,
-			"sleep":  sleep,
-		},
+		Cmds: commands,
 	})
 }
 
