Make "not run" true for late, doubled and forgotten attempts

Cause: the fence had holes. A cancel that came after the record of an ended attempt was forgotten (10 min) answered "not run"; a message later than its tombstone could start; the start budget counted from receipt, so a late message had a fresh one; a refusal before admission left no tombstone, so a second copy could run; a request name chosen by two callers met in the fence and in the frames; records had no bound.

Now an attempt carries the time of its issue on the agent's clock (newest status of the agent plus its age at the entry, never later than the sending, no synchronised clocks). Every refusal is a tombstone. The entry gives each request an identity of its own. The upstream client no longer follows redirects, which sent a body twice.

Ruled out: a longer life of tombstones (no bound is long enough for a paused process), a budget from receipt with synchronised clocks.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -33,6 +33,7 @@
 	client   upstream.Client
 	events   *event.Recorder
 	now      func() time.Time
+	born     time.Time
 	config   configuration.Holder
 	meters   meters
 
@@ -63,7 +64,8 @@
 		events:   o.Recorder,
 		now:      o.Now,
 		meters:   newMeters(o.Registry),
-		fence:    fence.New(uuid.NewString()),
+		fence:    fence.New(fence.Options{Incarnation: uuid.NewString()}),
+		born:     o.Now(),
 		queue:    fairness.New(o.Settings.QueueLimit),
 		limiter: admission.New(admission.Options{
 			Cold: o.Settings.Upstream.ColdLimit,
--- /dev/null
+++ b/pkg/agent/fence.go
@@ -0,0 +1,27 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/fence"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+)
+
+// clock returns the time since the start of this incarnation, on which the fence works.
+func (a *Agent) clock() time.Duration { return a.now().Sub(a.born) }
+
+func fencedRun(r peer.RunRequest) fence.Message {
+	return fence.Message{
+		Key:         fence.Key{Call: r.Call, Attempt: r.Attempt},
+		Incarnation: r.Incarnation,
+		Issued:      time.Duration(r.IssuedMillis) * time.Millisecond,
+	}
+}
+
+func fencedCancel(r peer.CancelRequest) fence.Message {
+	return fence.Message{
+		Key:         fence.Key{Call: r.Call, Attempt: r.Attempt},
+		Incarnation: r.Incarnation,
+		Issued:      time.Duration(r.IssuedMillis) * time.Millisecond,
+	}
+}
--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -28,16 +28,17 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if c := a.closedTo(t.req); c != code.OK {
-		return c
+		return a.fence.Reject(t.fenced, a.clock(), c)
 	}
 	budget := time.Duration(t.req.StartByMillis) * time.Millisecond
-	if c := a.fence.Admit(t.key, t.req.Incarnation, t.arrived, budget); c != code.OK {
+	if c := a.fence.Admit(t.fenced, a.clock(), budget); c != code.OK {
 		return c
 	}
 	if !a.queue.Push(t.item()) {
-		a.fence.Refuse(t.key, t.arrived)
+		a.fence.Refuse(t.fenced.Key)
 		return code.Overloaded
 	}
+	t.startIn = a.fence.StartBy(t.fenced.Key) - a.clock()
 	a.tasks[t.id] = t
 	a.wake.Signal()
 	return code.OK
@@ -80,7 +81,7 @@
 // await waits for the end of a task. It refuses the task when its start budget runs
 // out in the queue and cancels it when the entry's connection is lost.
 func (a *Agent) await(ctx context.Context, t *task) peer.RunResult {
-	budget := time.NewTimer(time.Duration(t.req.StartByMillis) * time.Millisecond)
+	budget := time.NewTimer(t.startIn)
 	defer budget.Stop()
 	for {
 		select {
@@ -108,7 +109,7 @@
 	a.mu.Lock()
 	waiting := a.queue.Remove(t.id)
 	if waiting {
-		a.fence.Refuse(t.key, a.now())
+		a.fence.Refuse(t.fenced.Key)
 		delete(a.tasks, t.id)
 	}
 	a.mu.Unlock()
@@ -127,7 +128,7 @@
 			return
 		}
 		t := a.tasks[i.ID]
-		a.fence.Refuse(t.key, a.now())
+		a.fence.Refuse(t.fenced.Key)
 		delete(a.tasks, i.ID)
 		t.finish(code.UpstreamLeaving, "", 0)
 	}
@@ -136,7 +137,7 @@
 // Cancel ends an attempt, or sees that it never starts.
 func (a *Agent) Cancel(_ context.Context, _ *jsonrpc2.Conn, r peer.CancelRequest) (peer.CancelResult, error) {
 	a.events.Clock().Observe(r.Stamp)
-	id := taskID(r.Request, r.Attempt)
+	id := taskID(r.Call, r.Attempt)
 	a.mu.Lock()
 	t := a.tasks[id]
 	a.mu.Unlock()
@@ -144,7 +145,7 @@
 		return peer.CancelResult{News: a.news(), State: peer.CancelNotRun}, nil
 	}
 	a.mu.Lock()
-	ran := a.fence.Cancel(keyOf(r), r.Incarnation, a.now())
+	ran := a.fence.Cancel(fencedCancel(r), a.clock())
 	a.mu.Unlock()
 	a.events.Record(event.Event{Kind: event.WorkCancelled, Request: r.Request, Attempt: r.Attempt, Upstream: a.settings.Name})
 	if !ran {
--- a/pkg/agent/task.go
+++ b/pkg/agent/task.go
@@ -18,7 +18,7 @@
 // task is one admitted attempt.
 type task struct {
 	id     string
-	key    fence.Key
+	fenced fence.Message
 	req    peer.RunRequest
 	conn   *jsonrpc2.Conn
 	ctx    context.Context
@@ -27,6 +27,8 @@
 	ended chan peer.RunResult
 
 	arrived time.Time
+	// startIn is the start budget left when the attempt was admitted.
+	startIn time.Duration
 	offset  int64
 	sum     *xxhash.Digest
 }
@@ -34,8 +36,8 @@
 func (a *Agent) newTask(conn *jsonrpc2.Conn, r peer.RunRequest) *task {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(r.TimeoutMillis)*time.Millisecond)
 	return &task{
-		id:      taskID(r.Request, r.Attempt),
-		key:     fence.Key{Request: r.Request, Attempt: r.Attempt},
+		id:      taskID(r.Call, r.Attempt),
+		fenced:  fencedRun(r),
 		req:     r,
 		conn:    conn,
 		ctx:     ctx,
@@ -46,8 +48,8 @@
 	}
 }
 
-func taskID(request string, attempt int) string {
-	return request + "/" + strconv.Itoa(attempt)
+func taskID(call string, attempt int) string {
+	return call + "/" + strconv.Itoa(attempt)
 }
 
 func (t *task) item() fairness.Item {
@@ -63,7 +65,7 @@
 // send hands one part of the answer to the entry.
 func (t *task) send(incarnation string, p upstream.Part) error {
 	f := peer.Frame{
-		Request:     t.req.Request,
+		Call:        t.req.Call,
 		Attempt:     t.req.Attempt,
 		Incarnation: incarnation,
 		Offset:      t.offset,
--- a/pkg/agent/work.go
+++ b/pkg/agent/work.go
@@ -7,8 +7,6 @@
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
-	"github.com/coltsfootpitch/coltsfootpitch/pkg/fence"
-	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/upstream"
 )
 
@@ -47,13 +45,13 @@
 		t := a.tasks[i.ID]
 		c := a.closedTo(t.req)
 		if c == code.OK {
-			c = a.fence.Start(t.key, a.now())
+			c = a.fence.Start(t.fenced.Key, a.clock())
 		}
 		if c == code.OK {
 			return t
 		}
 		a.limiter.End(a.now(), false)
-		a.fence.Refuse(t.key, a.now())
+		a.fence.Refuse(t.fenced.Key)
 		delete(a.tasks, i.ID)
 		t.finish(c, "", 0)
 	}
@@ -102,7 +100,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.limiter.End(now, c == code.OK)
-	a.fence.End(t.key, now)
+	a.fence.End(t.fenced.Key)
 	a.queue.Settle(t.req.Organisation, t.req.Cost, max(answer.Tokens, 1))
 	a.service += serviceGain * (float64(took.Milliseconds()) - a.service)
 	delete(a.tasks, t.id)
@@ -111,7 +109,3 @@
 
 // serviceGain is the weight of the newest sample in the mean service time.
 const serviceGain = 0.1
-
-func keyOf(r peer.CancelRequest) fence.Key {
-	return fence.Key{Request: r.Request, Attempt: r.Attempt}
-}
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/samber/oops"
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
@@ -53,6 +56,9 @@
 	table  *Table
 	config *configuration.Holder
 	events *event.Recorder
+	// life identifies this life of the entry and calls counts its requests.
+	life  string
+	calls atomic.Uint64
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget
@@ -62,7 +68,7 @@
 
 // New returns a dispatcher over the table.
 func New(t *Table, config *configuration.Holder, events *event.Recorder) *Dispatcher {
-	return &Dispatcher{table: t, config: config, events: events, budgets: map[string]*retry.Budget{}, inFlight: map[string]int{}}
+	return &Dispatcher{table: t, config: config, events: events, life: uuid.NewString(), budgets: map[string]*retry.Budget{}, inFlight: map[string]int{}}
 }
 
 // defaultRetryAfter is told to callers when no better estimate is known.
@@ -70,7 +76,7 @@
 
 // Do runs a request until it has a final result. The deadline of ctx is that of the request.
 func (d *Dispatcher) Do(ctx context.Context, r Request, sink Sink) Result {
-	s := &session{d: d, req: r, sink: sink}
+	s := &session{d: d, call: d.nextCall(), req: r, sink: sink}
 	if !d.enter(r.Organisation) {
 		return Result{Code: code.OrganisationLimit, RetryAfter: defaultRetryAfter}
 	}
@@ -85,6 +91,12 @@
 	return res
 }
 
+// nextCall returns an identity that no other request has, at any entry and in any of
+// its lives. The identity that a caller chooses may be used by several requests.
+func (d *Dispatcher) nextCall() string {
+	return d.life + "-" + strconv.FormatUint(d.calls.Add(1), 36)
+}
+
 func (d *Dispatcher) budget(organisation string) *retry.Budget {
 	b, ok := d.budgets[organisation]
 	if !ok {
@@ -127,7 +139,9 @@
 
 // session is the run of one request.
 type session struct {
-	d       *Dispatcher
+	d *Dispatcher
+	// call identifies the request within the system.
+	call    string
 	req     Request
 	sink    Sink
 	attempt int
@@ -225,7 +239,8 @@
 	ctx, stop := context.WithTimeout(context.Background(), cancelCall)
 	defer stop()
 	res, err := peer.Call[peer.CancelResult](ctx, p.client, peer.MethodCancel, peer.CancelRequest{
-		News: s.d.table.news(), Request: r.Request, Attempt: r.Attempt, Incarnation: r.Incarnation,
+		News: s.d.table.news(), Call: r.Call, Request: r.Request, Attempt: r.Attempt,
+		Incarnation: r.Incarnation, IssuedMillis: r.IssuedMillis,
 	})
 	return err == nil && res.State == peer.CancelNotRun
 }
@@ -243,9 +258,11 @@
 	}
 	r := peer.RunRequest{
 		News:           s.d.table.news(),
+		Call:           s.call,
 		Request:        s.req.ID,
 		Attempt:        s.attempt,
 		Incarnation:    p.incarnation,
+		IssuedMillis:   p.issued.Milliseconds(),
 		Organisation:   s.req.Organisation.Name,
 		Priority:       s.req.Organisation.Priority,
 		Weight:         s.req.Organisation.Weight,
--- a/pkg/dispatch/table.go
+++ b/pkg/dispatch/table.go
@@ -96,6 +96,8 @@
 	id          string
 	incarnation string
 	client      *peer.Client
+	// issued is a time not after the pick, on the clock of the incarnation.
+	issued time.Duration
 }
 
 // pick chooses an upstream that holds the target and is not in tried.
@@ -123,7 +125,7 @@
 	}
 	m := t.members[list[i].ID]
 	m.sent++
-	return picked{id: m.instance.ID, incarnation: m.status.Incarnation, client: m.client}, true
+	return picked{id: m.instance.ID, incarnation: m.status.Incarnation, client: m.client, issued: m.issued(t.now())}, true
 }
 
 // usable reports whether m may receive new work for w. Table.mu is held.
--- /dev/null
+++ b/pkg/fence/fence_test.go
@@ -0,0 +1,210 @@
+package fence
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	_ "github.com/coltsfootpitch/coltsfootpitch/internal/fixedseed"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
+)
+
+const budget = 10 * time.Second
+
+func message(call string, issued time.Duration) Message {
+	return Message{Key: Key{Call: call, Attempt: 1}, Incarnation: "a", Issued: issued}
+}
+
+func TestLateCancelOfAForgottenRunIsNotNotRun(t *testing.T) {
+	is := is.New(t)
+	f := New(Options{Incarnation: "a"})
+	m := message("x", 0)
+	is.Equal(f.Admit(m, 0, budget), code.OK)
+	is.Equal(f.Start(m.Key, 0), code.OK)
+	f.End(m.Key)
+	is.True(f.Cancel(m, time.Hour)) // it ran, though no record is left
+	is.Equal(f.Len(), 0)
+}
+
+func TestRunLaterThanItsTombstoneDoesNotStart(t *testing.T) {
+	is := is.New(t)
+	f := New(Options{Incarnation: "a"})
+	m := message("x", 0)
+	is.True(!f.Cancel(m, time.Second))
+	is.Equal(f.Admit(message("other", time.Hour), time.Hour, budget), code.OK) // sweeps
+	is.True(f.Admit(m, time.Hour, budget) != code.OK)
+	is.True(f.Start(m.Key, time.Hour) != code.OK)
+}
+
+func TestBudgetCountsFromTheIssue(t *testing.T) {
+	is := is.New(t)
+	f := New(Options{Incarnation: "a"})
+	m := message("x", time.Second)
+	is.Equal(f.Admit(m, 12*time.Second, budget), code.StartBudgetExpired)
+	is.Equal(f.Admit(m, 5*time.Second, budget), code.Tombstoned)
+}
+
+func TestRefusalIsFinalForEveryCopy(t *testing.T) {
+	is := is.New(t)
+	f := New(Options{Incarnation: "a"})
+	m := message("x", 0)
+	is.Equal(f.Reject(m, 0, code.ZoneOut), code.ZoneOut)
+	is.Equal(f.Admit(m, 0, budget), code.Tombstoned)
+	n := message("y", 0)
+	is.Equal(f.Admit(n, 0, budget), code.OK)
+	is.Equal(f.Start(n.Key, 0), code.OK)
+	is.Equal(f.Reject(n, 0, code.ZoneOut), code.AlreadyInProgress)
+}
+
+func TestRecordsAreBounded(t *testing.T) {
+	is := is.New(t)
+	f := New(Options{Incarnation: "a", MaxRecords: 100})
+	for i := range 10_000 {
+		f.Cancel(message(fmt.Sprint(i), time.Duration(i)), time.Duration(i))
+		is.True(f.Len() <= 100)
+	}
+}
+
+// copy is a message on its way over a connection to one life of the agent.
+type copied struct {
+	Message
+	life   int
+	cancel bool
+}
+
+// world is an agent that is restarted, its entries' messages, which may be lost,
+// late, doubled and crossed, and the ledger of what started.
+type world struct {
+	fence  *Fence
+	life   int
+	now    time.Duration
+	calls  int
+	known  time.Duration
+	sent   []copied
+	open   []Key
+	live   []Key
+	starts map[Key]int
+	notRun map[Key]bool
+}
+
+func (w *world) incarnation(life int) string { return fmt.Sprint(life) }
+
+func (w *world) restart() {
+	w.life++
+	w.now = 0
+	w.known = 0
+	w.open = nil
+	w.live = nil
+	w.fence = New(Options{Incarnation: w.incarnation(w.life), MaxRecords: 6})
+}
+
+func (w *world) refuted(k Key, c code.Code) {
+	if c.Outcome() == code.NotRun {
+		w.notRun[k] = true
+	}
+}
+
+func (w *world) deliver(t *rapid.T, refuse bool) {
+	if len(w.sent) == 0 {
+		return
+	}
+	m := rapid.SampledFrom(w.sent).Draw(t, "message")
+	if m.life != w.life {
+		return // its connection ended with that life
+	}
+	switch {
+	case m.cancel:
+		if !w.fence.Cancel(m.Message, w.now) {
+			w.notRun[m.Key] = true
+		}
+	case refuse:
+		w.refuted(m.Key, w.fence.Reject(m.Message, w.now, code.ZoneOut))
+	default:
+		c := w.fence.Admit(m.Message, w.now, budget)
+		w.refuted(m.Key, c)
+		if c == code.OK {
+			w.open = append(w.open, m.Key)
+		}
+	}
+}
+
+func TestNotRunIsTrueUnderLostLateDoubledAndCrossedMessages(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{starts: map[Key]int{}, notRun: map[Key]bool{}}
+		w.restart()
+		t.Repeat(map[string]func(*rapid.T){
+			"tick": func(t *rapid.T) {
+				w.now += time.Duration(rapid.IntRange(1, 12_000).Draw(t, "ms")) * time.Millisecond
+			},
+			"status": func(*rapid.T) { w.known = w.now },
+			"send": func(t *rapid.T) {
+				w.calls++
+				addressed := w.life
+				if rapid.IntRange(0, 5).Draw(t, "stale") == 0 {
+					addressed--
+				}
+				m := Message{Key: Key{Call: fmt.Sprint(w.calls), Attempt: 1}, Incarnation: w.incarnation(addressed), Issued: w.known}
+				w.sent = append(w.sent, copied{Message: m, life: w.life}, copied{Message: m, life: w.life, cancel: true})
+			},
+			"reconnect": func(t *rapid.T) {
+				// A cancel may follow over a connection to the present life.
+				if len(w.sent) == 0 {
+					return
+				}
+				m := rapid.SampledFrom(w.sent).Draw(t, "message")
+				m.cancel = true
+				m.life = w.life
+				w.sent = append(w.sent, m)
+			},
+			"deliver": func(t *rapid.T) { w.deliver(t, false) },
+			"refuse":  func(t *rapid.T) { w.deliver(t, true) },
+			"start": func(t *rapid.T) {
+				if len(w.open) == 0 {
+					return
+				}
+				k := rapid.SampledFrom(w.open).Draw(t, "key")
+				c := w.fence.Start(k, w.now)
+				w.refuted(k, c)
+				if c == code.OK {
+					w.starts[k]++
+					w.live = append(w.live, k)
+				}
+			},
+			"end": func(t *rapid.T) {
+				if len(w.live) > 0 {
+					w.fence.End(rapid.SampledFrom(w.live).Draw(t, "key"))
+				}
+			},
+			"restart": func(t *rapid.T) {
+				if rapid.IntRange(0, 9).Draw(t, "die") == 0 {
+					w.restart()
+				}
+			},
+			"": func(t *rapid.T) {
+				for k, n := range w.starts {
+					if n > 1 {
+						t.Fatalf("%v ran %d times", k, n)
+					}
+					if n > 0 && w.notRun[k] {
+						t.Fatalf("%v ran but was called not run", k)
+					}
+				}
+			},
+		})
+	})
+}
+
+func BenchmarkAttempt(b *testing.B) {
+	f := New(Options{Incarnation: "a"})
+	b.ReportAllocs()
+	for i := range b.N {
+		now := time.Duration(i) * time.Millisecond
+		m := Message{Key: Key{Call: "c", Attempt: i}, Incarnation: "a", Issued: now}
+		f.Admit(m, now, budget)
+		f.Start(m.Key, now)
+		f.End(m.Key)
+	}
+}
--- /dev/null
+++ b/pkg/fence/horizon.go
@@ -0,0 +1,44 @@
+package fence
+
+import (
+	"slices"
+	"time"
+)
+
+// sweep raises the horizon with the clock and drops what lies behind it.
+func (f *Fence) sweep(now time.Duration) {
+	if now < f.sweepAt {
+		return
+	}
+	f.sweepAt = now + sweepInterval
+	f.raise(now - Window)
+}
+
+// makeRoom raises the horizon to the median issue of the finished attempts when the
+// records have reached their bound.
+func (f *Fence) makeRoom() {
+	if len(f.records) < f.max {
+		return
+	}
+	var issued []time.Duration
+	for _, r := range f.records {
+		if r.finished() {
+			issued = append(issued, r.issued)
+		}
+	}
+	if len(issued) == 0 {
+		return
+	}
+	slices.Sort(issued)
+	f.raise(issued[len(issued)/2])
+}
+
+// raise moves the horizon up to at least h and drops the finished attempts behind it.
+func (f *Fence) raise(h time.Duration) {
+	f.horizon = max(f.horizon, h)
+	for k, r := range f.records {
+		if r.finished() && r.issued <= f.horizon {
+			delete(f.records, k)
+		}
+	}
+}
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -76,7 +76,7 @@
 
 // attemptKey identifies the frames of one attempt.
 type attemptKey struct {
-	request     string
+	call        string
 	attempt     int
 	incarnation string
 }
@@ -119,7 +119,7 @@
 	if json.Unmarshal(*r.Params, &f) != nil {
 		return
 	}
-	k := attemptKey{f.Request, f.Attempt, f.Incarnation}
+	k := attemptKey{f.Call, f.Attempt, f.Incarnation}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	ch, ok := s.byAttempt[k]
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -39,10 +39,15 @@
 // RunRequest asks an agent to run one attempt of a request at its upstream.
 type RunRequest struct {
 	News
+	// Call is the identity that the entry gave to the request; it is unique over all
+	// entries and their lives, while the caller chooses Request.
+	Call    string `json:"call"`
 	Request string `json:"request"`
 	Attempt int    `json:"attempt"`
 	// Incarnation is the incarnation of the agent that the attempt is addressed to.
-	Incarnation  string   `json:"incarnation"`
+	Incarnation string `json:"incarnation"`
+	// IssuedMillis is a time not after the sending, on the clock of the incarnation.
+	IssuedMillis int64    `json:"issued_ms"`
 	Organisation string   `json:"organisation"`
 	Priority     int      `json:"priority"`
 	Weight       int      `json:"weight"`
@@ -62,7 +67,7 @@
 	IdempotencyKey string `json:"idempotency_key,omitempty"`
 	// Cost is the expected cost in tokens; a service call costs 1.
 	Cost int64 `json:"cost"`
-	// StartByMillis is the time from receipt within which the attempt may start.
+	// StartByMillis is the time from the issue within which the attempt may start.
 	StartByMillis int64 `json:"start_by_ms"`
 	// TimeoutMillis is the time from receipt within which the answer must be whole.
 	TimeoutMillis int64 `json:"timeout_ms"`
@@ -70,7 +75,7 @@
 
 // Frame carries bytes of an answer from the agent to the entry.
 type Frame struct {
-	Request     string `json:"request"`
+	Call        string `json:"call"`
 	Attempt     int    `json:"attempt"`
 	Incarnation string `json:"incarnation"`
 	// Offset is the number of answer bytes before this frame.
@@ -100,10 +105,12 @@
 // CancelRequest asks an agent to end an attempt, or to see that it never starts.
 type CancelRequest struct {
 	News
-	Request string `json:"request"`
-	Attempt int    `json:"attempt"`
-	// Incarnation is the incarnation of the agent that the attempt was addressed to.
-	Incarnation string `json:"incarnation"`
+	// Call, Request, Attempt, Incarnation and IssuedMillis are those of the RunRequest.
+	Call         string `json:"call"`
+	Request      string `json:"request"`
+	Attempt      int    `json:"attempt"`
+	Incarnation  string `json:"incarnation"`
+	IssuedMillis int64  `json:"issued_ms"`
 }
 
 // CancelState states what became of a cancelled attempt.
@@ -133,9 +140,11 @@
 // Status is the state of an agent and its upstream.
 type Status struct {
 	News
-	Upstream    string   `json:"upstream"`
-	Zone        string   `json:"zone"`
-	Incarnation string   `json:"incarnation"`
+	Upstream    string `json:"upstream"`
+	Zone        string `json:"zone"`
+	Incarnation string `json:"incarnation"`
+	// ClockMillis is the time since the start of the incarnation.
+	ClockMillis int64    `json:"clock_ms"`
 	Models      []string `json:"models,omitempty"`
 	Services    []string `json:"services,omitempty"`
 	// Limit is the number of requests that the upstream bears now.
--- a/pkg/peer/run.go
+++ b/pkg/peer/run.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		return result, errors.Join(ErrNotSent, err)
 	}
-	k := attemptKey{r.Request, r.Attempt, r.Incarnation}
+	k := attemptKey{r.Call, r.Attempt, r.Incarnation}
 	frames := c.sinks.open(k)
 	defer c.sinks.close(k)
 	wait, err := conn.DispatchCall(ctx, MethodRun, r)
--- a/pkg/upstream/http.go
+++ b/pkg/upstream/http.go
@@ -34,14 +34,24 @@
 func NewHTTP(base string) *HTTP {
 	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
 	return &HTTP{
-		base:  base,
-		reuse: &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdleConns}},
+		base: base,
+		reuse: &http.Client{
+			Transport:     &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdleConns},
+			CheckRedirect: passRedirect,
+		},
 		// net/http repeats some requests by itself when a reused connection turns out to
 		// be closed. A request that may run only once therefore gets a connection of its own.
-		single: &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}},
+		single: &http.Client{
+			Transport:     &http.Transport{DialContext: dial, DisableKeepAlives: true},
+			CheckRedirect: passRedirect,
+		},
 	}
 }
 
+// passRedirect hands a redirect to the caller. Following it would send the request,
+// with its body, a second time.
+func passRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // Health reads GET /health.
 func (h *HTTP) Health(ctx context.Context) (Health, error) {
 	var out Health
