--- /dev/null
+++ b/pkg/expertmap/expertmap.go
@@ -0,0 +1,81 @@
+package expertmap
+
+import (
+	"encoding/binary"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Ref names a map. The zero value names none.
+type Ref struct {
+	Epoch int64 `json:"epoch"`
+	// Digest is the hash of the map's content.
+	Digest uint64 `json:"digest"`
+}
+
+// Replica is one copy of an expert's weights on a rank.
+type Replica struct {
+	Expert int `json:"e"`
+	// Share is the part of the expert's tokens that this copy takes, from 0 to 1. The
+	// shares of all copies of an expert add up to 1.
+	Share float32 `json:"s"`
+}
+
+// Layer is the placement of one layer: the replicas on each rank, in the order of
+// Map.Ranks.
+type Layer struct {
+	Ranks [][]Replica `json:"ranks"`
+}
+
+// Map is an expert map. It must not be changed after Seal.
+type Map struct {
+	Ref
+	// Ranks are the ranks that run the map, in ascending order. The first one leads.
+	Ranks []int `json:"ranks"`
+	// Layers may be empty where only the ranks matter.
+	Layers []Layer `json:"layers,omitempty"`
+}
+
+// Seal returns the map with an epoch and the digest of its content.
+func (m Map) Seal(epoch int64) *Map {
+	m.Ref = Ref{Epoch: epoch, Digest: m.digest()}
+	return &m
+}
+
+// Whole reports whether the content still has the digest that the map names.
+func (m *Map) Whole() bool { return m.Digest == m.digest() }
+
+// Leader returns the rank that leads the steps of the map.
+func (m *Map) Leader() int { return m.Ranks[0] }
+
+// Has reports whether a rank runs the map.
+func (m *Map) Has(rank int) bool {
+	_, found := slices.BinarySearch(m.Ranks, rank)
+	return found
+}
+
+func (m *Map) digest() uint64 {
+	h := xxhash.New()
+	var word [8]byte
+	add := func(v uint64) {
+		binary.LittleEndian.PutUint64(word[:], v)
+		// Writing to a hash never fails.
+		_, _ = h.Write(word[:])
+	}
+	for _, r := range m.Ranks {
+		add(uint64(r))
+	}
+	for _, l := range m.Layers {
+		add(uint64(len(l.Ranks)))
+		for _, replicas := range l.Ranks {
+			add(uint64(len(replicas)))
+			for _, p := range replicas {
+				add(uint64(p.Expert))
+				add(uint64(math.Float32bits(p.Share)))
+			}
+		}
+	}
+	return h.Sum64()
+}
--- /dev/null
+++ b/pkg/expertmap/switch_test.go
@@ -0,0 +1,179 @@
+package expertmap
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// hopsPerStep is the number of message hops of one step: Begin, Join, Go and Done.
+const hopsPerStep = 4
+
+// tickHops is the number of hops between two ticks.
+const tickHops = 8
+
+// hop delivers every message on its way and ends every call to the platform.
+func (w *world) hop() {
+	batch := w.net
+	w.net = nil
+	for _, p := range batch {
+		w.hand(p)
+	}
+	for len(w.calls) > 0 {
+		w.answer()
+	}
+	w.events++
+	if w.events%tickHops == 0 {
+		w.tick()
+	}
+}
+
+// hopsUntil advances until done, and returns the number of hops and of whole steps.
+func (w *world) hopsUntil(done func() bool) (hops, whole int) {
+	before := w.whole
+	for !done() {
+		w.hop()
+		hops++
+		if hops > 100_000 {
+			panic("the group stands still")
+		}
+	}
+	return hops, w.whole - before
+}
+
+func steady(ranks int) *world {
+	w := newWorld(1, ranks, make([]bool, faultKinds), 1<<30)
+	w.hopsUntil(func() bool { return w.settled() && w.whole > 10 })
+	return w
+}
+
+// stall returns the steps lost while the group goes over to a new map.
+func stall(w *world, disturb func()) float64 {
+	w.wish(w.newest())
+	w.hopsUntil(func() bool { return w.record.Staged == nil && !w.newest().Idle() && w.newest().staged })
+	if disturb != nil {
+		disturb()
+	}
+	hops, whole := w.hopsUntil(func() bool { return w.settled() && len(w.net) > 0 })
+	return float64(hops)/hopsPerStep - float64(whole)
+}
+
+func TestSwitchStall(t *testing.T) {
+	for _, ranks := range []int{8, 64} {
+		is := is.New(t)
+		w := steady(ranks)
+		stopped := w.members[0].node.Leader.Stopped
+		plain := stall(w, nil)
+		is.Equal(w.members[0].node.Leader.Stopped, stopped) // a switch without faults stops no step
+		restart := stall(w, func() { w.members[3].restart() })
+		leader := stall(w, func() { w.members[0].restart() })
+		t.Logf("%d ranks: stall in steps: %.2f, with a rank restarted at the decision %.2f, with the leading rank restarted %.2f",
+			ranks, plain, restart, leader)
+		is.True(plain < 1)
+		is.True(restart < 8) // a restarted rank costs its load and a few ticks
+		is.True(leader < 12)
+		is.Equal(w.mixed, 0)
+	}
+}
+
+func TestRankDiesForGood(t *testing.T) {
+	for _, rank := range []int{0, 3} {
+		is := is.New(t)
+		w := steady(8)
+		w.members[rank].dead = true
+		before := w.whole
+		for range 400 {
+			w.hop()
+		}
+		is.True(w.whole <= before+1) // the group stands still, since its map needs the rank
+		w.wish(w.newest())
+		hops, _ := w.hopsUntil(func() bool { return w.settled() })
+		w.hopsUntil(func() bool { return w.whole > before+20 })
+		t.Logf("rank %d lost: %d hops from the new map to its steps, on %d ranks", rank, hops, len(w.record.Decided.Ranks))
+		is.Equal(len(w.record.Decided.Ranks), 7)
+		is.Equal(w.mixed+w.unfit+w.stale, 0)
+	}
+}
+
+// TestSwitchAtStep measures the way that was not chosen: every rank is told to switch
+// at a step, and the owner calls the switch off when an answer is missing by then.
+func TestSwitchAtStep(t *testing.T) {
+	const (
+		switches = 10_000
+		ranks    = 8
+		loss     = 0.02
+	)
+	r := rand.New(rand.NewPCG(1, 1))
+	arrives := func() bool { return r.Float64() >= loss }
+	blind, calledOff := 0, 0
+	for range switches {
+		told, answered := 0, 0
+		left := 0
+		for range ranks {
+			if arrives() {
+				told++
+				if arrives() {
+					answered++
+				}
+			}
+		}
+		if told < ranks && told > 0 {
+			blind++
+		}
+		if answered < ranks {
+			for range told {
+				if arrives() {
+					left++
+				}
+			}
+			if left != told {
+				calledOff++
+			}
+		}
+	}
+	t.Logf("switch at step S, %d switches, 2%% of messages lost: %d leave ranks on two maps without answers, %d with answers and calling off",
+		switches, blind, calledOff)
+	is := is.New(t)
+	is.True(calledOff > 0) // no number of answers makes a timed switch safe
+}
+
+func TestGuardKnowsBeforeItAccepts(t *testing.T) {
+	is := is.New(t)
+	var g Guard
+	is.True(!g.Accept(9)) // nothing is accepted after a start
+	g.Know(5)
+	is.True(!g.Accept(4))
+	is.True(g.Accept(5))
+	is.True(g.Accept(7))
+	is.True(!g.Accept(6)) // the number never falls
+}
+
+func TestRetireWaitsForTheNewMap(t *testing.T) {
+	is := is.New(t)
+	w := steady(2)
+	rank := w.members[1].node.Rank
+	ran := rank.Ran()
+	rank.Retire(ran.Epoch + 1)
+	is.Equal(rank.Held(), []Ref{ran}) // no step ran on a newer map
+}
+
+func TestSealBindsContent(t *testing.T) {
+	is := is.New(t)
+	m := Map{Ranks: []int{0, 1}, Layers: []Layer{{Ranks: [][]Replica{{{Expert: 1, Share: 1}}, nil}}}}
+	s := m.Seal(3)
+	is.True(s.Whole())
+	changed := *s
+	changed.Layers = []Layer{{Ranks: [][]Replica{{{Expert: 1, Share: 0.5}}, nil}}}
+	is.True(!changed.Whole())
+}
+
+func BenchmarkStep(b *testing.B) {
+	w := steady(64)
+	goal := w.whole + b.N
+	b.ResetTimer()
+	for w.whole < goal {
+		w.hop()
+		clear(w.steps)
+	}
+}
