Send attempts over HTTP instead of frames in JSON-RPC notifications

Profiles put 40% of the entry and 41% of the agent into JSON encoding of one notification for each token.

Ruled out: the log (under 10% of the profile); coalescing of frames, which does nothing at the usual 50 ms between tokens; a binary codec for jsonrpc2, whose messages are encoded as JSON before they reach the stream.

Change: an attempt is an HTTP exchange of its own; the answer's bytes pass as they are and the terminal frame is the trailer with length and checksum. Frames of other attempts can no longer arrive in an exchange, and a slow caller holds back the upstream instead of filling a buffer. Control stays JSON-RPC.

Processor time on HTTP itself is the next largest part.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -178,7 +178,7 @@
 		case line+"\n" == engine.EventDone:
 			a.Whole = true
 		default:
-			a.Text += strings.Join(engine.Texts([]byte(line)), "")
+			a.Text += engine.Text([]byte(line))
 		}
 	}
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -50,6 +50,8 @@
 	EngineArgs []string
 	// ServiceArgs are further arguments of the plain service stand-ins.
 	ServiceArgs []string
+	// AgentColdLimit replaces the default cold limit of the agents when it is not 0.
+	AgentColdLimit int
 	// Limits of the first configuration; the zero value means a directory life of 1 s.
 	Limits configuration.Limits
 }
@@ -179,7 +181,7 @@
 
 // startUpstream starts an upstream stand-in with its agent and lists the instance.
 func (f *Fleet) startUpstream(ctx context.Context, name string, d Deployment, i int, kind agent.UpstreamKind, args []string) error {
-	addresses, err := freeAddresses(3)
+	addresses, err := freeAddresses(4)
 	if err != nil {
 		return err
 	}
@@ -191,8 +193,12 @@
 	s := agent.DefaultSettings()
 	s.Common = f.common(name, d, i, addresses[1])
 	s.ControlAddress = addresses[2]
+	s.WorkAddress = addresses[3]
 	s.ProbeMillis = 50
 	s.Upstream.Kind = kind
+	if f.opts.AgentColdLimit != 0 {
+		s.Upstream.ColdLimit = f.opts.AgentColdLimit
+	}
 	s.Upstream.URL = f.Upstreams[name]
 	if err := f.startWith(name, "coltsfoot-agent", s.OperatorAddress, s); err != nil {
 		return err
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -50,6 +50,9 @@
 	return nil
 }
 
+// PID returns the process ID.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Signal sends a signal to the process.
 func (p *Process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
 
--- a/pkg/agent/module.go
+++ b/pkg/agent/module.go
@@ -1,9 +1,6 @@
 package agent
 
 import (
-	"context"
-	"net"
-
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/fx"
 
@@ -37,7 +34,6 @@
 
 func newServer(a *Agent) *peer.Server {
 	s := peer.NewServer()
-	peer.Handle(s, peer.MethodRun, a.Run)
 	peer.Handle(s, peer.MethodCancel, a.Cancel)
 	peer.Handle(s, peer.MethodStatus, a.AnswerStatus)
 	peer.Handle(s, peer.MethodConfigure, a.Configure)
@@ -45,28 +41,6 @@
 }
 
 func register(lc fx.Lifecycle, a *Agent, srv *peer.Server, op *operator.Server, rec *event.Recorder) {
-	lc.Append(fx.Hook{
-		OnStart: func(ctx context.Context) error {
-			var cfg net.ListenConfig
-			l, err := cfg.Listen(ctx, "tcp", a.settings.ControlAddress)
-			if err != nil {
-				return err
-			}
-			a.Start()
-			go func() {
-				// Serve ends when the listener is closed at stop.
-				_ = srv.Serve(l)
-			}()
-			op.SetReady(true)
-			return nil
-		},
-		OnStop: func(ctx context.Context) error {
-			op.SetReady(false)
-			rec.Record(event.Event{Kind: event.ProcessStopping})
-			a.Leave(ctx)
-			err := srv.Shutdown(ctx)
-			a.Stop()
-			return err
-		},
-	})
+	n := &node{agent: a, control: srv, operator: op, events: rec}
+	lc.Append(fx.Hook{OnStart: n.start, OnStop: n.stop})
 }
--- /dev/null
+++ b/pkg/agent/node.go
@@ -0,0 +1,59 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/operator"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+)
+
+// node is the life cycle of an agent process.
+type node struct {
+	agent    *Agent
+	control  *peer.Server
+	work     *http.Server
+	operator *operator.Server
+	events   *event.Recorder
+}
+
+const (
+	headerTimeout = 10 * time.Second
+	// leaveNotice is the time for which a leaving agent goes on refusing work, so that
+	// entries hear of it before its listeners close.
+	leaveNotice = time.Second
+)
+
+func (n *node) start(ctx context.Context) error {
+	var cfg net.ListenConfig
+	control, err := cfg.Listen(ctx, "tcp", n.agent.settings.ControlAddress)
+	if err != nil {
+		return err
+	}
+	work, err := cfg.Listen(ctx, "tcp", n.agent.settings.WorkAddress)
+	if err != nil {
+		return errors.Join(err, control.Close())
+	}
+	n.work = &http.Server{Handler: peer.WorkHandler(n.agent), ReadHeaderTimeout: headerTimeout}
+	n.agent.Start()
+	// Both end when their listeners are closed at stop.
+	go func() { _ = n.control.Serve(control) }()
+	go func() { _ = n.work.Serve(work) }()
+	n.operator.SetReady(true)
+	return nil
+}
+
+// stop is a planned stop: no work in progress is cut off unless ctx ends first.
+func (n *node) stop(ctx context.Context) error {
+	n.operator.SetReady(false)
+	n.events.Record(event.Event{Kind: event.ProcessStopping})
+	n.agent.Leave(ctx)
+	pause(ctx, leaveNotice)
+	err := n.work.Shutdown(ctx)
+	n.agent.Stop()
+	return errors.Join(err, n.work.Close(), n.control.Shutdown(ctx))
+}
--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -12,15 +12,16 @@
 )
 
 // Run takes in an attempt and returns its result when it has ended or was refused.
-func (a *Agent) Run(ctx context.Context, conn *jsonrpc2.Conn, r peer.RunRequest) (peer.RunResult, error) {
+// It implements peer.Runner.
+func (a *Agent) Run(ctx context.Context, s peer.Sender, r peer.RunRequest) peer.RunResult {
 	a.events.Clock().Observe(r.Stamp)
-	t := a.newTask(conn, r)
+	t := a.newTask(s, r)
 	defer t.cancel()
 	if c := a.admit(t); c != code.OK {
 		a.refused(t, c)
-		return a.complete(peer.RunResult{Code: c}), nil
+		return a.complete(t, peer.RunResult{Code: c, Checksum: t.sum.Sum64()})
 	}
-	return a.complete(a.await(ctx, t)), nil
+	return a.complete(t, a.await(ctx, t))
 }
 
 // admit puts the task in the queue, or returns the reason why it may not wait.
@@ -157,8 +158,10 @@
 }
 
 // complete adds to a result what every result carries.
-func (a *Agent) complete(r peer.RunResult) peer.RunResult {
+func (a *Agent) complete(t *task, r peer.RunResult) peer.RunResult {
 	r.News = a.news()
+	r.Request = t.req.Request
+	r.Attempt = t.req.Attempt
 	r.Load = a.Status()
 	r.Incarnation = r.Load.Incarnation
 	return r
--- a/pkg/agent/settings.go
+++ b/pkg/agent/settings.go
@@ -37,8 +37,10 @@
 type Settings struct {
 	process.Common `yaml:",inline"`
 	// ControlAddress is the host:port for the other processes of the system.
-	ControlAddress string           `yaml:"control_address" validate:"required,tcp_addr"`
-	Upstream       UpstreamSettings `yaml:"upstream"`
+	ControlAddress string `yaml:"control_address" validate:"required,tcp_addr"`
+	// WorkAddress is the host:port to which entries send attempts.
+	WorkAddress string           `yaml:"work_address" validate:"required,tcp_addr"`
+	Upstream    UpstreamSettings `yaml:"upstream"`
 	// QueueLimit bounds the requests that wait.
 	QueueLimit int `yaml:"queue_limit" validate:"min=1"`
 	// ProbeMillis is the interval of the health probe.
--- a/pkg/agent/status.go
+++ b/pkg/agent/status.go
@@ -21,6 +21,7 @@
 		Upstream:      a.settings.Name,
 		Zone:          a.settings.Zone,
 		Incarnation:   a.fence.Incarnation(),
+		WorkAddress:   a.settings.WorkAddress,
 		Models:        a.health.Models,
 		Services:      a.health.Services,
 		Limit:         a.limiter.Limit(a.now()),
--- a/pkg/agent/task.go
+++ b/pkg/agent/task.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/fairness"
@@ -20,7 +19,7 @@
 	id     string
 	key    fence.Key
 	req    peer.RunRequest
-	conn   *jsonrpc2.Conn
+	sender peer.Sender
 	ctx    context.Context
 	cancel context.CancelFunc
 	// ended receives the result once.
@@ -31,13 +30,13 @@
 	sum     *xxhash.Digest
 }
 
-func (a *Agent) newTask(conn *jsonrpc2.Conn, r peer.RunRequest) *task {
+func (a *Agent) newTask(s peer.Sender, r peer.RunRequest) *task {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(r.TimeoutMillis)*time.Millisecond)
 	return &task{
 		id:      taskID(r.Request, r.Attempt),
 		key:     fence.Key{Request: r.Request, Attempt: r.Attempt},
 		req:     r,
-		conn:    conn,
+		sender:  s,
 		ctx:     ctx,
 		cancel:  cancel,
 		ended:   make(chan peer.RunResult, 1),
@@ -61,20 +60,12 @@
 }
 
 // send hands one part of the answer to the entry.
-func (t *task) send(incarnation string, p upstream.Part) error {
-	f := peer.Frame{
-		Request:     t.req.Request,
-		Attempt:     t.req.Attempt,
-		Incarnation: incarnation,
-		Offset:      t.offset,
-		Data:        p.Data,
-		Status:      p.Status,
-		Headers:     p.Headers,
-	}
+func (t *task) send(p upstream.Part) error {
+	f := peer.Frame{Offset: t.offset, Data: p.Data, Status: p.Status, Headers: p.Headers, More: p.More}
 	t.offset += int64(len(p.Data))
 	// A hash never returns an error from Write.
 	_, _ = t.sum.Write(p.Data)
-	return t.conn.Notify(t.ctx, peer.MethodFrame, f)
+	return t.sender.Send(f)
 }
 
 // finish hands the result to the waiting call. Only the first result counts.
--- a/pkg/agent/work.go
+++ b/pkg/agent/work.go
@@ -67,9 +67,7 @@
 		Organisation: t.req.Organisation, Upstream: a.settings.Name, Zone: a.settings.Zone,
 	})
 	began := a.now()
-	answer, err := a.client.Run(t.ctx, t.req, func(p upstream.Part) error {
-		return t.send(a.fence.Incarnation(), p)
-	})
+	answer, err := a.client.Run(t.ctx, t.req, t.send)
 	c, detail := a.verdict(t, answer, err)
 	a.end(t, began, c, answer)
 	t.finish(c, detail, answer.Tokens)
--- a/pkg/caller/serve.go
+++ b/pkg/caller/serve.go
@@ -56,7 +56,7 @@
 	if _, err := r.c.Writer.Write(f.Data); err != nil {
 		return err
 	}
-	if r.stream {
+	if r.stream && !f.More {
 		r.c.Writer.Flush()
 	}
 	return r.c.Request.Context().Err()
--- a/pkg/dispatch/answer.go
+++ b/pkg/dispatch/answer.go
@@ -37,20 +37,20 @@
 func (a *answer) deliver(f peer.Frame, stream bool, sink Sink) error {
 	hold := !stream && !a.sent || string(f.Data) == engine.EventDone
 	if !hold {
-		return a.pass(f, sink)
+		return a.pass(f, stream, sink)
 	}
 	a.held = append(a.held, f)
 	a.heldBytes += len(f.Data)
 	if a.heldBytes > holdBytes {
-		return a.finish(sink)
+		return a.finish(stream, sink)
 	}
 	return nil
 }
 
 // finish passes on the held frames.
-func (a *answer) finish(sink Sink) error {
+func (a *answer) finish(stream bool, sink Sink) error {
 	for _, f := range a.held {
-		if err := a.pass(f, sink); err != nil {
+		if err := a.pass(f, stream, sink); err != nil {
 			return err
 		}
 	}
@@ -58,7 +58,7 @@
 	return nil
 }
 
-func (a *answer) pass(f peer.Frame, sink Sink) error {
+func (a *answer) pass(f peer.Frame, stream bool, sink Sink) error {
 	if a.resumed {
 		// The status line and headers went out with the first attempt.
 		f.Status = 0
@@ -68,8 +68,8 @@
 		return errCallerGone
 	}
 	a.sent = true
-	for _, t := range engine.Texts(f.Data) {
-		a.text.WriteString(t)
+	if stream {
+		a.text.WriteString(engine.Text(f.Data))
 	}
 	return nil
 }
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -177,10 +177,10 @@
 	s.answer.nextAttempt()
 	runCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	res, err := p.client.Run(runCtx, r, func(f peer.Frame) error { return s.answer.deliver(f, s.req.Stream, s.sink) })
+	res, err := p.client.Run(runCtx, p.work, r, func(f peer.Frame) error { return s.answer.deliver(f, s.req.Stream, s.sink) })
 	out := Result{Code: res.Code, Detail: res.Detail, Upstream: p.id, RetryAfter: defaultRetryAfter}
 	if err == nil && res.Code == code.OK {
-		err = s.answer.finish(s.sink)
+		err = s.answer.finish(s.req.Stream, s.sink)
 	}
 	if err == nil {
 		s.d.table.observe(p.id, res.Load)
--- a/pkg/dispatch/table.go
+++ b/pkg/dispatch/table.go
@@ -96,6 +96,8 @@
 	id          string
 	incarnation string
 	client      *peer.Client
+	// work is the agent's address for work.
+	work string
 }
 
 // pick chooses an upstream that holds the target and is not in tried.
@@ -123,7 +125,7 @@
 	}
 	m := t.members[list[i].ID]
 	m.sent++
-	return picked{id: m.instance.ID, incarnation: m.status.Incarnation, client: m.client}, true
+	return picked{id: m.instance.ID, incarnation: m.status.Incarnation, client: m.client, work: m.status.WorkAddress}, true
 }
 
 // usable reports whether m may receive new work for w. Table.mu is held.
--- a/pkg/engine/client.go
+++ b/pkg/engine/client.go
@@ -1,15 +1,15 @@
 package engine
 
 import (
-	"bufio"
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 
+	"github.com/tidwall/gjson"
+
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/sse"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/upstream"
 )
 
@@ -47,9 +47,6 @@
 // EventDone is the last event of a whole stream.
 const EventDone = "data: [DONE]\n\n"
 
-// maxEventBytes bounds one server-sent event.
-const maxEventBytes = 1 << 20
-
 // copyEvents hands each event to emit and returns the number of tokens. The stream is
 // whole only when it ends with EventDone.
 func copyEvents(resp *http.Response, emit func(upstream.Part) error) (int64, error) {
@@ -57,14 +54,15 @@
 		Status:  resp.StatusCode,
 		Headers: []peer.Header{{Name: "Content-Type", Value: "text/event-stream"}},
 	}
-	lines := bufio.NewReader(resp.Body)
+	events := sse.NewReader(resp.Body)
 	tokens := int64(0)
 	for {
-		ev, err := readEvent(lines)
+		ev, err := events.Next()
 		if err != nil {
 			return tokens, errors.Join(upstream.ErrLost, err)
 		}
 		part.Data = ev
+		part.More = events.Buffered()
 		if err := emit(part); err != nil {
 			return tokens, err
 		}
@@ -72,53 +70,17 @@
 		if string(ev) == EventDone {
 			return tokens, nil
 		}
-		tokens += int64(len(Texts(ev)))
-	}
-}
-
-// readEvent reads one event with its closing blank line.
-func readEvent(r *bufio.Reader) ([]byte, error) {
-	var ev []byte
-	for {
-		line, err := r.ReadBytes('\n')
-		if err != nil {
-			return nil, io.ErrUnexpectedEOF
-		}
-		ev = append(ev, line...)
-		if len(ev) > maxEventBytes {
-			return nil, errors.New("engine: event too long")
-		}
-		if len(bytes.TrimSpace(line)) == 0 && len(bytes.TrimSpace(ev)) > 0 {
-			return ev, nil
+		if Text(ev) != "" {
+			tokens++
 		}
 	}
 }
 
-// Chunk is the part of a chat-completions chunk that the system reads.
-type Chunk struct {
-	Choices []struct {
-		Delta struct {
-			Content string `json:"content"`
-		} `json:"delta"`
-		FinishReason *string `json:"finish_reason"`
-	} `json:"choices"`
-}
-
-// Texts returns the non-empty content pieces of one event.
-func Texts(ev []byte) []string {
-	body, ok := bytes.CutPrefix(bytes.TrimSpace(ev), []byte("data:"))
+// Text returns the content of the first choice in one event of a stream, or "".
+func Text(ev []byte) string {
+	body, ok := bytes.CutPrefix(ev, []byte("data:"))
 	if !ok {
-		return nil
-	}
-	var c Chunk
-	if json.Unmarshal(body, &c) != nil {
-		return nil
-	}
-	var out []string
-	for _, ch := range c.Choices {
-		if ch.Delta.Content != "" {
-			out = append(out, ch.Delta.Content)
-		}
+		return ""
 	}
-	return out
+	return gjson.GetBytes(body, "choices.0.delta.content").String()
 }
--- a/pkg/operator/server.go
+++ b/pkg/operator/server.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -40,13 +41,17 @@
 // New returns a server that is not ready yet.
 func New(o Options) *Server {
 	gin.SetMode(gin.ReleaseMode)
+	metrics.RegisterRuntimeMemStats(o.Registry)
 	s := &Server{opts: o, gin: gin.New()}
 	s.gin.Use(gin.Recovery())
 	s.http = &http.Server{Handler: s.gin, ReadHeaderTimeout: headerTimeout}
 	s.gin.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
 	s.gin.GET("/readyz", s.readyz)
 	s.gin.GET("/metrics", s.metrics)
-	s.Guarded().GET("/events", func(c *gin.Context) { c.JSON(http.StatusOK, o.Recorder.Events()) })
+	g := s.Guarded()
+	g.GET("/events", func(c *gin.Context) { c.JSON(http.StatusOK, o.Recorder.Events()) })
+	g.GET("/debug/pprof/profile", gin.WrapF(pprof.Profile))
+	g.GET("/debug/pprof/heap", gin.WrapH(pprof.Handler("heap")))
 	return s
 }
 
@@ -92,6 +97,7 @@
 func (s *Server) metrics(c *gin.Context) {
 	c.Header("Content-Type", metric.ContentType)
 	c.Status(http.StatusOK)
+	metrics.CaptureRuntimeMemStatsOnce(s.opts.Registry)
 	// An error here means that the scraper went away.
 	_ = metric.Write(c.Writer, s.opts.Registry)
 }
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -8,8 +8,6 @@
 
 // Methods of the protocol.
 const (
-	MethodRun       = "run"
-	MethodFrame     = "frame"
 	MethodCancel    = "cancel"
 	MethodStatus    = "status"
 	MethodConfigure = "configure"
@@ -68,25 +66,27 @@
 	TimeoutMillis int64 `json:"timeout_ms"`
 }
 
-// Frame carries bytes of an answer from the agent to the entry.
+// Frame is a piece of an answer on its way from the agent to the entry.
 type Frame struct {
-	Request     string `json:"request"`
-	Attempt     int    `json:"attempt"`
-	Incarnation string `json:"incarnation"`
 	// Offset is the number of answer bytes before this frame.
-	Offset int64  `json:"offset"`
-	Data   []byte `json:"data"`
+	Offset int64
+	Data   []byte
 	// Status and Headers are set in the first frame only.
-	Status  int      `json:"status,omitempty"`
-	Headers []Header `json:"headers,omitempty"`
+	Status  int
+	Headers []Header
+	// More is set when the next frame follows at once.
+	More bool
 }
 
 // RunResult ends an attempt.
 type RunResult struct {
 	News
-	Code        code.Code `json:"code"`
-	Detail      string    `json:"detail,omitempty"`
-	Incarnation string    `json:"incarnation"`
+	Code   code.Code `json:"code"`
+	Detail string    `json:"detail,omitempty"`
+	// Request, Attempt and Incarnation tell which attempt ended.
+	Request     string `json:"request"`
+	Attempt     int    `json:"attempt"`
+	Incarnation string `json:"incarnation"`
 	// Length is the number of bytes of the whole answer and Checksum their xxHash64.
 	Length   int64  `json:"length"`
 	Checksum uint64 `json:"checksum,string"`
@@ -133,9 +133,11 @@
 // Status is the state of an agent and its upstream.
 type Status struct {
 	News
-	Upstream    string   `json:"upstream"`
-	Zone        string   `json:"zone"`
-	Incarnation string   `json:"incarnation"`
+	Upstream    string `json:"upstream"`
+	Zone        string `json:"zone"`
+	Incarnation string `json:"incarnation"`
+	// WorkAddress is the host:port to which attempts are sent.
+	WorkAddress string   `json:"work_address,omitempty"`
 	Models      []string `json:"models,omitempty"`
 	Services    []string `json:"services,omitempty"`
 	// Limit is the number of requests that the upstream bears now.
--- a/pkg/peer/run.go
+++ b/pkg/peer/run.go
@@ -1,91 +1,185 @@
 package peer
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/samber/oops"
-	"github.com/sourcegraph/jsonrpc2"
 
-	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/sse"
 )
 
 // ErrNotSent says that an attempt was never handed to the agent.
 var ErrNotSent = errors.New("peer: the attempt was not sent")
 
-// ErrNotWhole says that the frames received do not add up to the announced answer.
+// ErrNotWhole says that the bytes received are not the announced answer.
 var ErrNotWhole = errors.New("peer: the answer is not whole")
 
-// Run runs one attempt and hands its frames to onFrame in order. It returns
-// ErrNotSent when nothing was sent, ErrNotWhole when the frames do not match the
-// length and checksum of the result, the error of onFrame, and any other error when
-// the result was lost; the outcome is then unknown.
-func (c *Client) Run(ctx context.Context, r RunRequest, onFrame func(Frame) error) (RunResult, error) {
+// Header fields of an exchange.
+const (
+	headerAnswerStatus = "X-Answer-Status"
+	headerAnswerField  = "X-Answer-Field"
+	trailerResult      = "X-Run-Result"
+)
+
+// RunPath is the path to which attempts are posted.
+const RunPath = "/run"
+
+const (
+	idleConnsPerAgent = 256
+	copyBytes         = 32 << 10
+)
+
+// runs sends the attempts of all clients of this process.
+var runs = &http.Client{Transport: &http.Transport{
+	DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+	MaxIdleConnsPerHost: idleConnsPerAgent,
+	DisableCompression:  true,
+}}
+
+// Run runs one attempt at the agent with the work address and hands the frames of its
+// answer to onFrame in order. It returns ErrNotSent when nothing was sent, ErrNotWhole
+// when the answer does not match its result, the error of onFrame, and any other error
+// when the result was lost; the outcome is then unknown.
+func (c *Client) Run(ctx context.Context, work string, r RunRequest, onFrame func(Frame) error) (RunResult, error) {
 	var result RunResult
-	conn, err := c.Connect(ctx)
+	resp, err := post(ctx, work, r)
 	if err != nil {
-		return result, errors.Join(ErrNotSent, err)
+		return result, err
+	}
+	defer resp.Body.Close()
+	rec := &receiver{onFrame: onFrame, sum: xxhash.New(), first: firstFrame(resp.Header)}
+	if err := rec.read(resp.Body, r.Stream); err != nil {
+		return result, err
+	}
+	text := resp.Trailer.Get(trailerResult)
+	if err := json.Unmarshal([]byte(text), &result); err != nil {
+		return result, oops.Wrapf(err, "result lost")
 	}
-	k := attemptKey{r.Request, r.Attempt, r.Incarnation}
-	frames := c.sinks.open(k)
-	defer c.sinks.close(k)
-	wait, err := conn.DispatchCall(ctx, MethodRun, r)
+	return result, rec.check(r, result)
+}
+
+func post(ctx context.Context, work string, r RunRequest) (*http.Response, error) {
+	body, err := json.Marshal(r)
 	if err != nil {
-		return result, oops.Wrapf(err, "send attempt")
+		return nil, errors.Join(ErrNotSent, err)
 	}
-	done := make(chan error, 1)
-	go func() {
-		done <- wait.Wait(ctx, &result)
-		c.sinks.close(k)
-	}()
-	check := newReceiver(onFrame)
-	for f := range frames {
-		if err := check.take(f); err != nil {
-			return result, err
-		}
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+work+RunPath, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Join(ErrNotSent, err)
+	}
+	resp, err := runs.Do(req)
+	if err != nil && !connected.Load() {
+		return nil, errors.Join(ErrNotSent, err)
+	}
+	if err != nil {
+		return nil, oops.Wrapf(err, "send attempt")
 	}
-	if err := <-done; err != nil {
-		return result, lostResult(err)
+	if resp.StatusCode != http.StatusOK {
+		resp.Body.Close()
+		return nil, oops.Errorf("agent answered status %d", resp.StatusCode)
 	}
-	return result, check.finish(result)
+	return resp, nil
 }
 
-func lostResult(err error) error {
-	var e *jsonrpc2.Error
-	if errors.As(err, &e) && e.Code == int64(code.UpstreamLeaving) {
-		// The server refuses calls with this code before it reads them.
-		return errors.Join(ErrNotSent, err)
+// firstFrame returns a frame with the status and header fields of the answer.
+func firstFrame(h http.Header) Frame {
+	var f Frame
+	// A missing status leaves 0, which the first frame of an answer never has.
+	f.Status, _ = strconv.Atoi(h.Get(headerAnswerStatus))
+	for _, line := range h.Values(headerAnswerField) {
+		name, value, _ := strings.Cut(line, ":")
+		f.Headers = append(f.Headers, Header{Name: name, Value: value})
 	}
-	return oops.Wrapf(err, "result lost")
+	return f
 }
 
-// receiver checks that frames join without gap or repeat.
+// receiver takes the bytes of an answer.
 type receiver struct {
 	onFrame func(Frame) error
+	first   Frame
 	offset  int64
 	sum     *xxhash.Digest
 }
 
-func newReceiver(onFrame func(Frame) error) *receiver {
-	return &receiver{onFrame: onFrame, sum: xxhash.New()}
+// read hands the body to onFrame, a stream in whole events.
+func (r *receiver) read(body io.Reader, stream bool) error {
+	if stream && r.first.Status == http.StatusOK {
+		return r.readEvents(body)
+	}
+	buf := make([]byte, copyBytes)
+	for {
+		n, err := body.Read(buf)
+		if n > 0 {
+			if e := r.take(bytes.Clone(buf[:n]), false); e != nil {
+				return e
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return r.empty()
+		}
+		if err != nil {
+			return oops.Wrapf(err, "answer lost")
+		}
+	}
 }
 
-func (r *receiver) take(f Frame) error {
-	if f.Offset != r.offset {
-		return ErrNotWhole
+// empty hands on the status of an answer without bytes.
+func (r *receiver) empty() error {
+	if r.first.Status == 0 {
+		return nil
+	}
+	return r.take(nil, false)
+}
+
+func (r *receiver) readEvents(body io.Reader) error {
+	events := sse.NewReader(body)
+	for {
+		ev, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return oops.Wrapf(err, "answer lost")
+		}
+		if err := r.take(ev, events.Buffered()); err != nil {
+			return err
+		}
 	}
-	r.offset += int64(len(f.Data))
+}
+
+func (r *receiver) take(data []byte, more bool) error {
+	f := r.first
+	f.Offset = r.offset
+	f.Data = data
+	f.More = more
+	r.first = Frame{}
+	r.offset += int64(len(data))
 	// A hash never returns an error from Write.
-	_, _ = r.sum.Write(f.Data)
+	_, _ = r.sum.Write(data)
 	return r.onFrame(f)
 }
 
-func (r *receiver) finish(result RunResult) error {
-	if result.Length != r.offset {
+// check compares the answer with its result.
+func (r *receiver) check(req RunRequest, result RunResult) error {
+	if result.Request != req.Request || result.Attempt != req.Attempt {
 		return ErrNotWhole
 	}
-	if r.offset > 0 && result.Checksum != r.sum.Sum64() {
+	if result.Length != r.offset || result.Checksum != r.sum.Sum64() {
 		return ErrNotWhole
 	}
 	return nil
--- /dev/null
+++ b/pkg/sse/reader.go
@@ -0,0 +1,54 @@
+package sse
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+)
+
+// ErrTooLong says that an event exceeds MaxEventBytes.
+var ErrTooLong = errors.New("sse: event too long")
+
+// MaxEventBytes bounds one event.
+const MaxEventBytes = 1 << 20
+
+const readBytes = 16 << 10
+
+// Reader reads events. It is not safe for concurrent use.
+type Reader struct {
+	lines *bufio.Reader
+}
+
+// NewReader returns a reader of the events in r.
+func NewReader(r io.Reader) *Reader {
+	return &Reader{lines: bufio.NewReaderSize(r, readBytes)}
+}
+
+// Next returns the next event with its closing blank line. It returns io.EOF at the
+// end between two events and io.ErrUnexpectedEOF at an end within one.
+func (r *Reader) Next() ([]byte, error) {
+	var ev []byte
+	for {
+		line, err := r.lines.ReadSlice('\n')
+		ev = append(ev, line...)
+		if len(ev) > MaxEventBytes {
+			return nil, ErrTooLong
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if errors.Is(err, io.EOF) && len(ev) > 0 {
+			return nil, io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return nil, err
+		}
+		if len(bytes.TrimSpace(line)) == 0 && len(bytes.TrimSpace(ev)) > 0 {
+			return ev, nil
+		}
+	}
+}
+
+// Buffered reports whether further bytes were read already.
+func (r *Reader) Buffered() bool { return r.lines.Buffered() > 0 }
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -25,6 +25,8 @@
 	Status  int
 	Headers []peer.Header
 	Data    []byte
+	// More is set when the next part follows at once.
+	More bool
 }
 
 // Answer describes a whole answer.
--- /dev/null
+++ b/test/overhead_test.go
@@ -0,0 +1,149 @@
+package test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/coltsfootpitch/coltsfootpitch/internal/client"
+	"github.com/coltsfootpitch/coltsfootpitch/internal/fleet"
+)
+
+const (
+	overheadRequests = 8000
+	overheadParallel = 16
+	overheadTokens   = 16
+	// clockTicks is the number of processor time units a second in /proc.
+	clockTicks = 100
+)
+
+// BenchmarkOverhead compares streamed requests through an entry and an agent with the
+// same requests sent straight to the engine, in one run.
+func BenchmarkOverhead(b *testing.B) {
+	is := is.New(b)
+	f, err := fleet.Start(context.Background(), fleet.Options{
+		Bin: binaries, Dir: b.TempDir(), Organisations: organisations,
+		EngineArgs:     []string{"--token-time", "0s", "--cold-limit", "64", "--warm-limit", "64"},
+		AgentColdLimit: 32,
+		Deployments: []fleet.Deployment{{
+			Region: "trondelag", Zones: []string{"gate-north"}, Entries: 1,
+			Model: "intake-llm", Workers: 1, Service: "weighbridge-app", ServiceWorkers: 1,
+		}},
+	})
+	is.NoErr(err)
+	defer f.Close()
+	engine := strings.TrimPrefix(f.Upstreams["intake-llm-0"], "http://")
+	entry := f.Callers["trondelag-entry-0"]
+	nodes := []*fleet.Process{f.Processes["trondelag-entry-0"], f.Processes["intake-llm-0"]}
+	for b.Loop() {
+		stream(b, engine, overheadRequests/10)
+		stream(b, entry, overheadRequests/10)
+		direct := stream(b, engine, overheadRequests)
+		allocations(b, nodes)
+		before := cpuSeconds(b, nodes)
+		through := stream(b, entry, overheadRequests)
+		used := cpuSeconds(b, nodes) - before
+		report(b, direct, through)
+		b.ReportMetric(overheadRequests/used, "requests/core-s")
+		b.ReportMetric(allocations(b, nodes)/overheadRequests, "allocs/request")
+	}
+}
+
+func report(b *testing.B, direct, through []time.Duration) {
+	for _, q := range []struct {
+		name string
+		at   int
+	}{{"p50", len(direct) / 2}, {"p99", len(direct) * 99 / 100}} {
+		b.ReportMetric(float64(direct[q.at].Microseconds()), "direct-"+q.name+"-µs")
+		b.ReportMetric(float64(through[q.at].Microseconds()), "through-"+q.name+"-µs")
+		b.ReportMetric(float64(through[q.at])/float64(direct[q.at]), q.name+"-ratio")
+	}
+}
+
+// stream sends streamed requests to an address and returns their sorted durations.
+func stream(b *testing.B, address string, count int) []time.Duration {
+	c := client.New(fleet.Token("skolen"), nil)
+	took := make([]time.Duration, count)
+	numbers := make(chan int)
+	var senders sync.WaitGroup
+	for range overheadParallel {
+		senders.Go(func() {
+			for n := range numbers {
+				began := time.Now()
+				a, err := c.DoAt(context.Background(), address, client.Chat("intake-llm", "load", overheadTokens, true))
+				if err != nil || !a.Whole {
+					b.Errorf("answer not whole: code %d error %v", a.Code, err)
+				}
+				took[n] = time.Since(began)
+			}
+		})
+	}
+	for n := range count {
+		numbers <- n
+	}
+	close(numbers)
+	senders.Wait()
+	slices.Sort(took)
+	return took
+}
+
+// cpuSeconds returns the processor time that the processes have used.
+func cpuSeconds(b *testing.B, nodes []*fleet.Process) float64 {
+	sum := 0.0
+	for _, p := range nodes {
+		text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.PID()))
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, rest, _ := strings.Cut(string(text), ") ")
+		fields := strings.Fields(rest)
+		for _, at := range []int{11, 12} {
+			v, err := strconv.ParseFloat(fields[at], 64)
+			if err != nil {
+				b.Fatal(err)
+			}
+			sum += v / clockTicks
+		}
+	}
+	return sum
+}
+
+// allocations returns the allocations of the processes since it was last called.
+func allocations(b *testing.B, nodes []*fleet.Process) float64 {
+	sum := 0.0
+	for _, p := range nodes {
+		sum += metricValue(b, p.Operator, "coltsfoot_runtime_MemStats_Mallocs")
+	}
+	return sum
+}
+
+// metricValue reads one value from the metrics page of a process.
+func metricValue(b *testing.B, operator, name string) float64 {
+	resp, err := http.Get("http://" + operator + "/metrics")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer resp.Body.Close()
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		if text, ok := strings.CutPrefix(lines.Text(), name+" "); ok {
+			v, err := strconv.ParseFloat(text, 64)
+			if err != nil {
+				b.Fatal(err)
+			}
+			return v
+		}
+	}
+	b.Fatalf("no metric %s", name)
+	return 0
+}
