Tell callers, operators and processes apart

Cause: any process that reached a control or work address could give orders. Ruled out: the bearer token in every JSON-RPC message, which costs bytes in each of them; the token is presented once on each connection, and with each work exchange, which has a connection of its own for a while.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -59,6 +59,9 @@
 // OperatorToken is the operators' token of all processes of a fleet.
 const OperatorToken = "operator-token"
 
+// ProcessToken is the token that the processes of a fleet present to each other.
+const ProcessToken = "process-token"
+
 // Token returns the bearer token of an organisation.
 func Token(organisation string) string { return "token-" + organisation }
 
@@ -255,6 +258,7 @@
 	c.Zone = d.Zones[i%len(d.Zones)]
 	c.OperatorAddress = operator
 	c.OperatorToken = OperatorToken
+	c.Credentials.Token = ProcessToken
 	return c
 }
 
--- a/pkg/agent/module.go
+++ b/pkg/agent/module.go
@@ -32,15 +32,15 @@
 	return New(Options{Settings: s, Client: c, Recorder: rec, Registry: reg})
 }
 
-func newServer(a *Agent) *peer.Server {
-	s := peer.NewServer()
+func newServer(a *Agent, c peer.Credentials) *peer.Server {
+	s := peer.NewServer(c)
 	peer.Handle(s, peer.MethodCancel, a.Cancel)
 	peer.Handle(s, peer.MethodStatus, a.AnswerStatus)
 	peer.Handle(s, peer.MethodConfigure, a.Configure)
 	return s
 }
 
-func register(lc fx.Lifecycle, a *Agent, srv *peer.Server, op *operator.Server, rec *event.Recorder) {
-	n := &node{agent: a, control: srv, operator: op, events: rec}
+func register(lc fx.Lifecycle, a *Agent, srv *peer.Server, op *operator.Server, rec *event.Recorder, c peer.Credentials) {
+	n := &node{agent: a, credentials: c, control: srv, operator: op, events: rec}
 	lc.Append(fx.Hook{OnStart: n.start, OnStop: n.stop})
 }
--- a/pkg/agent/node.go
+++ b/pkg/agent/node.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"time"
 
@@ -14,11 +13,12 @@
 
 // node is the life cycle of an agent process.
 type node struct {
-	agent    *Agent
-	control  *peer.Server
-	work     *http.Server
-	operator *operator.Server
-	events   *event.Recorder
+	agent       *Agent
+	credentials peer.Credentials
+	control     *peer.Server
+	work        *http.Server
+	operator    *operator.Server
+	events      *event.Recorder
 }
 
 const (
@@ -29,16 +29,15 @@
 )
 
 func (n *node) start(ctx context.Context) error {
-	var cfg net.ListenConfig
-	control, err := cfg.Listen(ctx, "tcp", n.agent.settings.ControlAddress)
+	control, err := n.credentials.Listen(ctx, n.agent.settings.ControlAddress)
 	if err != nil {
 		return err
 	}
-	work, err := cfg.Listen(ctx, "tcp", n.agent.settings.WorkAddress)
+	work, err := n.credentials.Listen(ctx, n.agent.settings.WorkAddress)
 	if err != nil {
 		return errors.Join(err, control.Close())
 	}
-	n.work = &http.Server{Handler: peer.WorkHandler(n.agent), ReadHeaderTimeout: headerTimeout}
+	n.work = &http.Server{Handler: peer.WorkHandler(n.agent, n.credentials), ReadHeaderTimeout: headerTimeout}
 	n.agent.Start()
 	// Both end when their listeners are closed at stop.
 	go func() { _ = n.control.Serve(control) }()
--- a/pkg/caller/server.go
+++ b/pkg/caller/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -16,6 +15,7 @@
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/configuration"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/directory"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/dispatch"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/listener"
 )
 
 // Dispatcher runs requests.
@@ -31,7 +31,9 @@
 // Options configure a server.
 type Options struct {
 	// Address is the host:port of the listener.
-	Address    string
+	Address string
+	// TLS holds the certificate of the listener; the zero value means plain HTTP.
+	TLS        listener.Settings
 	Dispatcher Dispatcher
 	Directory  Directory
 	Config     *configuration.Holder
@@ -65,8 +67,7 @@
 
 // Start opens the listener and serves it.
 func (s *Server) Start(ctx context.Context) error {
-	var lc net.ListenConfig
-	l, err := lc.Listen(ctx, "tcp", s.opts.Address)
+	l, err := listener.Listen(ctx, s.opts.Address, s.opts.TLS)
 	if err != nil {
 		return oops.Wrapf(err, "caller listener")
 	}
--- a/pkg/dispatch/table.go
+++ b/pkg/dispatch/table.go
@@ -26,11 +26,12 @@
 
 // Table holds the upstreams and the other entries. It is safe for concurrent use.
 type Table struct {
-	name   string
-	zone   string
-	config *configuration.Holder
-	events *event.Recorder
-	now    func() time.Time
+	name        string
+	zone        string
+	config      *configuration.Holder
+	events      *event.Recorder
+	credentials peer.Credentials
+	now         func() time.Time
 
 	mu      sync.Mutex
 	members map[string]*member
@@ -42,8 +43,8 @@
 const StatusAge = 3 * time.Second
 
 // NewTable returns an empty table for the entry with the name in the zone.
-func NewTable(name, zone string, config *configuration.Holder, events *event.Recorder, now func() time.Time) *Table {
-	return &Table{name: name, zone: zone, config: config, events: events, now: now, members: map[string]*member{}}
+func NewTable(name, zone string, config *configuration.Holder, events *event.Recorder, c peer.Credentials, now func() time.Time) *Table {
+	return &Table{name: name, zone: zone, config: config, events: events, credentials: c, now: now, members: map[string]*member{}}
 }
 
 // SetInstances replaces the instance list and keeps what is known of the instances that stay.
@@ -55,7 +56,7 @@
 	for _, i := range list {
 		m, ok := t.members[i.ID]
 		if !ok || m.instance.Control != i.Control {
-			m = &member{client: peer.NewClient(i.Control)}
+			m = &member{client: peer.NewClient(i.Control, t.credentials)}
 			t.events.Record(event.Event{Kind: event.UpstreamFound, Upstream: i.ID, Zone: i.Zone})
 		}
 		m.instance = i
--- a/pkg/entry/module.go
+++ b/pkg/entry/module.go
@@ -38,8 +38,8 @@
 	return platform.New(platform.Options{URL: s.PlatformURL, Registry: reg})
 }
 
-func newTable(s Settings, h *configuration.Holder, rec *event.Recorder) *dispatch.Table {
-	return dispatch.NewTable(s.Name, s.Zone, h, rec, time.Now)
+func newTable(s Settings, h *configuration.Holder, rec *event.Recorder, c peer.Credentials) *dispatch.Table {
+	return dispatch.NewTable(s.Name, s.Zone, h, rec, c, time.Now)
 }
 
 func newPoller(s Settings, t *dispatch.Table) *dispatch.Poller {
@@ -47,7 +47,7 @@
 }
 
 func newCaller(s Settings, d *dispatch.Dispatcher, t *dispatch.Table, h *configuration.Holder) *caller.Server {
-	return caller.New(caller.Options{Address: s.CallerAddress, Dispatcher: d, Directory: t, Config: h})
+	return caller.New(caller.Options{Address: s.CallerAddress, TLS: s.CallerTLS, Dispatcher: d, Directory: t, Config: h})
 }
 
 func register(lc fx.Lifecycle, n *node, op *operator.Server) {
@@ -55,6 +55,6 @@
 	lc.Append(fx.Hook{OnStart: n.start, OnStop: n.stop})
 }
 
-func newNode(s Settings, p *platform.Client, st *configstore.Store, h *configuration.Holder, t *dispatch.Table, po *dispatch.Poller, c *caller.Server, rec *event.Recorder) *node {
-	return &node{settings: s, platform: p, store: st, config: h, table: t, poller: po, callers: c, events: rec, control: peer.NewServer()}
+func newNode(s Settings, p *platform.Client, st *configstore.Store, h *configuration.Holder, t *dispatch.Table, po *dispatch.Poller, c *caller.Server, rec *event.Recorder, cr peer.Credentials) *node {
+	return &node{settings: s, platform: p, store: st, config: h, table: t, poller: po, callers: c, events: rec, control: peer.NewServer(cr), credentials: cr}
 }
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"time"
 
@@ -21,16 +20,17 @@
 
 // node is the life cycle of an entry process.
 type node struct {
-	settings Settings
-	platform *platform.Client
-	store    *configstore.Store
-	config   *configuration.Holder
-	table    *dispatch.Table
-	poller   *dispatch.Poller
-	callers  *caller.Server
-	control  *peer.Server
-	operator *operator.Server
-	events   *event.Recorder
+	settings    Settings
+	platform    *platform.Client
+	store       *configstore.Store
+	config      *configuration.Holder
+	table       *dispatch.Table
+	poller      *dispatch.Poller
+	callers     *caller.Server
+	control     *peer.Server
+	credentials peer.Credentials
+	operator    *operator.Server
+	events      *event.Recorder
 
 	cancel context.CancelFunc
 	loops  sync.WaitGroup
@@ -39,8 +39,7 @@
 func (n *node) start(ctx context.Context) error {
 	peer.Handle(n.control, peer.MethodStatus, n.answerStatus)
 	peer.Handle(n.control, peer.MethodConfigure, n.configure)
-	var cfg net.ListenConfig
-	l, err := cfg.Listen(ctx, "tcp", n.settings.ControlAddress)
+	l, err := n.credentials.Listen(ctx, n.settings.ControlAddress)
 	if err != nil {
 		return err
 	}
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -1,12 +1,17 @@
 package entry
 
-import "github.com/coltsfootpitch/coltsfootpitch/pkg/process"
+import (
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/listener"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/process"
+)
 
 // Settings are the settings of coltsfoot-entry.
 type Settings struct {
 	process.Common `yaml:",inline"`
 	// CallerAddress is the host:port for callers.
 	CallerAddress string `yaml:"caller_address" validate:"required,tcp_addr"`
+	// CallerTLS holds the certificate of the callers' listener; without it the listener speaks plain HTTP.
+	CallerTLS listener.Settings `yaml:"caller_tls,omitempty"`
 	// ControlAddress is the host:port for the other processes of the system.
 	ControlAddress string `yaml:"control_address" validate:"required,tcp_addr"`
 	// PlatformURL is the base URL of the platform's object API.
--- a/pkg/operator/server.go
+++ b/pkg/operator/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/subtle"
 	"errors"
-	"net"
 	"net/http"
 	"net/http/pprof"
 	"strings"
@@ -16,6 +15,7 @@
 	"github.com/samber/oops"
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/listener"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/metric"
 )
 
@@ -23,7 +23,9 @@
 type Options struct {
 	Address string
 	// Token is the bearer token of operators; empty closes all but health and metrics.
-	Token    string
+	Token string
+	// TLS holds the certificate of the listener; the zero value means plain HTTP.
+	TLS      listener.Settings
 	Recorder *event.Recorder
 	Registry metrics.Registry
 }
@@ -65,8 +67,7 @@
 
 // Start opens the listener and serves it.
 func (s *Server) Start(ctx context.Context) error {
-	var lc net.ListenConfig
-	l, err := lc.Listen(ctx, "tcp", s.opts.Address)
+	l, err := listener.Listen(ctx, s.opts.Address, s.opts.TLS)
 	if err != nil {
 		return oops.Wrapf(err, "operator listener")
 	}
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -13,7 +13,9 @@
 // Client holds one connection to a process, opened when it is first needed and
 // again after it was lost. It is safe for concurrent use.
 type Client struct {
-	address string
+	address     string
+	credentials Credentials
+	runs        *http.Client
 
 	mu   sync.Mutex
 	conn *jsonrpc2.Conn
@@ -28,8 +30,8 @@
 const dialTimeout = time.Second
 
 // NewClient returns a client of the process at address (host:port).
-func NewClient(address string) *Client {
-	return &Client{address: address}
+func NewClient(address string, c Credentials) *Client {
+	return &Client{address: address, credentials: c, runs: newRunClient(c)}
 }
 
 // Address returns the address of the process.
@@ -43,6 +45,7 @@
 		c.conn.Close()
 		c.conn = nil
 	}
+	c.runs.CloseIdleConnections()
 }
 
 // Connect opens the connection when there is none.
@@ -56,14 +59,18 @@
 			return c.conn, nil
 		}
 	}
-	d := net.Dialer{Timeout: dialTimeout}
-	raw, err := d.DialContext(ctx, "tcp", c.address)
+	raw, err := c.credentials.dial(ctx, "tcp", c.address)
 	if err != nil {
 		return nil, oops.Wrapf(err, "dial %s", c.address)
 	}
 	stream := jsonrpc2.NewBufferedStream(raw, jsonrpc2.VarintObjectCodec{})
-	c.conn = jsonrpc2.NewConn(context.Background(), stream, ignore{})
-	return c.conn, nil
+	conn := jsonrpc2.NewConn(context.Background(), stream, ignore{})
+	if err := conn.Call(ctx, methodAuthenticate, authenticateRequest{Token: c.credentials.token}, nil); err != nil {
+		conn.Close()
+		return nil, oops.Wrapf(err, "authenticate at %s", c.address)
+	}
+	c.conn = conn
+	return conn, nil
 }
 
 // Call calls a method and waits for its result.
--- a/pkg/peer/run.go
+++ b/pkg/peer/run.go
@@ -40,12 +40,16 @@
 	copyBytes         = 32 << 10
 )
 
-// runs sends the attempts of all clients of this process.
-var runs = &http.Client{Transport: &http.Transport{
-	DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-	MaxIdleConnsPerHost: idleConnsPerAgent,
-	DisableCompression:  true,
-}}
+// newRunClient returns the HTTP client for the attempts sent to one agent.
+func newRunClient(c Credentials) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			return c.dial(ctx, network, address)
+		},
+		MaxIdleConnsPerHost: idleConnsPerAgent,
+		DisableCompression:  true,
+	}}
+}
 
 // Run runs one attempt at the agent with the work address and hands the frames of its
 // answer to onFrame in order. It returns ErrNotSent when nothing was sent, ErrNotWhole
@@ -53,7 +57,7 @@
 // when the result was lost; the outcome is then unknown.
 func (c *Client) Run(ctx context.Context, work string, r RunRequest, onFrame func(Frame) error) (RunResult, error) {
 	var result RunResult
-	resp, err := post(ctx, work, r)
+	resp, err := c.post(ctx, work, r)
 	if err != nil {
 		return result, err
 	}
@@ -69,7 +73,7 @@
 	return result, rec.check(r, result)
 }
 
-func post(ctx context.Context, work string, r RunRequest) (*http.Response, error) {
+func (c *Client) post(ctx context.Context, work string, r RunRequest) (*http.Response, error) {
 	body, err := json.Marshal(r)
 	if err != nil {
 		return nil, errors.Join(ErrNotSent, err)
@@ -82,7 +86,8 @@
 	if err != nil {
 		return nil, errors.Join(ErrNotSent, err)
 	}
-	resp, err := runs.Do(req)
+	req.Header.Set("Authorization", "Bearer "+c.credentials.token)
+	resp, err := c.runs.Do(req)
 	if err != nil && !connected.Load() {
 		return nil, errors.Join(ErrNotSent, err)
 	}
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -19,18 +19,21 @@
 
 // Server accepts connections of other processes and dispatches their calls.
 type Server struct {
-	methods map[string]method
+	methods     map[string]method
+	credentials Credentials
 
 	mu       sync.Mutex
 	listener net.Listener
-	conns    map[*jsonrpc2.Conn]struct{}
+	// conns holds the open connections; the value is set once the other side has
+	// presented the token.
+	conns    map[*jsonrpc2.Conn]bool
 	active   int
 	draining bool
 }
 
 // NewServer returns a server without methods.
-func NewServer() *Server {
-	return &Server{methods: map[string]method{}, conns: map[*jsonrpc2.Conn]struct{}{}}
+func NewServer(c Credentials) *Server {
+	return &Server{methods: map[string]method{}, credentials: c, conns: map[*jsonrpc2.Conn]bool{}}
 }
 
 // Handle registers f for a method. It must be called before Serve. Each call runs
@@ -119,9 +122,10 @@
 
 func (s *Server) add(c net.Conn) {
 	stream := jsonrpc2.NewBufferedStream(c, jsonrpc2.VarintObjectCodec{})
-	conn := jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.AsyncHandler(s))
 	s.mu.Lock()
-	s.conns[conn] = struct{}{}
+	// Handlers wait for the lock until the connection is entered.
+	conn := jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.AsyncHandler(s))
+	s.conns[conn] = false
 	s.mu.Unlock()
 	go func() {
 		<-conn.DisconnectNotify()
@@ -133,7 +137,15 @@
 
 // Handle implements jsonrpc2.Handler.
 func (s *Server) Handle(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) {
+	if r.Method == methodAuthenticate {
+		s.authenticate(ctx, conn, r)
+		return
+	}
 	m, ok := s.methods[r.Method]
+	if !s.trusted(conn) {
+		s.fail(ctx, conn, r, &jsonrpc2.Error{Code: int64(code.Unauthorised), Message: "the connection has not presented the token"})
+		return
+	}
 	if !ok {
 		s.fail(ctx, conn, r, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method})
 		return
@@ -158,6 +170,36 @@
 	}
 }
 
+// methodAuthenticate is the first call on each connection.
+const methodAuthenticate = "authenticate"
+
+// authenticateRequest presents the token of the system's processes.
+type authenticateRequest struct {
+	Token string `json:"token"`
+}
+
+// authenticate marks a connection that presents the token as trusted and closes others.
+func (s *Server) authenticate(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) {
+	var a authenticateRequest
+	if r.Params == nil || json.Unmarshal(*r.Params, &a) != nil || !s.credentials.accepts(a.Token) {
+		s.fail(ctx, conn, r, &jsonrpc2.Error{Code: int64(code.Unauthorised), Message: "wrong token"})
+		conn.Close()
+		return
+	}
+	s.mu.Lock()
+	if _, open := s.conns[conn]; open {
+		s.conns[conn] = true
+	}
+	s.mu.Unlock()
+	_ = conn.Reply(ctx, r.ID, struct{}{})
+}
+
+func (s *Server) trusted(conn *jsonrpc2.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.conns[conn]
+}
+
 func (s *Server) fail(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request, err *jsonrpc2.Error) {
 	if !r.Notif {
 		_ = conn.ReplyWithError(ctx, r.ID, err)
--- a/pkg/peer/work.go
+++ b/pkg/peer/work.go
@@ -23,8 +23,9 @@
 // maxRunBytes bounds an encoded RunRequest.
 const maxRunBytes = 128 << 20
 
-// WorkHandler returns the HTTP handler to which entries post attempts.
-func WorkHandler(runner Runner) http.Handler {
+// WorkHandler returns the HTTP handler to which entries post attempts. It refuses
+// exchanges that do not present the token of the credentials.
+func WorkHandler(runner Runner, c Credentials) http.Handler {
 	m := http.NewServeMux()
 	m.HandleFunc("POST "+RunPath, func(w http.ResponseWriter, req *http.Request) {
 		r, err := readRun(w, req)
@@ -35,7 +36,7 @@
 		s := &sender{w: w, control: http.NewResponseController(w)}
 		s.finish(runner.Run(req.Context(), s, r))
 	})
-	return m
+	return c.guard(m)
 }
 
 // readRun reads the whole body: net/http notices that the entry went away only once
--- a/pkg/process/log.go
+++ b/pkg/process/log.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"log"
 	"strings"
 	"sync"
 	"time"
@@ -22,6 +23,24 @@
 	return l
 }
 
+// captureStandardLog sends what libraries write to the standard logger through l, so
+// that it too is one line of key=value pairs.
+func captureStandardLog(l hclog.Logger) {
+	log.SetFlags(0)
+	log.SetOutput(libraryWriter{l})
+}
+
+// libraryWriter logs each write as an event of a library.
+type libraryWriter struct {
+	log hclog.Logger
+}
+
+// Write implements io.Writer.
+func (w libraryWriter) Write(p []byte) (int, error) {
+	w.log.Warn("library-message", "text", strings.TrimSpace(string(p)))
+	return len(p), nil
+}
+
 // lineSink formats log entries as key=value lines.
 type lineSink struct {
 	level hclog.Level
--- /dev/null
+++ b/pkg/process/log_test.go
@@ -0,0 +1,26 @@
+package process
+
+import (
+	"bytes"
+	"log"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestLogWritesOneLineOfPairsForEachEvent(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	l := NewLog("entry-1", "info", &out)
+	l.Info("request-ended", "request", "r 1", "code", 1000)
+	l.Debug("not-shown")
+	captureStandardLog(l)
+	defer log.SetOutput(os.Stderr)
+	log.Print("from a library\nwith two lines")
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	is.Equal(len(lines), 2)
+	is.True(strings.HasSuffix(lines[0], `level=info process=entry-1 event=request-ended request="r 1" code=1000`))
+	is.True(strings.HasSuffix(lines[1], `level=warn process=entry-1 event=library-message text="from a library\nwith two lines"`))
+}
--- a/pkg/process/main.go
+++ b/pkg/process/main.go
@@ -17,6 +17,7 @@
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/operator"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/settings"
 )
 
@@ -99,6 +100,10 @@
 
 func serve(base Common, module fx.Option) int {
 	log := NewLog(base.Name, base.LogLevel, os.Stderr)
+	captureStandardLog(log)
+	if base.Credentials == (peer.CredentialSettings{}) {
+		log.Warn("no-credentials", "detail", "every process that reaches the control address is trusted")
+	}
 	app := fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(base),
@@ -107,6 +112,7 @@
 			func() metrics.Registry { return metrics.NewRegistry() },
 			func() *event.Clock { return event.NewClock(nil) },
 			func(c *event.Clock) *event.Recorder { return event.NewRecorder(base.Name, c, log) },
+			func() (peer.Credentials, error) { return peer.NewCredentials(base.Credentials) },
 			newOperator,
 		),
 		fx.Invoke(registerOperator),
@@ -160,6 +166,7 @@
 	return operator.New(operator.Options{
 		Address:  base.OperatorAddress,
 		Token:    base.OperatorToken,
+		TLS:      base.OperatorTLS,
 		Recorder: rec,
 		Registry: reg,
 	})
--- a/pkg/process/settings.go
+++ b/pkg/process/settings.go
@@ -1,6 +1,11 @@
 package process
 
-import "time"
+import (
+	"time"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/listener"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+)
 
 // Common are the settings that all processes share.
 type Common struct {
@@ -13,6 +18,10 @@
 	OperatorAddress string `yaml:"operator_address" validate:"required,tcp_addr"`
 	// OperatorToken is the bearer token of operators; empty means that only health and metrics are served.
 	OperatorToken string `yaml:"operator_token,omitempty"`
+	// OperatorTLS holds the certificate of the operators' listener; without it the listener speaks plain HTTP.
+	OperatorTLS listener.Settings `yaml:"operator_tls,omitempty"`
+	// Credentials prove to the other processes that this one belongs to the system.
+	Credentials peer.CredentialSettings `yaml:"credentials,omitempty"`
 	// LogLevel is one of trace, debug, info, warn, error, off; the default is info.
 	LogLevel string `yaml:"log_level" validate:"oneof=trace debug info warn error off"`
 	// StopTimeoutMillis bounds a planned stop; the default is 120000.
