Accept edits of the configuration by sections

Cause: an edit replaced the whole document, a lost answer could not be settled, a restored object reverted the fleet, and each change sent the whole document to each process.

The head object names immutable contents by hash. An edit merges its sections with the head, validates the whole and writes the head by one conditional update; the history of the head settles lost answers. Peers send the items that changed. A head that was set back is repaired from the document in force.

--- a/pkg/agent/status.go
+++ b/pkg/agent/status.go
@@ -42,8 +42,9 @@
 // Configure serves peer.MethodConfigure: it adopts the document when it is newer.
 func (a *Agent) Configure(_ context.Context, _ *jsonrpc2.Conn, r peer.ConfigureRequest) (peer.ConfigureResult, error) {
 	a.events.Clock().Observe(r.Stamp)
-	if r.Document != nil && a.config.Adopt(r.Document) {
-		a.events.Record(event.Event{Kind: event.ConfigAdopted, ConfigVersion: r.Document.Version, Zone: a.settings.Zone})
+	// An update that builds on another document is answered with the version in force here.
+	if took, _ := a.config.Take(r.Update); took {
+		a.events.Record(event.Event{Kind: event.ConfigAdopted, ConfigVersion: r.Update.Version, Zone: a.settings.Zone})
 		a.mu.Lock()
 		a.wake.Broadcast()
 		a.mu.Unlock()
--- a/pkg/configstore/store.go
+++ b/pkg/configstore/store.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sync"
+	"time"
 
 	"github.com/samber/oops"
 
@@ -11,77 +13,118 @@
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/platform"
 )
 
-const (
-	// Kind is the object kind of the configuration.
-	Kind = "configuration"
-	// Name is the name of the object.
-	Name = "current"
-)
+// Options configure a store.
+type Options struct {
+	Objects Objects
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
+}
 
-// Store reads and writes the configuration. It is safe for concurrent use.
+// Store reads and edits the configuration. It is safe for concurrent use.
 type Store struct {
-	client *platform.Client
+	objects Objects
+	now     func() time.Time
+
+	mu sync.Mutex
+	// contents holds the sections that were read or written last, one of each.
+	contents map[configuration.Section]content
+}
+
+// content is the encoding of a section with its hash.
+type content struct {
+	hash string
+	text []byte
 }
 
 // New returns a store over a client of the platform.
-func New(c *platform.Client) *Store { return &Store{client: c} }
+func New(c *platform.Client) *Store { return Over(Options{Objects: c}) }
 
-// Load returns the current document and its revision, or nil and 0 when there is none.
-func (s *Store) Load(ctx context.Context) (*configuration.Document, int64, error) {
-	o, err := s.client.Get(ctx, Kind, Name)
+// Over returns a store with options.
+func Over(o Options) *Store {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	return &Store{objects: o.Objects, now: o.Now, contents: map[configuration.Section]content{}}
+}
+
+// Head returns the current head and its revision. Without a head it returns the zero
+// value and 0.
+func (s *Store) Head(ctx context.Context) (configuration.Head, int64, error) {
+	o, err := s.objects.Get(ctx, Kind, Name)
 	if errors.Is(err, platform.ErrNotFound) {
-		return nil, 0, nil
+		return configuration.Head{}, 0, nil
 	}
 	if err != nil {
-		return nil, 0, err
-	}
-	d := &configuration.Document{}
-	if err := json.Unmarshal(o.Value, d); err != nil {
-		return nil, 0, oops.Wrapf(err, "decode configuration")
+		return configuration.Head{}, 0, err
 	}
-	return d, o.Revision, nil
+	h, err := decodeHead(o)
+	return h, o.Revision, err
 }
 
-// Apply accepts a document in place of the current one and returns its version. It
-// returns platform.ErrConflict when another edit was accepted meanwhile.
-func (s *Store) Apply(ctx context.Context, d *configuration.Document) (int64, error) {
-	old, revision, err := s.Load(ctx)
-	if err != nil {
-		return 0, err
-	}
-	next := *d
-	next.Version = 1
-	if old != nil {
-		next.Version = old.Version + 1
-	}
-	_, err = s.client.Put(ctx, Kind, Name, revision, &next)
-	return next.Version, err
+func decodeHead(o platform.Object) (configuration.Head, error) {
+	var h configuration.Head
+	err := json.Unmarshal(o.Value, &h)
+	return h, oops.Wrapf(err, "decode head of the configuration")
 }
 
-// Follow hands each document that the platform announces to adopt until ctx ends.
-func (s *Store) Follow(ctx context.Context, adopt func(*configuration.Document)) {
-	s.client.Follow(ctx, Kind, &follower{adopt: adopt})
+// Load returns the current document and the revision of its head, or nil and 0 when there is none.
+func (s *Store) Load(ctx context.Context) (*configuration.Document, int64, error) {
+	h, revision, err := s.Head(ctx)
+	if err != nil || h.Version == 0 {
+		return nil, 0, err
+	}
+	d, err := s.assemble(ctx, h)
+	return d, revision, err
 }
 
-// follower implements platform.Follower.
-type follower struct {
-	adopt func(*configuration.Document)
+// Apply accepts a document in place of the one that it was made from, which its Version
+// names; version 0 stands for the current one. It returns the accepted version, and a
+// *configuration.Conflict when another edit changed the same section meanwhile.
+func (s *Store) Apply(ctx context.Context, d *configuration.Document) (int64, error) {
+	r, err := s.Edit(ctx, Edit{Mine: d, Base: d.Version})
+	return r.Version, err
 }
 
-func (f *follower) Replace(items []platform.Object) {
-	for _, o := range items {
-		f.Change(o)
+// assemble reads the sections that a head names and returns the document.
+func (s *Store) assemble(ctx context.Context, h configuration.Head) (*configuration.Document, error) {
+	d := &configuration.Document{Version: h.Version, Edit: h.EditAt(h.Version), Trail: h.Trail()}
+	for _, name := range configuration.Sections() {
+		text, err := s.section(ctx, name, h.Refs[name])
+		if err != nil {
+			return nil, err
+		}
+		if err := configuration.DecodeSection(d, name, text); err != nil {
+			return nil, err
+		}
 	}
+	return d, nil
 }
 
-func (f *follower) Change(o platform.Object) {
-	d := &configuration.Document{}
-	if o.Name != Name || o.Deleted || json.Unmarshal(o.Value, d) != nil {
-		return
+// section returns the content of a section, from memory or from the platform.
+func (s *Store) section(ctx context.Context, name configuration.Section, hash string) ([]byte, error) {
+	s.mu.Lock()
+	c := s.contents[name]
+	s.mu.Unlock()
+	if c.hash == hash {
+		return c.text, nil
+	}
+	o, err := s.objects.Get(ctx, SectionKind, objectName(name, hash))
+	if err != nil {
+		return nil, oops.Wrapf(err, "section %s", name)
 	}
-	f.adopt(d)
+	if configuration.Hash(o.Value) != hash {
+		return nil, oops.Errorf("section %s does not have the hash of its name", name)
+	}
+	s.remember(name, content{hash, o.Value})
+	return o.Value, nil
 }
 
-func (f *follower) Lost(error) {}
+func (s *Store) remember(name configuration.Section, c content) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.contents[name] = c
+}
 
-func (f *follower) Recovered() {}
+func objectName(name configuration.Section, hash string) string {
+	return string(name) + "-" + hash
+}
--- a/pkg/configuration/document.go
+++ b/pkg/configuration/document.go
@@ -61,10 +61,21 @@
 	return time.Duration(l.DefaultTimeoutMillis) * time.Millisecond
 }
 
+// EditRef names the edit that made a version.
+type EditRef struct {
+	Version int64  `json:"version"`
+	ID      string `json:"id"`
+}
+
 // Document is the whole configuration. It must not be changed after it was adopted.
 type Document struct {
 	// Version is given at acceptance and rises with every accepted edit.
-	Version       int64          `yaml:"version,omitempty" json:"version"`
+	Version int64 `yaml:"version,omitempty" json:"version"`
+	// Edit is the id of the edit that made this version.
+	Edit string `yaml:"-" json:"edit,omitempty"`
+	// Trail names the newest edits that led here, oldest first. It starts anew at a repair.
+	Trail []EditRef `yaml:"-" json:"trail,omitempty"`
+
 	Zones         []Zone         `yaml:"availability_zones" json:"availability_zones" validate:"min=1,unique=Name,dive"`
 	Models        []Model        `yaml:"models" json:"models" validate:"unique=Name,dive"`
 	Services      []Service      `yaml:"services" json:"services" validate:"unique=Name,dive"`
--- a/pkg/configuration/holder.go
+++ b/pkg/configuration/holder.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"slices"
+	"sync"
 	"sync/atomic"
 )
 
@@ -90,25 +91,83 @@
 	return slices.Contains(s.IdempotentMethods, method)
 }
 
+// recentLength is the number of replaced documents that a holder keeps to build updates from.
+const recentLength = 8
+
 // Holder keeps the newest adopted document. It is safe for concurrent use.
 type Holder struct {
 	view atomic.Pointer[View]
+
+	mu sync.Mutex
+	// recent holds replaced documents, oldest first.
+	recent []*Document
 }
 
 // View returns the document in force, or nil when none was adopted yet.
 func (h *Holder) View() *View { return h.view.Load() }
 
-// Adopt puts d in force when its version is higher than the one in force.
-// It reports whether it did.
+// Document returns the document in force, or nil when none was adopted yet.
+func (h *Holder) Document() *Document {
+	if v := h.View(); v != nil {
+		return v.Document
+	}
+	return nil
+}
+
+// Adopt puts d in force when its version is higher than the one in force and its trail
+// does not name another edit for the version in force. It reports whether it did.
 func (h *Holder) Adopt(d *Document) bool {
+	if !d.Follows(h.Document()) {
+		return false
+	}
 	next := NewView(d)
-	for {
-		old := h.view.Load()
-		if old != nil && d.Version <= old.Version() {
-			return false
-		}
-		if h.view.CompareAndSwap(old, next) {
-			return true
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	old := h.view.Load()
+	if old != nil && !d.Follows(old.Document) {
+		return false
+	}
+	if old != nil {
+		h.recent = append(h.recent, old.Document)
+		h.recent = h.recent[max(0, len(h.recent)-recentLength):]
+	}
+	h.view.Store(next)
+	return true
+}
+
+// UpdateFrom returns an update from a version to the document in force. It holds whole
+// sections when the version is no longer known here. It reports false when the
+// version is not lower than the one in force.
+func (h *Holder) UpdateFrom(version int64) (Update, bool, error) {
+	d := h.Document()
+	if d == nil || version >= d.Version {
+		return Update{}, false, nil
+	}
+	u, err := Diff(h.earlier(version), d)
+	return u, err == nil, err
+}
+
+func (h *Holder) earlier(version int64) *Document {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, d := range h.recent {
+		if d.Version == version {
+			return d
 		}
 	}
+	return nil
+}
+
+// Take adopts the document that u leads to when it is newer than the one in force. It
+// reports whether it did, and returns ErrOtherBase when u builds on another document.
+func (h *Holder) Take(u Update) (bool, error) {
+	old := h.Document()
+	if old != nil && u.Version <= old.Version {
+		return false, nil
+	}
+	d, err := Apply(old, u)
+	if err != nil {
+		return false, err
+	}
+	return h.Adopt(d), nil
 }
--- /dev/null
+++ b/pkg/configuration/update_test.go
@@ -0,0 +1,66 @@
+package configuration_test
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/configuration"
+)
+
+func sample(version int64, edit string, models ...string) *configuration.Document {
+	d := &configuration.Document{Version: version, Edit: edit, Limits: configuration.DefaultLimits()}
+	d.Trail = []configuration.EditRef{{Version: version, ID: edit}}
+	for _, m := range models {
+		d.Models = append(d.Models, configuration.Model{Name: m})
+	}
+	return d
+}
+
+func TestUpdateCarriesOnlyWhatChanged(t *testing.T) {
+	is := is.New(t)
+	old := sample(1, "a", "m1", "m2", "m3")
+	next := sample(2, "b", "m1", "m3", "m4")
+	u, err := configuration.Diff(old, next)
+	is.NoErr(err)
+	is.Equal(len(u.Changes), 1)
+	is.Equal(u.Changes[0].Removed, []string{"m2"})
+	is.Equal(string(u.Changes[0].Upserts), `[{"name":"m4"}]`)
+	got, err := configuration.Apply(old, u)
+	is.NoErr(err)
+	is.Equal(got.Models, next.Models)
+	is.Equal(got.Edit, "b")
+}
+
+// A document with the same version may come of another edit when the platform was set back.
+func TestUpdateRefusesAnotherBase(t *testing.T) {
+	is := is.New(t)
+	u, err := configuration.Diff(sample(1, "a", "m1"), sample(2, "b", "m1", "m2"))
+	is.NoErr(err)
+	_, err = configuration.Apply(sample(1, "other", "m1"), u)
+	is.True(errors.Is(err, configuration.ErrOtherBase))
+	u.FromEdit = "other"
+	_, err = configuration.Apply(sample(1, "other", "m9"), u)
+	is.True(err != nil) // The hash of the section tells.
+}
+
+func TestHolderNeverGoesBack(t *testing.T) {
+	is := is.New(t)
+	var h configuration.Holder
+	is.True(h.Adopt(sample(5, "e", "m1")))
+	is.True(!h.Adopt(sample(4, "d", "m1")))
+	is.True(!h.Adopt(sample(5, "x", "m1")))
+	other := sample(6, "f", "m1")
+	other.Trail = []configuration.EditRef{{Version: 5, ID: "x"}, {Version: 6, ID: "f"}}
+	is.True(!h.Adopt(other)) // It leads from another version 5.
+	other.Trail[0].ID = "e"
+	is.True(h.Adopt(other))
+	u, newer, err := h.UpdateFrom(5)
+	is.NoErr(err)
+	is.True(newer)
+	is.Equal(u.From, int64(5))
+	u, _, err = h.UpdateFrom(1)
+	is.NoErr(err)
+	is.Equal(u.From, int64(0)) // Unknown here: all sections whole.
+}
--- a/pkg/dispatch/table.go
+++ b/pkg/dispatch/table.go
@@ -210,12 +210,8 @@
 
 // inform hands the configuration in force to a process with an older one.
 func (t *Table) inform(ctx context.Context, c *peer.Client, version int64) {
-	view := t.config.View()
-	if view.Version() <= version {
-		return
-	}
 	// A failed call is made good by the next status call.
-	_, _ = peer.Call[peer.ConfigureResult](ctx, c, peer.MethodConfigure, peer.ConfigureRequest{News: t.news(), Document: view.Document})
+	_, _ = peer.Inform(ctx, c, t.news(), t.config, version)
 }
 
 func (t *Table) news() peer.News {
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -56,7 +56,7 @@
 		OnRecovered: n.platformRecovered,
 	})
 	n.loops.Go(func() { list.Run(run, n.platform) })
-	n.loops.Go(func() { n.store.Follow(run, n.adopt) })
+	n.loops.Go(func() { n.store.FollowWith(run, n.followOptions()) })
 	n.loops.Go(func() { n.poller.Run(run) })
 	n.loops.Go(func() { n.watchReady(run) })
 	return n.callers.Start(ctx)
@@ -99,10 +99,13 @@
 }
 
 func (n *node) adopt(d *configuration.Document) {
-	if !n.config.Adopt(d) {
-		return
+	if n.config.Adopt(d) {
+		n.adopted(d.Version)
 	}
-	n.events.Record(event.Event{Kind: event.ConfigAdopted, ConfigVersion: d.Version})
+}
+
+func (n *node) adopted(version int64) {
+	n.events.Record(event.Event{Kind: event.ConfigAdopted, ConfigVersion: version})
 	n.poller.Wake()
 }
 
@@ -146,8 +149,9 @@
 
 func (n *node) configure(_ context.Context, _ *jsonrpc2.Conn, r peer.ConfigureRequest) (peer.ConfigureResult, error) {
 	n.events.Clock().Observe(r.Stamp)
-	if r.Document != nil {
-		n.adopt(r.Document)
+	// An update that builds on another document is answered with the version in force here.
+	if took, _ := n.config.Take(r.Update); took {
+		n.adopted(r.Update.Version)
 	}
 	return peer.ConfigureResult{News: n.news()}, nil
 }
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -24,6 +24,8 @@
 	WorkCancelled     Kind = "work-cancelled"
 	ConfigAdopted     Kind = "configuration-adopted"
 	ConfigAccepted    Kind = "configuration-accepted"
+	ConfigRepaired    Kind = "configuration-repaired"
+	ConfigDisplaced   Kind = "configuration-edit-displaced"
 	UpstreamFound     Kind = "upstream-found"
 	UpstreamGone      Kind = "upstream-gone"
 	UpstreamCold      Kind = "upstream-cold"
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
-	"github.com/coltsfootpitch/coltsfootpitch/pkg/configuration"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
 )
 
@@ -150,14 +149,3 @@
 	// ServiceMillis is the mean service time of the newest requests.
 	ServiceMillis float64 `json:"service_ms"`
 }
-
-// ConfigureRequest hands a configuration document to a process that is behind.
-type ConfigureRequest struct {
-	News
-	Document *configuration.Document `json:"document"`
-}
-
-// ConfigureResult answers with the version in force at the receiver.
-type ConfigureResult struct {
-	News
-}
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -47,6 +47,8 @@
 	Timeout time.Duration
 	// Registry counts the calls; nil means a private registry.
 	Registry metrics.Registry
+	// Transport carries the calls; nil means HTTP over TCP.
+	Transport http.RoundTripper
 }
 
 // Client calls the object API. It is safe for concurrent use.
@@ -62,6 +64,8 @@
 	defaultTimeout = 3 * time.Second
 	watchMargin    = 3 * time.Second
 	maxAnswerBytes = 64 << 20
+	// idleConnections is the number of connections kept open to the platform.
+	idleConnections = 4
 )
 
 // New returns a client.
@@ -72,10 +76,13 @@
 	if o.Registry == nil {
 		o.Registry = metrics.NewRegistry()
 	}
+	if o.Transport == nil {
+		o.Transport = &http.Transport{MaxIdleConnsPerHost: idleConnections}
+	}
 	return &Client{
 		base:    o.URL,
 		timeout: o.Timeout,
-		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
+		http:    &http.Client{Transport: o.Transport},
 		calls:   metrics.GetOrRegisterCounter("platform_calls", o.Registry),
 		faults:  metrics.GetOrRegisterCounter("platform_faults", o.Registry),
 	}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -46,6 +46,9 @@
 	return validate(text, target)
 }
 
+// Validate validates a value that was not read from a file.
+func Validate(target any) error { return validate(nil, target) }
+
 // Print renders settings as YAML.
 func Print(value any) (string, error) {
 	out, err := yaml.Marshal(value)
