--- a/pkg/dispatch/table.go
+++ b/pkg/dispatch/table.go
@@ -26,11 +26,12 @@
 
 // Table holds the upstreams and the other entries. It is safe for concurrent use.
 type Table struct {
-	name   string
-	zone   string
-	config *configuration.Holder
-	events *event.Recorder
-	now    func() time.Time
+	name        string
+	zone        string
+	config      *configuration.Holder
+	events      *event.Recorder
+	credentials peer.Credentials
+	now         func() time.Time
 
 	mu      sync.Mutex
 	members map[string]*member
@@ -42,8 +43,8 @@
 const StatusAge = 3 * time.Second
 
 // NewTable returns an empty table for the entry with the name in the zone.
-func NewTable(name, zone string, config *configuration.Holder, events *event.Recorder, now func() time.Time) *Table {
-	return &Table{name: name, zone: zone, config: config, events: events, now: now, members: map[string]*member{}}
+func NewTable(name, zone string, config *configuration.Holder, events *event.Recorder, c peer.Credentials, now func() time.Time) *Table {
+	return &Table{name: name, zone: zone, config: config, events: events, credentials: c, now: now, members: map[string]*member{}}
 }
 
 // SetInstances replaces the instance list and keeps what is known of the instances that stay.
@@ -55,7 +56,7 @@
 	for _, i := range list {
 		m, ok := t.members[i.ID]
 		if !ok || m.instance.Control != i.Control {
-			m = &member{client: peer.NewClient(i.Control)}
+			m = &member{client: peer.NewClient(i.Control, t.credentials)}
 			t.events.Record(event.Event{Kind: event.UpstreamFound, Upstream: i.ID, Zone: i.Zone})
 		}
 		m.instance = i
@@ -96,6 +97,8 @@
 	id          string
 	incarnation string
 	client      *peer.Client
+	// work is the agent's address for work.
+	work string
 	// issued is a time not after the pick, on the clock of the incarnation.
 	issued time.Duration
 }
@@ -125,7 +128,7 @@
 	}
 	m := t.members[list[i].ID]
 	m.sent++
-	return picked{id: m.instance.ID, incarnation: m.status.Incarnation, client: m.client, issued: m.issued(t.now())}, true
+	return picked{id: m.instance.ID, incarnation: m.status.Incarnation, client: m.client, work: m.status.WorkAddress, issued: m.issued(t.now())}, true
 }
 
 // usable reports whether m may receive new work for w. Table.mu is held.
@@ -212,12 +215,8 @@
 
 // inform hands the configuration in force to a process with an older one.
 func (t *Table) inform(ctx context.Context, c *peer.Client, version int64) {
-	view := t.config.View()
-	if view.Version() <= version {
-		return
-	}
 	// A failed call is made good by the next status call.
-	_, _ = peer.Call[peer.ConfigureResult](ctx, c, peer.MethodConfigure, peer.ConfigureRequest{News: t.news(), Document: view.Document})
+	_, _ = peer.Inform(ctx, c, t.news(), t.config, version)
 }
 
 func (t *Table) news() peer.News {
--- a/pkg/operator/server.go
+++ b/pkg/operator/server.go
@@ -4,8 +4,8 @@
 	"context"
 	"crypto/subtle"
 	"errors"
-	"net"
 	"net/http"
+	"net/http/pprof"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -15,6 +15,7 @@
 	"github.com/samber/oops"
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/listener"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/metric"
 )
 
@@ -22,7 +23,9 @@
 type Options struct {
 	Address string
 	// Token is the bearer token of operators; empty closes all but health and metrics.
-	Token    string
+	Token string
+	// TLS holds the certificate of the listener; the zero value means plain HTTP.
+	TLS      listener.Settings
 	Recorder *event.Recorder
 	Registry metrics.Registry
 }
@@ -40,13 +43,17 @@
 // New returns a server that is not ready yet.
 func New(o Options) *Server {
 	gin.SetMode(gin.ReleaseMode)
+	metrics.RegisterRuntimeMemStats(o.Registry)
 	s := &Server{opts: o, gin: gin.New()}
 	s.gin.Use(gin.Recovery())
 	s.http = &http.Server{Handler: s.gin, ReadHeaderTimeout: headerTimeout}
 	s.gin.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
 	s.gin.GET("/readyz", s.readyz)
 	s.gin.GET("/metrics", s.metrics)
-	s.Guarded().GET("/events", func(c *gin.Context) { c.JSON(http.StatusOK, o.Recorder.Events()) })
+	g := s.Guarded()
+	g.GET("/events", func(c *gin.Context) { c.JSON(http.StatusOK, o.Recorder.Events()) })
+	g.GET("/debug/pprof/profile", gin.WrapF(pprof.Profile))
+	g.GET("/debug/pprof/heap", gin.WrapH(pprof.Handler("heap")))
 	return s
 }
 
@@ -60,8 +67,7 @@
 
 // Start opens the listener and serves it.
 func (s *Server) Start(ctx context.Context) error {
-	var lc net.ListenConfig
-	l, err := lc.Listen(ctx, "tcp", s.opts.Address)
+	l, err := listener.Listen(ctx, s.opts.Address, s.opts.TLS)
 	if err != nil {
 		return oops.Wrapf(err, "operator listener")
 	}
@@ -92,6 +98,7 @@
 func (s *Server) metrics(c *gin.Context) {
 	c.Header("Content-Type", metric.ContentType)
 	c.Status(http.StatusOK)
+	metrics.CaptureRuntimeMemStatsOnce(s.opts.Registry)
 	// An error here means that the scraper went away.
 	_ = metric.Write(c.Writer, s.opts.Registry)
 }
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -2,14 +2,11 @@
 
 import (
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
-	"github.com/coltsfootpitch/coltsfootpitch/pkg/configuration"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
 )
 
 // Methods of the protocol.
 const (
-	MethodRun       = "run"
-	MethodFrame     = "frame"
 	MethodCancel    = "cancel"
 	MethodStatus    = "status"
 	MethodConfigure = "configure"
@@ -73,25 +70,28 @@
 	TimeoutMillis int64 `json:"timeout_ms"`
 }
 
-// Frame carries bytes of an answer from the agent to the entry.
+// Frame is a piece of an answer on its way from the agent to the entry.
 type Frame struct {
-	Call        string `json:"call"`
-	Attempt     int    `json:"attempt"`
-	Incarnation string `json:"incarnation"`
 	// Offset is the number of answer bytes before this frame.
-	Offset int64  `json:"offset"`
-	Data   []byte `json:"data"`
+	Offset int64
+	Data   []byte
 	// Status and Headers are set in the first frame only.
-	Status  int      `json:"status,omitempty"`
-	Headers []Header `json:"headers,omitempty"`
+	Status  int
+	Headers []Header
+	// More is set when the next frame follows at once.
+	More bool
 }
 
 // RunResult ends an attempt.
 type RunResult struct {
 	News
-	Code        code.Code `json:"code"`
-	Detail      string    `json:"detail,omitempty"`
-	Incarnation string    `json:"incarnation"`
+	Code   code.Code `json:"code"`
+	Detail string    `json:"detail,omitempty"`
+	// Call, Request, Attempt and Incarnation tell which attempt ended.
+	Call        string `json:"call"`
+	Request     string `json:"request"`
+	Attempt     int    `json:"attempt"`
+	Incarnation string `json:"incarnation"`
 	// Length is the number of bytes of the whole answer and Checksum their xxHash64.
 	Length   int64  `json:"length"`
 	Checksum uint64 `json:"checksum,string"`
@@ -143,6 +143,8 @@
 	Upstream    string `json:"upstream"`
 	Zone        string `json:"zone"`
 	Incarnation string `json:"incarnation"`
+	// WorkAddress is the host:port to which attempts are sent.
+	WorkAddress string `json:"work_address,omitempty"`
 	// ClockMillis is the time since the start of the incarnation.
 	ClockMillis int64    `json:"clock_ms"`
 	Models      []string `json:"models,omitempty"`
@@ -159,14 +161,3 @@
 	// ServiceMillis is the mean service time of the newest requests.
 	ServiceMillis float64 `json:"service_ms"`
 }
-
-// ConfigureRequest hands a configuration document to a process that is behind.
-type ConfigureRequest struct {
-	News
-	Document *configuration.Document `json:"document"`
-}
-
-// ConfigureResult answers with the version in force at the receiver.
-type ConfigureResult struct {
-	News
-}
