Add the operators' commands and explain what became of a request

coltsfootctl: config diff, apply by section, history, status and collect; time line filters; explain. Processes that do not answer are named and do not stop a command.

An entry that restarts in an outage has the configuration but no instance list, so it takes no work: next.

--- a/pkg/agent/module.go
+++ b/pkg/agent/module.go
@@ -28,8 +28,9 @@
 	return engine.New(s.Upstream.URL)
 }
 
-func newAgent(s Settings, c upstream.Client, rec *event.Recorder, reg metrics.Registry) *Agent {
-	return New(Options{Settings: s, Client: c, Recorder: rec, Registry: reg})
+func newAgent(s Settings, c upstream.Client, rec *event.Recorder, reg metrics.Registry) (*Agent, error) {
+	a := New(Options{Settings: s, Client: c, Recorder: rec, Registry: reg})
+	return a, a.config.Register(reg)
 }
 
 func newServer(a *Agent, c peer.Credentials) *peer.Server {
--- /dev/null
+++ b/pkg/ctl/config.go
@@ -0,0 +1,287 @@
+package ctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/user"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/samber/oops"
+	"github.com/urfave/cli/v3"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/configstore"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/configuration"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/platform"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/settings"
+)
+
+func platformFlag() cli.Flag {
+	return &cli.StringFlag{Name: "platform", Usage: "base `URL` of the platform's object API", Required: true}
+}
+
+func sectionFlag() cli.Flag {
+	return &cli.StringSliceFlag{Name: "section", Usage: "only this `SECTION`; repeatable"}
+}
+
+func configCommand() *cli.Command {
+	p := platformFlag()
+	return &cli.Command{
+		Name:  "config",
+		Usage: "work with the configuration document",
+		Commands: []*cli.Command{
+			{Name: "validate", Usage: "check a document", ArgsUsage: "FILE", Action: validate},
+			{Name: "get", Usage: "print the current document", Flags: []cli.Flag{p, sectionFlag()}, Action: get},
+			{Name: "diff", Usage: "show what a document would change", ArgsUsage: "FILE", Flags: []cli.Flag{p, sectionFlag()}, Action: diff},
+			{Name: "apply", Usage: "edit the document, or some of its sections", ArgsUsage: "FILE", Flags: applyFlags(), Action: apply},
+			{Name: "history", Usage: "list the newest accepted edits", Flags: []cli.Flag{p}, Action: history},
+			{Name: "status", Usage: "show where the newest version is in force", Flags: append(operatorFlags(), p), Action: status},
+			{Name: "collect", Usage: "remove contents that no version of the history names", Flags: []cli.Flag{p}, Action: collect},
+		},
+	}
+}
+
+func applyFlags() []cli.Flag {
+	return []cli.Flag{
+		platformFlag(),
+		sectionFlag(),
+		&cli.Int64Flag{Name: "base", Usage: "`VERSION` that the file was made from; the default is the version in the file"},
+		&cli.StringFlag{Name: "edit", Usage: "`ID` of the edit; give it again after an unsettled answer"},
+		&cli.StringFlag{Name: "author", Usage: "`NAME` for the history; the default is the user's"},
+		&cli.DurationFlag{Name: "timeout", Value: time.Minute, Usage: "how long to ride out faults of the platform"},
+		&cli.Int64Flag{Name: "floor", Usage: "refuse to build on a version below `VERSION`, the highest one known to be in force"},
+	}
+}
+
+// readDocument reads a whole document, or sections to put in place of those of current.
+func readDocument(c *cli.Command, current *configuration.Document) (*configuration.Document, error) {
+	text, err := os.ReadFile(c.Args().First())
+	if err != nil {
+		return nil, err
+	}
+	only := sections(c)
+	if len(only) == 0 {
+		return configuration.Parse(text)
+	}
+	part := &configuration.Document{Limits: configuration.DefaultLimits()}
+	if err := settings.Parse(text, part); err != nil {
+		return nil, err
+	}
+	d := *current
+	for _, s := range only {
+		configuration.CopySection(&d, part, s)
+	}
+	d.Version = part.Version
+	return &d, configuration.Check(&d)
+}
+
+func sections(c *cli.Command) []configuration.Section {
+	var out []configuration.Section
+	for _, s := range c.StringSlice("section") {
+		out = append(out, configuration.Section(s))
+	}
+	return out
+}
+
+func validate(_ context.Context, c *cli.Command) error {
+	if _, err := readDocument(c, nil); err != nil {
+		return err
+	}
+	fmt.Fprintln(c.Root().Writer, "document is valid")
+	return nil
+}
+
+func store(c *cli.Command) *configstore.Store {
+	return configstore.New(platform.New(platform.Options{URL: c.String("platform")}))
+}
+
+// load returns the current document; without one it fails.
+func load(ctx context.Context, c *cli.Command) (*configuration.Document, error) {
+	d, _, err := store(c).Load(ctx)
+	if err == nil && d == nil {
+		err = oops.Errorf("the platform holds no configuration")
+	}
+	return d, err
+}
+
+func get(ctx context.Context, c *cli.Command) error {
+	d, err := load(ctx, c)
+	if err != nil {
+		return err
+	}
+	text, err := printSections(d, sections(c))
+	fmt.Fprint(c.Root().Writer, text)
+	return err
+}
+
+// printSections renders the version and some sections, or the whole document, as YAML.
+func printSections(d *configuration.Document, only []configuration.Section) (string, error) {
+	if len(only) == 0 {
+		return settings.Print(d)
+	}
+	text := fmt.Sprintf("version: %d\n", d.Version)
+	for _, s := range only {
+		v, err := value(d, s)
+		if err != nil {
+			return "", err
+		}
+		t, err := settings.Print(map[configuration.Section]any{s: v})
+		if err != nil {
+			return "", err
+		}
+		text += t
+	}
+	return text, nil
+}
+
+func value(d *configuration.Document, s configuration.Section) (any, error) {
+	switch s {
+	case configuration.ZonesSection:
+		return d.Zones, nil
+	case configuration.ModelsSection:
+		return d.Models, nil
+	case configuration.ServicesSection:
+		return d.Services, nil
+	case configuration.OrganisationsSection:
+		return d.Organisations, nil
+	case configuration.LimitsSection:
+		return d.Limits, nil
+	}
+	return nil, oops.Errorf("unknown section %q; the sections are %v", s, configuration.Sections())
+}
+
+func diff(ctx context.Context, c *cli.Command) error {
+	current, err := load(ctx, c)
+	if err != nil {
+		return err
+	}
+	mine, err := readDocument(c, current)
+	if err != nil {
+		return err
+	}
+	u, err := configuration.Diff(current, mine)
+	if err != nil {
+		return err
+	}
+	out := c.Root().Writer
+	if len(u.Changes) == 0 {
+		fmt.Fprintln(out, "no change")
+	}
+	for _, ch := range u.Changes {
+		printChange(out, ch)
+	}
+	return nil
+}
+
+func printChange(out io.Writer, ch configuration.Change) {
+	fmt.Fprintf(out, "%s:\n", ch.Section)
+	for _, name := range ch.Removed {
+		fmt.Fprintf(out, "  - %s\n", name)
+	}
+	if len(ch.Upserts) > 0 {
+		fmt.Fprintf(out, "  + %s\n", ch.Upserts)
+		return
+	}
+	fmt.Fprintf(out, "  = %s\n", ch.Whole)
+}
+
+func apply(ctx context.Context, c *cli.Command) error {
+	ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
+	defer cancel()
+	s := store(c)
+	var current *configuration.Document
+	if len(sections(c)) > 0 {
+		d, _, err := s.Load(ctx)
+		if err != nil {
+			return err
+		}
+		current = d
+	}
+	mine, err := readDocument(c, current)
+	if err != nil {
+		return err
+	}
+	e := configstore.Edit{
+		ID: c.String("edit"), Author: author(c), Base: mine.Version, Mine: mine, Only: sections(c), Floor: c.Int64("floor"),
+	}
+	if c.IsSet("base") {
+		e.Base = c.Int64("base")
+	}
+	if e.ID == "" {
+		e.ID = uuid.NewString()
+	}
+	r, err := s.Edit(ctx, e)
+	return reportEdit(c.Root().Writer, e.ID, r, err)
+}
+
+func author(c *cli.Command) string {
+	if a := c.String("author"); a != "" {
+		return a
+	}
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return ""
+}
+
+// reportEdit prints what became of an edit.
+func reportEdit(out io.Writer, id string, r configstore.Result, err error) error {
+	var conflict *configuration.Conflict
+	switch {
+	case errors.As(err, &conflict):
+		fmt.Fprintf(out, "%d %s: %v\n", code.ConfigurationConflict, code.ConfigurationConflict, conflict)
+		fmt.Fprintf(out, "theirs: %s\nmine: %s\n", conflict.Theirs, conflict.Mine)
+	case errors.Is(err, configstore.ErrUnsettled):
+		fmt.Fprintf(out, "unsettled: ask again with --edit %s\n", id)
+	case err != nil:
+	case r.Unchanged:
+		fmt.Fprintf(out, "version %d is already so\n", r.Version)
+	case r.Rebased:
+		fmt.Fprintf(out, "accepted as version %d (edit %s), on top of edits of other sections\n", r.Version, id)
+	default:
+		fmt.Fprintf(out, "accepted as version %d (edit %s)\n", r.Version, id)
+	}
+	return err
+}
+
+func history(ctx context.Context, c *cli.Command) error {
+	h, _, err := store(c).Head(ctx)
+	if err != nil {
+		return err
+	}
+	for _, e := range h.History {
+		at := time.UnixMilli(e.AtMillis).UTC().Format(time.RFC3339)
+		fmt.Fprintf(c.Root().Writer, "version=%d at=%s author=%s edit=%s", e.Version, at, e.Author, e.ID)
+		if e.Repair {
+			fmt.Fprint(c.Root().Writer, " repair=true")
+		}
+		fmt.Fprintln(c.Root().Writer, " sections="+changed(e.Before))
+	}
+	return nil
+}
+
+func changed(before configuration.Refs) string {
+	text := ""
+	for _, s := range configuration.Sections() {
+		if _, ok := before[s]; !ok {
+			continue
+		}
+		if text != "" {
+			text += ","
+		}
+		text += string(s)
+	}
+	return text
+}
+
+func collect(ctx context.Context, c *cli.Command) error {
+	n, err := store(c).Collect(ctx)
+	if err == nil {
+		fmt.Fprintf(c.Root().Writer, "%d contents removed\n", n)
+	}
+	return err
+}
--- /dev/null
+++ b/pkg/ctl/explain.go
@@ -0,0 +1,35 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/samber/oops"
+	"github.com/urfave/cli/v3"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
+)
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "tell where a request went, why, and what it got",
+		ArgsUsage: "REQUEST-ID",
+		Flags:     operatorFlags(),
+		Action:    explain,
+	}
+}
+
+func explain(ctx context.Context, c *cli.Command) error {
+	id := c.Args().First()
+	all, missing := gather(ctx, c)
+	reportMissing(c.Root().ErrWriter, missing)
+	lines := event.Story(id, all)
+	if lines == nil {
+		return oops.Errorf("no process holds an event of request %q; each keeps its newest %d events", id, event.RingSize)
+	}
+	for _, l := range lines {
+		fmt.Fprintln(c.Root().Writer, l)
+	}
+	return nil
+}
--- a/pkg/ctl/timeline.go
+++ b/pkg/ctl/timeline.go
@@ -5,11 +5,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
 	"sort"
 	"time"
 
-	"github.com/samber/oops"
 	"github.com/urfave/cli/v3"
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
@@ -19,59 +17,86 @@
 	return &cli.Command{
 		Name:  "timeline",
 		Usage: "merge the events of all processes",
-		Flags: []cli.Flag{
-			&cli.StringSliceFlag{Name: "operator", Usage: "operators' `HOST:PORT` of a process; repeatable", Required: true},
-			&cli.StringFlag{Name: "token", Usage: "operators' token"},
+		Flags: append(operatorFlags(),
 			&cli.StringFlag{Name: "request", Usage: "only events of a request"},
+			&cli.StringFlag{Name: "upstream", Usage: "only events of an upstream"},
+			&cli.StringFlag{Name: "zone", Usage: "only events of an availability zone"},
+			&cli.StringFlag{Name: "kind", Usage: "only events of a kind"},
+			&cli.Int64Flag{Name: "config-version", Usage: "only events of a configuration version"},
+			&cli.DurationFlag{Name: "since", Usage: "only events of the newest `DURATION`"},
 			&cli.BoolFlag{Name: "json", Usage: "print JSON lines"},
-		},
+		),
 		Action: timeline,
 	}
 }
 
 func timeline(ctx context.Context, c *cli.Command) error {
-	var all []event.Event
-	for _, a := range c.StringSlice("operator") {
-		list, err := Events(ctx, a, c.String("token"))
-		if err != nil {
-			return err
-		}
-		all = append(all, list...)
+	all, missing := gather(ctx, c)
+	f := event.Filter{
+		Request: c.String("request"), Upstream: c.String("upstream"), Zone: c.String("zone"),
+		Kind: event.Kind(c.String("kind")), ConfigVersion: c.Int64("config-version"),
+	}
+	if d := c.Duration("since"); d > 0 {
+		f.Since = event.Stamp{Wall: time.Now().Add(-d).UnixNano()}
 	}
-	Sort(all)
 	for _, e := range all {
-		if want := c.String("request"); want != "" && e.Request != want {
+		if !f.Match(e) {
 			continue
 		}
 		if err := printEvent(c.Root().Writer, e, c.Bool("json")); err != nil {
 			return err
 		}
 	}
+	reportMissing(c.Root().ErrWriter, missing)
 	return nil
 }
 
-// eventsTimeout bounds the call for the events of one process.
-const eventsTimeout = 5 * time.Second
+// unreachable is a process that did not give its events.
+type unreachable struct {
+	address string
+	err     error
+}
+
+// gather returns the events of all processes in order, and the processes that gave none.
+func gather(ctx context.Context, c *cli.Command) ([]event.Event, []unreachable) {
+	var all []event.Event
+	var missing []unreachable
+	for _, a := range askAll(ctx, c, c.StringSlice("operator"), events) {
+		if a.err != nil {
+			missing = append(missing, unreachable{a.address, a.err})
+			continue
+		}
+		all = append(all, a.value...)
+	}
+	Sort(all)
+	return all, missing
+}
+
+func reportMissing(w io.Writer, missing []unreachable) {
+	for _, u := range missing {
+		fmt.Fprintf(w, "no events of %s: %v\n", u.address, u.err)
+	}
+}
 
 // Events returns the events of the process with the operators' address.
 func Events(ctx context.Context, address, token string) ([]event.Event, error) {
-	ctx, cancel := context.WithTimeout(ctx, eventsTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/events", nil)
+	o, err := newOperatorClient(token, "")
 	if err != nil {
 		return nil, err
 	}
-	req.Header.Set("Authorization", "Bearer "+token)
-	resp, err := http.DefaultClient.Do(req)
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	return events(ctx, o, address)
+}
+
+func events(ctx context.Context, o operatorClient, address string) ([]event.Event, error) {
+	body, err := o.get(ctx, address, "/events")
 	if err != nil {
 		return nil, err
 	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return nil, oops.Errorf("%s answered status %d", address, resp.StatusCode)
-	}
+	defer body.Close()
 	var list []event.Event
-	err = json.NewDecoder(resp.Body).Decode(&list)
+	err = json.NewDecoder(body).Decode(&list)
 	return list, err
 }
 
--- a/pkg/entry/module.go
+++ b/pkg/entry/module.go
@@ -23,7 +23,7 @@
 		fx.Provide(
 			newPlatform,
 			configstore.New,
-			func() *configuration.Holder { return &configuration.Holder{} },
+			newHolder,
 			newTable,
 			newPoller,
 			dispatch.New,
@@ -38,6 +38,11 @@
 	return platform.New(platform.Options{URL: s.PlatformURL, Registry: reg})
 }
 
+func newHolder(reg metrics.Registry) (*configuration.Holder, error) {
+	h := &configuration.Holder{}
+	return h, h.Register(reg)
+}
+
 func newTable(s Settings, h *configuration.Holder, rec *event.Recorder, c peer.Credentials) *dispatch.Table {
 	return dispatch.NewTable(s.Name, s.Zone, h, rec, c, time.Now)
 }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -39,11 +39,19 @@
 
 // Decode parses text strictly into target and validates it.
 func Decode(text []byte, target any) error {
+	if err := Parse(text, target); err != nil {
+		return err
+	}
+	return validate(text, target)
+}
+
+// Parse parses text strictly into target without validation.
+func Parse(text []byte, target any) error {
 	dec := yaml.NewDecoder(bytes.NewReader(text), yaml.Strict())
 	if err := dec.Decode(target); err != nil && len(bytes.TrimSpace(text)) > 0 {
 		return decodeFault(err)
 	}
-	return validate(text, target)
+	return nil
 }
 
 // Validate validates a value that was not read from a file.
