Bound, rank and count the calls to the platform

Cause: each process called the platform without bound, and an outage made every follower retry on its own.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -81,6 +81,9 @@
 	order []string
 }
 
+// fleetRate bounds the calls a second with which the provider's machines keep the platform.
+const fleetRate = 10_000
+
 // startLimit bounds the start of a fleet.
 const startLimit = 30 * time.Second
 
@@ -127,7 +130,7 @@
 		return err
 	}
 	f.PlatformURL = "http://" + address
-	f.Platform = platform.New(platform.Options{URL: f.PlatformURL})
+	f.Platform = platform.New(platform.Options{URL: f.PlatformURL, Rate: fleetRate, Burst: fleetRate})
 	f.Store = configstore.New(f.Platform)
 	p := f.newProcess("platform", "coltsfoot-standin", "", "platform", "--address", address)
 	if err := p.start(); err != nil {
--- a/pkg/configstore/fake_test.go
+++ b/pkg/configstore/fake_test.go
@@ -209,7 +209,7 @@
 
 // direct returns a client without faults.
 func (c *cloud) direct() *platform.Client {
-	return platform.New(platform.Options{URL: "http://platform", Transport: objects.Transport{Handler: c.handler}})
+	return platform.New(platform.Options{URL: "http://platform", Rate: 1e6, Burst: 1e6, Transport: objects.Transport{Handler: c.handler}})
 }
 
 // hash returns a key hash for an organisation.
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -47,23 +48,31 @@
 	Timeout time.Duration
 	// Registry counts the calls; nil means a private registry.
 	Registry metrics.Registry
+	// Rate and Burst bound the calls of the process, in calls a second and in calls; the
+	// zero values mean 100 and 100.
+	Rate  float64
+	Burst float64
 	// Transport carries the calls; nil means HTTP over TCP.
 	Transport http.RoundTripper
 }
 
-// Client calls the object API. It is safe for concurrent use.
+// Client calls the object API. Its calls have the importance Control unless With gives
+// them another. It is safe for concurrent use.
 type Client struct {
-	base    string
-	timeout time.Duration
-	http    *http.Client
-	calls   metrics.Counter
-	faults  metrics.Counter
+	base       string
+	timeout    time.Duration
+	http       *http.Client
+	gate       *gate
+	importance Importance
 }
 
 const (
 	defaultTimeout = 3 * time.Second
 	watchMargin    = 3 * time.Second
 	maxAnswerBytes = 64 << 20
+	// defaultRate is in calls a second, defaultBurst in calls.
+	defaultRate  = 100
+	defaultBurst = 100
 	// idleConnections is the number of connections kept open to the platform.
 	idleConnections = 4
 )
@@ -73,6 +82,12 @@
 	if o.Timeout == 0 {
 		o.Timeout = defaultTimeout
 	}
+	if o.Rate == 0 {
+		o.Rate = defaultRate
+	}
+	if o.Burst == 0 {
+		o.Burst = defaultBurst
+	}
 	if o.Registry == nil {
 		o.Registry = metrics.NewRegistry()
 	}
@@ -83,11 +98,19 @@
 		base:    o.URL,
 		timeout: o.Timeout,
 		http:    &http.Client{Transport: o.Transport},
-		calls:   metrics.GetOrRegisterCounter("platform_calls", o.Registry),
-		faults:  metrics.GetOrRegisterCounter("platform_faults", o.Registry),
+		gate:    newGate(o.Registry, o.Rate, o.Burst),
+
+		importance: Control,
 	}
 }
 
+// With returns a client whose calls have another importance. It shares the budget.
+func (c *Client) With(i Importance) *Client {
+	next := *c
+	next.importance = i
+	return &next
+}
+
 // Get returns one object, or ErrNotFound.
 func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
 	var o Object
@@ -133,35 +156,54 @@
 	return "/objects/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
 }
 
+// call makes one call when the gate lets it through.
 func (c *Client) call(ctx context.Context, limit time.Duration, method, path string, body []byte, out any) error {
-	c.calls.Inc(1)
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
-	if err != nil {
-		return oops.Wrapf(err, "platform request")
+	if err := c.gate.enter(ctx, operation(method, path), c.importance); err != nil {
+		return err
 	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		c.faults.Inc(1)
-		return oops.Wrapf(err, "platform call")
+	inner, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	status, text, err := c.exchange(inner, method, path, body)
+	if ctx.Err() != nil {
+		// The caller gave up; that says nothing about the platform.
+		return ctx.Err()
 	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	c.gate.leave(err == nil && status < http.StatusInternalServerError && status != http.StatusTooManyRequests)
 	if err != nil {
-		c.faults.Inc(1)
-		return oops.Wrapf(err, "platform answer")
+		return err
 	}
-	if err := statusError(resp.StatusCode); err != nil {
+	if err := statusError(status); err != nil {
 		return err
 	}
 	if out == nil {
 		return nil
 	}
-	if err := json.Unmarshal(text, out); err != nil {
-		return oops.Wrapf(err, "platform answer")
+	return oops.Wrapf(json.Unmarshal(text, out), "platform answer")
+}
+
+func operation(method, path string) string {
+	switch {
+	case method != http.MethodGet:
+		return opWrite
+	case strings.HasPrefix(path, "/watch/"):
+		return opWatch
 	}
-	return nil
+	return opRead
+}
+
+// exchange sends one request and reads its answer.
+func (c *Client) exchange(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, oops.Wrapf(err, "platform request")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, nil, oops.Wrapf(err, "platform call")
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	return resp.StatusCode, text, oops.Wrapf(err, "platform answer")
 }
 
 func statusError(status int) error {
--- a/pkg/platform/follow.go
+++ b/pkg/platform/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -22,18 +23,28 @@
 // WatchWait is the time that a watch waits at the platform.
 const WatchWait = 10 * time.Second
 
+const (
+	// firstRetry and lastRetry bound the pause after a failed call; each is spread by half.
+	firstRetry = 100 * time.Millisecond
+	lastRetry  = time.Second
+	// gapSpread is the time over which followers spread that must list a kind anew.
+	gapSpread = time.Second
+)
+
 // Follow lists and watches a kind until ctx ends. Failed calls are repeated with
 // exponential backoff and jitter.
 func (c *Client) Follow(ctx context.Context, kind string, f Follower) {
 	pause := backoff.NewExponentialBackOff()
-	pause.InitialInterval = 100 * time.Millisecond
-	pause.MaxInterval = 5 * time.Second
+	pause.InitialInterval = firstRetry
+	pause.MaxInterval = lastRetry
 	revision := int64(-1)
 	lost := false
 	for ctx.Err() == nil {
-		next, err := c.step(ctx, kind, revision, f)
+		next, err := c.step(ctx, kind, revision, watchWait(lost), f)
 		if errors.Is(err, ErrGap) {
+			// Many followers may meet the same gap; a list is the most costly call.
 			revision = -1
+			sleep(ctx, rand.N(gapSpread))
 			continue
 		}
 		if err != nil {
@@ -53,8 +64,17 @@
 	}
 }
 
+// watchWait returns the time that a watch waits. After a fault the platform is asked to
+// answer at once, so that its recovery shows without waiting for a change.
+func watchWait(lost bool) time.Duration {
+	if lost {
+		return 0
+	}
+	return WatchWait
+}
+
 // step lists the kind when revision is negative and waits for changes otherwise.
-func (c *Client) step(ctx context.Context, kind string, revision int64, f Follower) (int64, error) {
+func (c *Client) step(ctx context.Context, kind string, revision int64, wait time.Duration, f Follower) (int64, error) {
 	if revision < 0 {
 		l, err := c.List(ctx, kind)
 		if err != nil {
@@ -63,7 +83,7 @@
 		f.Replace(l.Items)
 		return l.Revision, nil
 	}
-	l, err := c.Watch(ctx, kind, revision, WatchWait)
+	l, err := c.Watch(ctx, kind, revision, wait)
 	if err != nil {
 		return revision, err
 	}
