--- a/pkg/peer/run.go
+++ b/pkg/peer/run.go
@@ -181,7 +181,7 @@
 
 // check compares the answer with its result.
 func (r *receiver) check(req RunRequest, result RunResult) error {
-	if result.Request != req.Request || result.Attempt != req.Attempt {
+	if result.Call != req.Call || result.Attempt != req.Attempt {
 		return ErrNotWhole
 	}
 	if result.Length != r.offset || result.Checksum != r.sum.Sum64() {
