Run a keyed call at most once across entries

Cause: the header Idempotency-Key was passed on but not kept; three entries that got the same call ran it three times. Also, a request whose first attempt may have run and whose second was refused was reported with the code of the second, "not run".

Now a call that may not be repeated asks for the claim of its key at the home of the partition (rendezvous hash over live entries, two homes tried), runs under it and ends the claim: done with its answer, unsettled, or released when it truly did not run. The run outlives its caller. A repeat gets the kept answer (1001), 4006, 4005, 4007 or 2009; 3013 when the platform does not settle the claim. A final "not run" now needs every attempt to be so.

--- a/pkg/caller/header.go
+++ b/pkg/caller/header.go
@@ -1,5 +1,7 @@
 package caller
 
+import "github.com/coltsfootpitch/coltsfootpitch/pkg/dispatch"
+
 // Header fields of callers.
 const (
 	// HeaderRequestID names the request; the entry gives a name when the caller does not.
@@ -11,7 +13,7 @@
 	// HeaderIdempotencyKey names a request that may arrive more than once.
 	HeaderIdempotencyKey = "Idempotency-Key"
 	// HeaderCode is the numbered result code of an answer.
-	HeaderCode = "X-Result-Code"
+	HeaderCode = dispatch.HeaderCode
 	// HeaderUpstream names the upstream that served the answer.
 	HeaderUpstream = "X-Upstream"
 )
--- a/pkg/caller/serve.go
+++ b/pkg/caller/serve.go
@@ -64,10 +64,10 @@
 
 func (r *responder) open(f peer.Frame) {
 	r.sent = true
+	r.c.Header(HeaderCode, strconv.Itoa(int(code.OK)))
 	for _, h := range f.Headers {
 		r.c.Header(h.Name, h.Value)
 	}
-	r.c.Header(HeaderCode, strconv.Itoa(int(code.OK)))
 	status := f.Status
 	if status == 0 {
 		status = http.StatusOK
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -2,15 +2,14 @@
 
 import (
 	"context"
-	"errors"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/samber/oops"
 
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/claimstore"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/configuration"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
@@ -60,15 +59,26 @@
 	life  string
 	calls atomic.Uint64
 
+	claims *claimer
+
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget
 	// inFlight counts the requests in progress by organisation.
 	inFlight map[string]int
 }
 
-// New returns a dispatcher over the table.
-func New(t *Table, config *configuration.Holder, events *event.Recorder) *Dispatcher {
-	return &Dispatcher{table: t, config: config, events: events, life: uuid.NewString(), budgets: map[string]*retry.Budget{}, inFlight: map[string]int{}}
+// New returns a dispatcher over the table. The store commits the claims of keyed
+// requests whose home is this entry.
+func New(t *Table, config *configuration.Holder, events *event.Recorder, store *claimstore.Store) *Dispatcher {
+	return &Dispatcher{
+		table:    t,
+		config:   config,
+		events:   events,
+		life:     uuid.NewString(),
+		claims:   newClaimer(t, store),
+		budgets:  map[string]*retry.Budget{},
+		inFlight: map[string]int{},
+	}
 }
 
 // defaultRetryAfter is told to callers when no better estimate is known.
@@ -82,7 +92,7 @@
 	}
 	defer d.leave(r.Organisation)
 	d.events.Record(event.Event{Kind: event.RequestReceived, Request: r.ID, Organisation: r.Organisation.Name, Detail: r.Target})
-	res := s.run(ctx)
+	res := s.do(ctx)
 	res.Attempts = s.attempt
 	d.events.Record(event.Event{
 		Kind: event.RequestEnded, Request: r.ID, Organisation: r.Organisation.Name,
@@ -136,169 +146,3 @@
 	defer d.mu.Unlock()
 	return d.budget(organisation).Withdraw()
 }
-
-// session is the run of one request.
-type session struct {
-	d *Dispatcher
-	// call identifies the request within the system.
-	call    string
-	req     Request
-	sink    Sink
-	attempt int
-	tried   []string
-	answer  answer
-}
-
-// run makes attempts until one ends the request.
-func (s *session) run(ctx context.Context) Result {
-	last := Result{Code: code.NoUpstream, RetryAfter: defaultRetryAfter}
-	for s.attempt < s.d.config.View().Document.Limits.MaxAttempts {
-		if s.attempt > 0 && !s.d.withdraw(s.req.Organisation.Name) {
-			return last
-		}
-		p, ok := s.d.table.pick(target{s.req.Kind, s.req.Target}, s.tried)
-		if !ok {
-			return last
-		}
-		s.attempt++
-		s.tried = append(s.tried, p.id)
-		last = s.try(ctx, p)
-		if !s.again(ctx, last.Code) {
-			return last
-		}
-	}
-	return last
-}
-
-// again reports whether another attempt may follow one that ended with c.
-func (s *session) again(ctx context.Context, c code.Code) bool {
-	if ctx.Err() != nil {
-		return false
-	}
-	switch c.Outcome() {
-	case code.NotRun:
-		return true
-	case code.Unknown:
-		return s.req.Idempotent && s.answer.resumable(s.req)
-	}
-	return false
-}
-
-// try makes one attempt at the picked upstream.
-func (s *session) try(ctx context.Context, p picked) Result {
-	r := s.message(ctx, p)
-	s.record(event.AttemptSent, p, 0)
-	s.answer.nextAttempt()
-	runCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	res, err := p.client.Run(runCtx, p.work, r, func(f peer.Frame) error { return s.answer.deliver(f, s.req.Stream, s.sink) })
-	out := Result{Code: res.Code, Detail: res.Detail, Upstream: p.id, RetryAfter: defaultRetryAfter}
-	if err == nil && res.Code == code.OK {
-		err = s.answer.finish(s.req.Stream, s.sink)
-	}
-	if err == nil {
-		s.d.table.observe(p.id, res.Load)
-		s.informLater(p, res.ConfigVersion)
-	} else {
-		out.Code, out.Detail = s.settle(ctx, p, r, err), err.Error()
-	}
-	if res.RetryAfterMillis > 0 {
-		out.RetryAfter = time.Duration(res.RetryAfterMillis) * time.Millisecond
-	}
-	s.record(event.AttemptEnded, p, out.Code)
-	return out
-}
-
-// settle finds out what became of an attempt without a result.
-func (s *session) settle(ctx context.Context, p picked, r peer.RunRequest, err error) code.Code {
-	if errors.Is(err, peer.ErrNotSent) {
-		return code.UpstreamUnreachable
-	}
-	notRun := s.cancel(p, r)
-	switch {
-	case errors.Is(err, errCallerGone) || errors.Is(ctx.Err(), context.Canceled):
-		return code.CallerGone
-	case notRun && ctx.Err() != nil:
-		return code.StartBudgetExpired
-	case notRun:
-		return code.Tombstoned
-	case errors.Is(err, peer.ErrNotWhole):
-		return code.AnswerNotWhole
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return code.DeadlineExceeded
-	}
-	return code.AgentLost
-}
-
-// cancelCall bounds a cancel call.
-const cancelCall = time.Second
-
-// cancel asks the agent to end the attempt and reports whether it confirmed that
-// the attempt did not run and never will.
-func (s *session) cancel(p picked, r peer.RunRequest) bool {
-	ctx, stop := context.WithTimeout(context.Background(), cancelCall)
-	defer stop()
-	res, err := peer.Call[peer.CancelResult](ctx, p.client, peer.MethodCancel, peer.CancelRequest{
-		News: s.d.table.news(), Call: r.Call, Request: r.Request, Attempt: r.Attempt,
-		Incarnation: r.Incarnation, IssuedMillis: r.IssuedMillis,
-	})
-	return err == nil && res.State == peer.CancelNotRun
-}
-
-// startBudget bounds the time from sending an attempt to its start.
-const startBudget = 10 * time.Second
-
-// defaultDeadline stands in for the deadline of a context without one.
-const defaultDeadline = time.Minute
-
-func (s *session) message(ctx context.Context, p picked) peer.RunRequest {
-	left := defaultDeadline
-	if at, ok := ctx.Deadline(); ok {
-		left = time.Until(at)
-	}
-	r := peer.RunRequest{
-		News:           s.d.table.news(),
-		Call:           s.call,
-		Request:        s.req.ID,
-		Attempt:        s.attempt,
-		Incarnation:    p.incarnation,
-		IssuedMillis:   p.issued.Milliseconds(),
-		Organisation:   s.req.Organisation.Name,
-		Priority:       s.req.Organisation.Priority,
-		Weight:         s.req.Organisation.Weight,
-		Kind:           s.req.Kind,
-		Target:         s.req.Target,
-		Method:         s.req.Method,
-		Path:           s.req.Path,
-		Headers:        s.req.Headers,
-		Body:           s.answer.resumeBody(s.req),
-		Stream:         s.req.Stream,
-		Idempotent:     s.req.Idempotent,
-		IdempotencyKey: s.req.IdempotencyKey,
-		Cost:           s.req.Cost,
-		StartByMillis:  min(left, startBudget).Milliseconds(),
-		TimeoutMillis:  max(left.Milliseconds(), 1),
-	}
-	return r
-}
-
-func (s *session) informLater(p picked, version int64) {
-	if version >= s.d.config.View().Version() {
-		return
-	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), statusCall)
-		defer cancel()
-		s.d.table.inform(ctx, p.client, version)
-	}()
-}
-
-func (s *session) record(k event.Kind, p picked, c code.Code) {
-	e := event.Event{Kind: k, Request: s.req.ID, Attempt: s.attempt, Organisation: s.req.Organisation.Name, Upstream: p.id, Code: int(c)}
-	if c != 0 {
-		e.Detail = c.String()
-	}
-	s.d.events.Record(e)
-}
-
-var errCallerGone = oops.Errorf("dispatch: the caller is gone")
--- /dev/null
+++ b/pkg/dispatch/session.go
@@ -0,0 +1,161 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+)
+
+// session is the run of one request.
+type session struct {
+	d *Dispatcher
+	// call identifies the request within the system.
+	call    string
+	req     Request
+	sink    Sink
+	attempt int
+	tried   []string
+	answer  answer
+	// unknown is the first code of an attempt that may have run.
+	unknown code.Code
+}
+
+// do runs the request, under its idempotency key where it may run only once.
+func (s *session) do(ctx context.Context) Result {
+	if s.req.IdempotencyKey != "" && !s.req.Idempotent {
+		return s.keyed(ctx)
+	}
+	return s.run(ctx)
+}
+
+// run makes attempts until one ends the request. The request is called "not run" only
+// when that is true of every attempt.
+func (s *session) run(ctx context.Context) Result {
+	res := s.attempts(ctx)
+	if res.Code.Outcome() == code.NotRun && s.unknown != 0 {
+		res.Code = s.unknown
+	}
+	return res
+}
+
+// attempts makes attempts until one ends the request.
+func (s *session) attempts(ctx context.Context) Result {
+	last := Result{Code: code.NoUpstream, RetryAfter: defaultRetryAfter}
+	for s.attempt < s.d.config.View().Document.Limits.MaxAttempts {
+		if s.attempt > 0 && !s.d.withdraw(s.req.Organisation.Name) {
+			return last
+		}
+		p, ok := s.d.table.pick(target{s.req.Kind, s.req.Target}, s.tried)
+		if !ok {
+			return last
+		}
+		s.attempt++
+		s.tried = append(s.tried, p.id)
+		last = s.try(ctx, p)
+		if last.Code.Outcome() == code.Unknown && s.unknown == 0 {
+			s.unknown = last.Code
+		}
+		if !s.again(ctx, last.Code) {
+			return last
+		}
+	}
+	return last
+}
+
+// again reports whether another attempt may follow one that ended with c.
+func (s *session) again(ctx context.Context, c code.Code) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	switch c.Outcome() {
+	case code.NotRun:
+		return true
+	case code.Unknown:
+		return s.req.Idempotent && s.answer.resumable(s.req)
+	}
+	return false
+}
+
+// try makes one attempt at the picked upstream.
+func (s *session) try(ctx context.Context, p picked) Result {
+	r := s.message(ctx, p)
+	s.record(event.AttemptSent, p, 0)
+	s.answer.nextAttempt()
+	runCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	res, err := p.client.Run(runCtx, p.work, r, func(f peer.Frame) error { return s.answer.deliver(f, s.req.Stream, s.sink) })
+	out := Result{Code: res.Code, Detail: res.Detail, Upstream: p.id, RetryAfter: defaultRetryAfter}
+	if err == nil && res.Code == code.OK {
+		err = s.answer.finish(s.req.Stream, s.sink)
+	}
+	if err == nil {
+		s.d.table.observe(p.id, res.Load)
+		s.informLater(p, res.ConfigVersion)
+	} else {
+		out.Code, out.Detail = s.settle(ctx, p, r, err), err.Error()
+	}
+	if res.RetryAfterMillis > 0 {
+		out.RetryAfter = time.Duration(res.RetryAfterMillis) * time.Millisecond
+	}
+	s.record(event.AttemptEnded, p, out.Code)
+	return out
+}
+
+// startBudget bounds the time from sending an attempt to its start.
+const startBudget = 10 * time.Second
+
+// defaultDeadline stands in for the deadline of a context without one.
+const defaultDeadline = time.Minute
+
+func (s *session) message(ctx context.Context, p picked) peer.RunRequest {
+	left := defaultDeadline
+	if at, ok := ctx.Deadline(); ok {
+		left = time.Until(at)
+	}
+	r := peer.RunRequest{
+		News:           s.d.table.news(),
+		Call:           s.call,
+		Request:        s.req.ID,
+		Attempt:        s.attempt,
+		Incarnation:    p.incarnation,
+		IssuedMillis:   p.issued.Milliseconds(),
+		Organisation:   s.req.Organisation.Name,
+		Priority:       s.req.Organisation.Priority,
+		Weight:         s.req.Organisation.Weight,
+		Kind:           s.req.Kind,
+		Target:         s.req.Target,
+		Method:         s.req.Method,
+		Path:           s.req.Path,
+		Headers:        s.req.Headers,
+		Body:           s.answer.resumeBody(s.req),
+		Stream:         s.req.Stream,
+		Idempotent:     s.req.Idempotent,
+		IdempotencyKey: s.req.IdempotencyKey,
+		Cost:           s.req.Cost,
+		StartByMillis:  min(left, startBudget).Milliseconds(),
+		TimeoutMillis:  max(left.Milliseconds(), 1),
+	}
+	return r
+}
+
+func (s *session) informLater(p picked, version int64) {
+	if version >= s.d.config.View().Version() {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), statusCall)
+		defer cancel()
+		s.d.table.inform(ctx, p.client, version)
+	}()
+}
+
+func (s *session) record(k event.Kind, p picked, c code.Code) {
+	e := event.Event{Kind: k, Request: s.req.ID, Attempt: s.attempt, Organisation: s.req.Organisation.Name, Upstream: p.id, Code: int(c)}
+	if c != 0 {
+		e.Detail = c.String()
+	}
+	s.d.events.Record(e)
+}
--- a/pkg/entry/module.go
+++ b/pkg/entry/module.go
@@ -26,11 +26,12 @@
 			newHolder,
 			newTable,
 			newPoller,
+			newClaimStore,
 			dispatch.New,
 			newCaller,
 			newNode,
 		),
-		fx.Invoke(register),
+		fx.Invoke(registerClaims, register),
 	)
 }
 
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -33,6 +33,10 @@
 	LeaseAcquired     Kind = "lease-acquired"
 	LeaseLost         Kind = "lease-lost"
 	FrameDropped      Kind = "frame-dropped"
+	ClaimRefused      Kind = "claim-refused"
+	ClaimReplayed     Kind = "claim-replayed"
+	StreamResumed     Kind = "stream-resumed"
+	StreamCompleted   Kind = "stream-completed"
 	PlatformLost      Kind = "platform-lost"
 	PlatformRecovered Kind = "platform-recovered"
 )
--- /dev/null
+++ b/test/booking_test.go
@@ -0,0 +1,211 @@
+package test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/coltsfootpitch/coltsfootpitch/internal/client"
+	"github.com/coltsfootpitch/coltsfootpitch/internal/fleet"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/standin/plain"
+)
+
+func init() {
+	commands["book"] = book
+	commands["booked"] = booked
+}
+
+// booking is one call that may run only once, sent to several entries at once and
+// again until it is done.
+type booking struct {
+	key      string
+	sendings []sending
+}
+
+// sending is one HTTP exchange of a booking.
+type sending struct {
+	request string
+	code    code.Code
+	run     int
+}
+
+// bookings are those of one book command.
+type bookings struct {
+	done chan struct{}
+	all  []*booking
+}
+
+var (
+	bookingsMu sync.Mutex
+	// running holds the bookings of all scripts by fleet and name.
+	running = map[*fleet.Fleet]map[string]*bookings{}
+)
+
+const bookingTries = 8
+
+// book: book NAME KEYS COPIES PARALLEL starts KEYS keyed calls, each sent to COPIES
+// entries at once; with COPIES 0 the calls have no key and are sent once.
+func book(ts *testscript.TestScript, _ bool, args []string) {
+	f := worldOf(ts).fleet
+	keys, copies := number(ts, args[1]), number(ts, args[2])
+	b := &bookings{done: make(chan struct{}), all: make([]*booking, keys)}
+	bookingsMu.Lock()
+	if running[f] == nil {
+		running[f] = map[string]*bookings{}
+	}
+	running[f][args[0]] = b
+	bookingsMu.Unlock()
+	var entries []string
+	for _, a := range f.Callers {
+		entries = append(entries, a)
+	}
+	numbers := make(chan int)
+	var senders sync.WaitGroup
+	for range number(ts, args[3]) {
+		senders.Go(func() {
+			for n := range numbers {
+				b.all[n] = bookOne(args[0], n, copies, entries)
+			}
+		})
+	}
+	go func() {
+		for n := range keys {
+			numbers <- n
+		}
+		close(numbers)
+		senders.Wait()
+		close(b.done)
+	}()
+}
+
+func bookOne(name string, n, copies int, entries []string) *booking {
+	if copies == 0 {
+		b := &booking{}
+		b.sendings = []sending{post(name, "", n, 0, entries[n%len(entries)])}
+		return b
+	}
+	b := &booking{key: fmt.Sprintf("%s-%d", name, n)}
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	for c := range copies {
+		group.Go(func() {
+			for try := range bookingTries {
+				s := post(name, b.key, n, c*bookingTries+try, entries[(n+c+try)%len(entries)])
+				mu.Lock()
+				b.sendings = append(b.sendings, s)
+				mu.Unlock()
+				if s.code.Outcome() == code.Done {
+					return
+				}
+				time.Sleep(200 * time.Millisecond)
+			}
+		})
+	}
+	group.Wait()
+	return b
+}
+
+// post sends one call. A code of 0 means that the connection broke.
+func post(name, key string, n, serial int, entry string) sending {
+	s := sending{request: fmt.Sprintf("%s-%d-%d", name, n, serial)}
+	headers := map[string]string{"X-Request-Id": s.request, "X-Timeout-Ms": "8000"}
+	if key != "" {
+		headers["Idempotency-Key"] = key
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 12*time.Second)
+	defer cancel()
+	c := client.New(fleet.Token(organisations[n%len(organisations)]), nil)
+	a, err := c.DoAt(ctx, entry, client.Call{
+		Method: http.MethodPost, Path: fmt.Sprintf("/services/weighbridge-app/book/%d", n), Body: []byte(name), Headers: headers,
+	})
+	if err != nil {
+		return s
+	}
+	s.code = code.Code(a.Code)
+	var got plain.Answer
+	if a.Whole && json.Unmarshal([]byte(a.Text), &got) == nil {
+		s.run = got.Run
+	}
+	return s
+}
+
+// booked: booked NAME DONE-AT-LEAST waits for a book command and compares it with the
+// ledgers of the services: no key and no request ran twice, no request that was called
+// "not run" ran, and all copies of a key got the answer of its one run.
+func booked(ts *testscript.TestScript, _ bool, args []string) {
+	f := worldOf(ts).fleet
+	bookingsMu.Lock()
+	b := running[f][args[0]]
+	bookingsMu.Unlock()
+	<-b.done
+	ledger := serviceLedger(ts, f)
+	done, runs := 0, 0
+	codes := map[code.Code]int{}
+	for _, one := range b.all {
+		if checkBooking(ts, one, ledger, codes) {
+			done++
+		}
+		runs += min(ledger.ByKey[one.key], 1)
+	}
+	ts.Logf("%s: %d of %d done, %d keys ran, results %v", args[0], done, len(b.all), runs, codes)
+	if done < number(ts, args[1]) {
+		ts.Fatalf("%d bookings are done, want at least %s", done, args[1])
+	}
+}
+
+func checkBooking(ts *testscript.TestScript, b *booking, ledger plain.Ledger, codes map[code.Code]int) bool {
+	if b.key != "" && ledger.ByKey[b.key] > 1 {
+		ts.Fatalf("key %s ran %d times", b.key, ledger.ByKey[b.key])
+	}
+	run := 0
+	for _, s := range b.sendings {
+		codes[s.code]++
+		ran := ledger.ByRequest[s.request]
+		if ran > 1 {
+			ts.Fatalf("request %s ran %d times", s.request, ran)
+		}
+		if ran > 0 && s.code.Outcome() == code.NotRun && s.code != 0 {
+			ts.Fatalf("request %s ran but was called %v", s.request, s.code)
+		}
+		if s.code.Outcome() != code.Done {
+			continue
+		}
+		if run != 0 && s.run != run {
+			ts.Fatalf("key %s was answered with runs %d and %d", b.key, run, s.run)
+		}
+		run = s.run
+	}
+	return run != 0
+}
+
+// serviceLedger adds up the ledgers of all service stand-ins.
+func serviceLedger(ts *testscript.TestScript, f *fleet.Fleet) plain.Ledger {
+	sum := plain.Ledger{ByRequest: map[string]int{}, ByKey: map[string]int{}}
+	for name, url := range f.Upstreams {
+		if !strings.HasPrefix(name, "weighbridge-app") {
+			continue
+		}
+		resp, err := http.Get(url + "/ledger")
+		ts.Check(err)
+		text, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		ts.Check(err)
+		var l plain.Ledger
+		ts.Check(json.Unmarshal(text, &l))
+		for k, n := range l.ByRequest {
+			sum.ByRequest[k] += n
+		}
+		for k, n := range l.ByKey {
+			sum.ByKey[k] += n
+		}
+	}
+	return sum
+}
