Resume streams by a pure decision at the exact offset

Cause: a lost stream was resumed whatever it had carried: after a finish event (text doubled), with several choices, tool calls or usage statistics, after an error body; the token limit was not reduced, so an engine that counts new tokens answered too long; the opening event with the role came twice; [DONE] was known in one spelling only.

Package resume now takes in each event that went to the caller and decides: repeat, resume, complete at the entry (finish event sent, or token limit reached) or give up. Only requests whose fields are known to be safe and streams of plain text of one choice are resumed. max_tokens is reduced by the tokens sent; the stand-in counts new tokens as engines do and opens with the role.

Ruled out: resuming from exported KV cache (the protocol has no offset for it yet); holding back the finish event until [DONE] (a resume with no tokens left is invalid).

--- a/pkg/dispatch/answer.go
+++ b/pkg/dispatch/answer.go
@@ -1,22 +1,24 @@
 package dispatch
 
 import (
-	"encoding/json"
-	"strings"
+	"net/http"
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/engine"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/resume"
 )
 
 // answer tracks what the caller has received, so that an attempt can be repeated, or
 // a stream resumed on another upstream, without a gap or a repeat.
 type answer struct {
-	// sent is set once bytes went to the caller.
-	sent bool
-	// text is the generated text that the caller has.
-	text strings.Builder
+	// transcript is what the caller has.
+	transcript resume.Transcript
+	// body is that of the next attempt, nil for the body of the request.
+	body []byte
 	// resumed is set in attempts that follow the first bytes.
 	resumed bool
+	// events is set while the attempt sends server-sent events.
+	events bool
 	// held are frames that wait until the answer is known to be whole.
 	held      []peer.Frame
 	heldBytes int
@@ -27,30 +29,48 @@
 
 // nextAttempt prepares for the frames of another attempt.
 func (a *answer) nextAttempt() {
-	a.resumed = a.sent
+	a.resumed = a.transcript.Sent()
+	a.events = false
 	a.held = nil
 	a.heldBytes = 0
 }
 
-// deliver takes a frame. Frames of a stream go to the sink at once, but for its last
-// event; other answers are held until they are whole or exceed holdBytes.
+// deliver takes a frame. Events of a stream go to the sink at once, but for the last;
+// other answers are held until they are whole or exceed holdBytes.
 func (a *answer) deliver(f peer.Frame, stream bool, sink Sink) error {
-	hold := !stream && !a.sent || string(f.Data) == engine.EventDone
-	if !hold {
-		return a.pass(f, stream, sink)
+	if f.Offset == 0 {
+		a.events = stream && f.Status == http.StatusOK
+	}
+	if a.resumed && !a.events {
+		// An error status cannot follow the beginning of a stream.
+		return peer.ErrNotWhole
+	}
+	if a.events && !engine.Done(f.Data) {
+		return a.event(f, sink)
+	}
+	if !a.events && a.transcript.Sent() {
+		return a.pass(f, sink)
 	}
 	a.held = append(a.held, f)
 	a.heldBytes += len(f.Data)
 	if a.heldBytes > holdBytes {
-		return a.finish(stream, sink)
+		return a.finish(sink)
 	}
 	return nil
 }
 
+// event passes on one event of a stream.
+func (a *answer) event(f peer.Frame, sink Sink) error {
+	if a.resumed && resume.Redundant(f.Data) {
+		return nil
+	}
+	return a.pass(f, sink)
+}
+
 // finish passes on the held frames.
-func (a *answer) finish(stream bool, sink Sink) error {
+func (a *answer) finish(sink Sink) error {
 	for _, f := range a.held {
-		if err := a.pass(f, stream, sink); err != nil {
+		if err := a.pass(f, sink); err != nil {
 			return err
 		}
 	}
@@ -58,48 +78,47 @@
 	return nil
 }
 
-func (a *answer) pass(f peer.Frame, stream bool, sink Sink) error {
+func (a *answer) pass(f peer.Frame, sink Sink) error {
 	if a.resumed {
 		// The status line and headers went out with the first attempt.
 		f.Status = 0
 		f.Headers = nil
 	}
+	if a.events {
+		a.transcript.Take(f.Data)
+	} else {
+		a.transcript.Foreign()
+	}
 	if err := sink.Frame(f); err != nil {
 		return errCallerGone
 	}
-	a.sent = true
-	if stream {
-		a.text.WriteString(engine.Text(f.Data))
-	}
 	return nil
 }
 
-// resumable reports whether a further attempt can continue the answer.
-func (a *answer) resumable(r Request) bool {
-	return !a.sent || r.Stream
+// plan decides how the answer goes on after an attempt that may have run.
+func (a *answer) plan(r Request) resume.Plan {
+	p := a.transcript.Plan(r.Body)
+	if p.Way == resume.Resume {
+		a.body = p.Body
+	}
+	return p
 }
 
-// message is one message of a chat-completions body.
-type message struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
+// next returns the body of the next attempt.
+func (a *answer) next(r Request) []byte {
+	if a.body != nil {
+		return a.body
+	}
+	return r.Body
 }
 
-// resumeBody returns the body of the next attempt. When the caller has a part of the
-// stream, that part is given to the engine as the beginning of its answer.
-func (a *answer) resumeBody(r Request) []byte {
-	if !a.sent || a.text.Len() == 0 {
-		return r.Body
-	}
-	var body map[string]json.RawMessage
-	var messages []json.RawMessage
-	if json.Unmarshal(r.Body, &body) != nil || json.Unmarshal(body["messages"], &messages) != nil {
-		return r.Body
+// complete passes on the closing events of a stream.
+func (a *answer) complete(events [][]byte, sink Sink) error {
+	a.resumed = true
+	for _, e := range events {
+		if err := sink.Frame(peer.Frame{Data: e}); err != nil {
+			return errCallerGone
+		}
 	}
-	// Encoding strings and raw JSON cannot fail.
-	part, _ := json.Marshal(message{Role: "assistant", Content: a.text.String()})
-	body["messages"], _ = json.Marshal(append(messages, part))
-	body["continue_final_message"] = json.RawMessage("true")
-	out, _ := json.Marshal(body)
-	return out
+	return nil
 }
--- a/pkg/dispatch/session.go
+++ b/pkg/dispatch/session.go
@@ -7,6 +7,7 @@
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/resume"
 )
 
 // session is the run of one request.
@@ -45,7 +46,9 @@
 func (s *session) attempts(ctx context.Context) Result {
 	last := Result{Code: code.NoUpstream, RetryAfter: defaultRetryAfter}
 	for s.attempt < s.d.config.View().Document.Limits.MaxAttempts {
-		if s.attempt > 0 && !s.d.withdraw(s.req.Organisation.Name) {
+		// The rest of a stream is less work than its repeat and needs no budget.
+		repeat := s.attempt > 0 && !s.answer.transcript.Sent()
+		if repeat && !s.d.withdraw(s.req.Organisation.Name) {
 			return last
 		}
 		p, ok := s.d.table.pick(target{s.req.Kind, s.req.Target}, s.tried)
@@ -58,25 +61,56 @@
 		if last.Code.Outcome() == code.Unknown && s.unknown == 0 {
 			s.unknown = last.Code
 		}
-		if !s.again(ctx, last.Code) {
+		var on bool
+		if last, on = s.goOn(ctx, last); !on {
 			return last
 		}
 	}
 	return last
 }
 
-// again reports whether another attempt may follow one that ended with c.
-func (s *session) again(ctx context.Context, c code.Code) bool {
+// goOn decides how the request goes on after an attempt, and reports whether another
+// attempt may follow. It completes a stream of which only the end is missing.
+func (s *session) goOn(ctx context.Context, last Result) (Result, bool) {
 	if ctx.Err() != nil {
-		return false
+		return last, false
 	}
-	switch c.Outcome() {
+	switch last.Code.Outcome() {
 	case code.NotRun:
-		return true
+		return last, true
 	case code.Unknown:
-		return s.req.Idempotent && s.answer.resumable(s.req)
+		return s.afterLoss(last)
 	}
-	return false
+	return last, false
+}
+
+// afterLoss goes on after an attempt that may have run.
+func (s *session) afterLoss(last Result) (Result, bool) {
+	if !s.req.Idempotent {
+		return last, false
+	}
+	p := s.answer.plan(s.req)
+	switch p.Way {
+	case resume.Repeat:
+		return last, true
+	case resume.Resume:
+		s.streamEvent(event.StreamResumed, last)
+		return last, true
+	case resume.Complete:
+		s.streamEvent(event.StreamCompleted, last)
+		if s.answer.complete(p.Events, s.sink) != nil {
+			return Result{Code: code.CallerGone}, false
+		}
+		return Result{Code: code.OK, Upstream: last.Upstream}, false
+	}
+	return last, false
+}
+
+func (s *session) streamEvent(k event.Kind, last Result) {
+	s.d.events.Record(event.Event{
+		Kind: k, Request: s.req.ID, Attempt: s.attempt, Organisation: s.req.Organisation.Name,
+		Upstream: last.Upstream, Code: int(last.Code), Detail: last.Code.String(),
+	})
 }
 
 // try makes one attempt at the picked upstream.
@@ -89,7 +123,7 @@
 	res, err := p.client.Run(runCtx, p.work, r, func(f peer.Frame) error { return s.answer.deliver(f, s.req.Stream, s.sink) })
 	out := Result{Code: res.Code, Detail: res.Detail, Upstream: p.id, RetryAfter: defaultRetryAfter}
 	if err == nil && res.Code == code.OK {
-		err = s.answer.finish(s.req.Stream, s.sink)
+		err = s.answer.finish(s.sink)
 	}
 	if err == nil {
 		s.d.table.observe(p.id, res.Load)
@@ -130,7 +164,7 @@
 		Method:         s.req.Method,
 		Path:           s.req.Path,
 		Headers:        s.req.Headers,
-		Body:           s.answer.resumeBody(s.req),
+		Body:           s.answer.next(s.req),
 		Stream:         s.req.Stream,
 		Idempotent:     s.req.Idempotent,
 		IdempotencyKey: s.req.IdempotencyKey,
--- a/pkg/engine/client.go
+++ b/pkg/engine/client.go
@@ -47,8 +47,14 @@
 // EventDone is the last event of a whole stream.
 const EventDone = "data: [DONE]\n\n"
 
+// Done reports whether an event ends a whole stream.
+func Done(ev []byte) bool {
+	body, ok := bytes.CutPrefix(bytes.TrimSpace(ev), []byte("data:"))
+	return ok && string(bytes.TrimSpace(body)) == "[DONE]"
+}
+
 // copyEvents hands each event to emit and returns the number of tokens. The stream is
-// whole only when it ends with EventDone.
+// whole only when it ends with the event [DONE].
 func copyEvents(resp *http.Response, emit func(upstream.Part) error) (int64, error) {
 	part := upstream.Part{
 		Status:  resp.StatusCode,
@@ -67,7 +73,7 @@
 			return tokens, err
 		}
 		part = upstream.Part{}
-		if string(ev) == EventDone {
+		if Done(ev) {
 			return tokens, nil
 		}
 		if Text(ev) != "" {
--- /dev/null
+++ b/pkg/resume/plan_test.go
@@ -0,0 +1,83 @@
+package resume
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/tidwall/gjson"
+)
+
+const (
+	plainBody  = `{"model":"m","messages":[{"role":"user","content":"q"}],"stream":true,"max_tokens":4}`
+	roleEvent  = `data: {"id":"x","choices":[{"index":0,"delta":{"role":"assistant","content":""},"finish_reason":null}]}` + "\n\n"
+	textEvent  = `data: {"id":"x","choices":[{"index":0,"delta":{"content":"a "},"logprobs":null,"finish_reason":null}]}` + "\n\n"
+	closeEvent = `data: {"id":"x","choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}` + "\n\n"
+)
+
+func transcript(events ...string) *Transcript {
+	t := &Transcript{}
+	for _, e := range events {
+		t.Take([]byte(e))
+	}
+	return t
+}
+
+func TestWays(t *testing.T) {
+	counted := `data: {"choices":[{"index":0,"delta":{"content":"a b "}}],"usage":{"completion_tokens":4}}` + "\n\n"
+	for _, c := range []struct {
+		name   string
+		body   string
+		events []string
+		want   Way
+	}{
+		{"nothing sent", plainBody, nil, Repeat},
+		{"only the role", plainBody, []string{roleEvent}, Resume},
+		{"text", plainBody, []string{roleEvent, textEvent}, Resume},
+		{"comment", plainBody, []string{": ping\n\n", textEvent}, Resume},
+		{"finish event sent", plainBody, []string{textEvent, closeEvent}, Complete},
+		{"limit reached", plainBody, []string{textEvent, textEvent, textEvent, textEvent}, Complete},
+		{"limit reached with several tokens in an event", plainBody, []string{counted}, Complete},
+		{"second choice", plainBody, []string{`data: {"choices":[{"index":1,"delta":{"content":"a"}}]}` + "\n\n"}, Impossible},
+		{"two choices", plainBody, []string{`data: {"choices":[{"index":0,"delta":{}},{"index":1,"delta":{}}]}` + "\n\n"}, Impossible},
+		{"tool call", plainBody, []string{`data: {"choices":[{"index":0,"delta":{"tool_calls":[]}}]}` + "\n\n"}, Impossible},
+		{"usage event", plainBody, []string{textEvent, `data: {"choices":[],"usage":{}}` + "\n\n"}, Impossible},
+		{"error event", plainBody, []string{`data: {"error":{"message":"x"}}` + "\n\n"}, Impossible},
+		{"named event", plainBody, []string{"event: x\n" + textEvent}, Impossible},
+		{"text after the finish event", plainBody, []string{closeEvent, textEvent}, Impossible},
+		{"several choices asked for", `{"messages":[{"role":"user"}],"n":2}`, []string{textEvent}, Impossible},
+		{"tools", `{"messages":[{"role":"user"}],"tools":[]}`, []string{textEvent}, Impossible},
+		{"unknown field", `{"messages":[{"role":"user"}],"beam":2}`, []string{textEvent}, Impossible},
+		{"null field", `{"messages":[{"role":"user"}],"tools":null}`, []string{textEvent}, Resume},
+		{"usage asked for", `{"messages":[{"role":"user"}],"stream_options":{"include_usage":true}}`, []string{textEvent}, Impossible},
+		{"the caller's own beginning", `{"messages":[{"role":"assistant","content":"a"}]}`, []string{textEvent}, Impossible},
+	} {
+		if got := transcript(c.events...).Plan([]byte(c.body)).Way; got != c.want {
+			t.Errorf("%s: way %d, want %d", c.name, got, c.want)
+		}
+	}
+}
+
+func TestResumeBody(t *testing.T) {
+	is := is.New(t)
+	body := transcript(roleEvent, textEvent).Plan([]byte(plainBody)).Body
+	is.Equal(gjson.GetBytes(body, "max_tokens").Int(), int64(3))
+	is.True(gjson.GetBytes(body, "continue_final_message").Bool())
+	is.Equal(gjson.GetBytes(body, "add_generation_prompt").Raw, "false")
+	is.Equal(gjson.GetBytes(body, "messages.1.role").String(), "assistant")
+	is.Equal(gjson.GetBytes(body, "messages.1.content").String(), "a ")
+}
+
+func TestForeignBytesAreNotResumed(t *testing.T) {
+	is := is.New(t)
+	tr := &Transcript{}
+	tr.Foreign()
+	is.Equal(tr.Plan([]byte(plainBody)).Way, Impossible)
+}
+
+func BenchmarkTake(b *testing.B) {
+	tr := &Transcript{}
+	b.ReportAllocs()
+	for b.Loop() {
+		tr.Take([]byte(textEvent))
+	}
+}
--- a/pkg/standin/model/server.go
+++ b/pkg/standin/model/server.go
@@ -192,9 +192,6 @@
 // read works out the prompt and where the answer goes on.
 func (s *Server) read(id string, b body) job {
 	j := job{id: id, tokens: b.MaxTokens, crash: s.crash}
-	if j.tokens <= 0 {
-		j.tokens = 16
-	}
 	messages := b.Messages
 	if n := len(messages); b.ContinueFinalMessage && n > 0 {
 		given := messages[n-1].Content
@@ -211,9 +208,17 @@
 		p.WriteString(m.Role + ":" + m.Content + "\n")
 	}
 	j.prompt = p.String()
+	// max_tokens counts new tokens only.
+	j.tokens += j.from
+	if b.MaxTokens <= 0 {
+		j.tokens = max(defaultTokens, j.from)
+	}
 	return j
 }
 
+// defaultTokens is the length of the whole answer to a request without max_tokens.
+const defaultTokens = 16
+
 func (s *Server) end(j job, whole bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -245,6 +250,8 @@
 
 func (s *Server) stream(c *gin.Context, j job) {
 	c.Header("Content-Type", "text/event-stream")
+	fmt.Fprintf(c.Writer, "data: {\"id\":\"chatcmpl-%s\",\"object\":\"chat.completion.chunk\",\"choices\":[{\"index\":0,\"delta\":{\"role\":\"assistant\",\"content\":\"\"},\"finish_reason\":null}]}\n\n", j.id)
+	c.Writer.Flush()
 	for i := j.from; i < j.tokens; i++ {
 		s.pause(c, j)
 		s.chunk(c, j, Token(j.prompt, i), "null")
--- /dev/null
+++ b/test/stream_test.go
@@ -0,0 +1,199 @@
+package test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/coltsfootpitch/coltsfootpitch/internal/client"
+	"github.com/coltsfootpitch/coltsfootpitch/internal/fleet"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/standin/model"
+)
+
+func init() {
+	commands["stream"] = startStreams
+	commands["streamed"] = streamed
+	commands["crash"] = crash
+	commands["vanish"] = vanish
+}
+
+// streams are those of one stream command.
+type streams struct {
+	done    chan struct{}
+	answers []client.Answer
+	errors  []error
+	tokens  int
+}
+
+var (
+	streamsMu sync.Mutex
+	// streaming holds the streams of all scripts by fleet and name.
+	streaming = map[*fleet.Fleet]map[string]*streams{}
+)
+
+func prompt(name string, n int) string { return fmt.Sprintf("%s stream %d", name, n) }
+
+// startStreams: stream NAME COUNT PARALLEL TOKENS starts sending streamed model requests.
+func startStreams(ts *testscript.TestScript, _ bool, args []string) {
+	f := worldOf(ts).fleet
+	count, tokens := number(ts, args[1]), number(ts, args[3])
+	s := &streams{done: make(chan struct{}), answers: make([]client.Answer, count), errors: make([]error, count), tokens: tokens}
+	streamsMu.Lock()
+	if streaming[f] == nil {
+		streaming[f] = map[string]*streams{}
+	}
+	streaming[f][args[0]] = s
+	streamsMu.Unlock()
+	entries := callers(f)
+	numbers := make(chan int)
+	var senders sync.WaitGroup
+	for range number(ts, args[2]) {
+		senders.Go(func() {
+			for n := range numbers {
+				c := client.New(fleet.Token(organisations[n%len(organisations)]), nil)
+				ctx, cancel := context.WithTimeout(context.Background(), scenarioLimit)
+				call := client.Chat("intake-llm", prompt(args[0], n), tokens, true)
+				s.answers[n], s.errors[n] = c.DoAt(ctx, entries[n%len(entries)], call)
+				cancel()
+			}
+		})
+	}
+	go func() {
+		for n := range count {
+			numbers <- n
+		}
+		close(numbers)
+		senders.Wait()
+		close(s.done)
+	}()
+}
+
+func callers(f *fleet.Fleet) []string {
+	var out []string
+	for _, a := range f.Callers {
+		out = append(out, a)
+	}
+	return out
+}
+
+// streamed: streamed NAME WHOLE-AT-LEAST waits for a stream command. No answer may hold a
+// foreign, missing or doubled byte; one that is not whole must be the beginning of the
+// right one and say so.
+func streamed(ts *testscript.TestScript, _ bool, args []string) {
+	f := worldOf(ts).fleet
+	streamsMu.Lock()
+	s := streaming[f][args[0]]
+	streamsMu.Unlock()
+	<-s.done
+	whole := 0
+	codes := map[int]int{}
+	for n, a := range s.answers {
+		want := model.Text("user:"+prompt(args[0], n)+"\n", s.tokens)
+		switch {
+		case s.errors[n] == nil && a.Whole && a.Text == want:
+			whole++
+		case a.Whole:
+			ts.Fatalf("stream %d was called whole with text %q, want %q", n, a.Text, want)
+		case a.Status == http.StatusOK && !strings.HasPrefix(want, a.Text):
+			ts.Fatalf("stream %d has text %q, which does not begin %q", n, a.Text, want)
+		default:
+			codes[a.Code]++
+		}
+	}
+	if bad := engineLedger(ts, f).BadResumes; bad > 0 {
+		ts.Fatalf("engines were given %d wrong beginnings", bad)
+	}
+	resumed := countEvents(f, event.StreamResumed)
+	completed := countEvents(f, event.StreamCompleted)
+	ts.Logf("%s: %d of %d whole, %d resumes, %d completed at the entry, not whole by code %v", args[0], whole, len(s.answers), resumed, completed, codes)
+	if whole < number(ts, args[1]) {
+		ts.Fatalf("%d streams are whole, want at least %s", whole, args[1])
+	}
+}
+
+// countEvents counts the events of a kind in the logs of all processes.
+func countEvents(f *fleet.Fleet, k event.Kind) int {
+	n := 0
+	for _, p := range f.Processes {
+		n += strings.Count(p.Log(), "event="+string(k)+" ")
+	}
+	return n
+}
+
+// crash: crash UPSTREAM ends all requests of a model engine at once.
+func crash(ts *testscript.TestScript, _ bool, args []string) {
+	resp, err := http.Post(worldOf(ts).fleet.Upstreams[args[0]]+"/crash", "", nil)
+	ts.Check(err)
+	resp.Body.Close()
+}
+
+// vanish: vanish COUNT TOKENS starts streams whose callers go away after the first bytes,
+// and waits until the engines run nothing, though none of the streams has finished.
+func vanish(ts *testscript.TestScript, _ bool, args []string) {
+	f := worldOf(ts).fleet
+	entries := callers(f)
+	var group sync.WaitGroup
+	for n := range number(ts, args[0]) {
+		group.Go(func() { goAwayEarly(ts, entries[n%len(entries)], n, args[1]) })
+	}
+	group.Wait()
+	left := time.Now()
+	for engineLedger(ts, f).Running > 0 {
+		if time.Since(left) > scenarioLimit/2 {
+			ts.Fatalf("engines still run streams whose callers are gone")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	ts.Logf("engines are free %s after the callers went away", time.Since(left).Round(time.Millisecond))
+	l := engineLedger(ts, f)
+	if len(l.Started) == 0 || len(l.Finished) > 0 {
+		ts.Fatalf("%d streams started and %d finished", len(l.Started), len(l.Finished))
+	}
+}
+
+func goAwayEarly(ts *testscript.TestScript, entry string, n int, tokens string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	body := client.Chat("intake-llm", prompt("gone", n), number(ts, tokens), true).Body
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+"/v1/chat/completions", strings.NewReader(string(body)))
+	ts.Check(err)
+	req.Header.Set("Authorization", "Bearer "+fleet.Token(organisations[0]))
+	resp, err := http.DefaultClient.Do(req)
+	ts.Check(err)
+	defer resp.Body.Close()
+	if _, err := resp.Body.Read(make([]byte, 64)); err != nil {
+		ts.Fatalf("no first bytes: %v", err)
+	}
+}
+
+// engineLedger adds up what the engines run, started and finished.
+func engineLedger(ts *testscript.TestScript, f *fleet.Fleet) model.Ledger {
+	sum := model.Ledger{Started: map[string]int{}, Finished: map[string]int{}}
+	for name, url := range f.Upstreams {
+		if !strings.HasPrefix(name, "intake-llm") {
+			continue
+		}
+		resp, err := http.Get(url + "/ledger")
+		ts.Check(err)
+		var l model.Ledger
+		err = json.NewDecoder(resp.Body).Decode(&l)
+		resp.Body.Close()
+		ts.Check(err)
+		sum.Running += l.Running
+		sum.BadResumes += l.BadResumes
+		for k, c := range l.Started {
+			sum.Started[k] += c
+		}
+		for k, c := range l.Finished {
+			sum.Finished[k] += c
+		}
+	}
+	return sum
+}
