--- a/pkg/agent/task.go
+++ b/pkg/agent/task.go
@@ -17,7 +17,7 @@
 // task is one admitted attempt.
 type task struct {
 	id     string
-	key    fence.Key
+	fenced fence.Message
 	req    peer.RunRequest
 	sender peer.Sender
 	ctx    context.Context
@@ -26,6 +26,8 @@
 	ended chan peer.RunResult
 
 	arrived time.Time
+	// startIn is the start budget left when the attempt was admitted.
+	startIn time.Duration
 	offset  int64
 	sum     *xxhash.Digest
 }
@@ -33,8 +35,8 @@
 func (a *Agent) newTask(s peer.Sender, r peer.RunRequest) *task {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(r.TimeoutMillis)*time.Millisecond)
 	return &task{
-		id:      taskID(r.Request, r.Attempt),
-		key:     fence.Key{Request: r.Request, Attempt: r.Attempt},
+		id:      taskID(r.Call, r.Attempt),
+		fenced:  fencedRun(r),
 		req:     r,
 		sender:  s,
 		ctx:     ctx,
@@ -45,8 +47,8 @@
 	}
 }
 
-func taskID(request string, attempt int) string {
-	return request + "/" + strconv.Itoa(attempt)
+func taskID(call string, attempt int) string {
+	return call + "/" + strconv.Itoa(attempt)
 }
 
 func (t *task) item() fairness.Item {
--- a/pkg/dispatch/table.go
+++ b/pkg/dispatch/table.go
@@ -99,6 +99,8 @@
 	client      *peer.Client
 	// work is the agent's address for work.
 	work string
+	// issued is a time not after the pick, on the clock of the incarnation.
+	issued time.Duration
 }
 
 // pick chooses an upstream that holds the target and is not in tried.
@@ -126,7 +128,7 @@
 	}
 	m := t.members[list[i].ID]
 	m.sent++
-	return picked{id: m.instance.ID, incarnation: m.status.Incarnation, client: m.client, work: m.status.WorkAddress}, true
+	return picked{id: m.instance.ID, incarnation: m.status.Incarnation, client: m.client, work: m.status.WorkAddress, issued: m.issued(t.now())}, true
 }
 
 // usable reports whether m may receive new work for w. Table.mu is held.
