--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -68,12 +68,6 @@
 	return low + time.Duration(w.random.Int64N(int64(high-low)))
 }
 
-func (w *world) fault(format string, args ...any) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.faults = append(w.faults, fmt.Sprintf(format, args...))
-}
-
 // link delays calls, loses answers and fails while the platform is down.
 type link struct {
 	world *world
--- /dev/null
+++ b/pkg/membership/subset_test.go
@@ -0,0 +1,97 @@
+package membership_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/membership"
+)
+
+const zones = 9
+
+func fleet(prefix string, n int) []membership.Member {
+	out := make([]membership.Member, n)
+	for i := range out {
+		zone := i % zones
+		out[i] = membership.Member{
+			ID: fmt.Sprintf("%s-%d", prefix, i), Zone: fmt.Sprintf("zone-%d", zone), Region: fmt.Sprintf("region-%d", zone%4),
+		}
+	}
+	return out
+}
+
+// At the size aimed for, each agent has its watchers in its zone and no entry watches many more
+// than the others.
+func TestWatchersAtFullSize(t *testing.T) {
+	is := is.New(t)
+	entries, agents := fleet("entry", 1600), fleet("agent", 12_000)
+	load := map[string]int{}
+	sum := 0
+	for _, e := range entries[:18] {
+		sum += len(membership.Watched(e, entries, agents))
+	}
+	for _, a := range agents {
+		w := membership.Watchers(a, entries)
+		is.Equal(len(w), membership.WatchersPerAgent)
+		for _, e := range w {
+			is.Equal(e.Zone, a.Zone)
+			load[e.ID]++
+		}
+	}
+	most := 0
+	for _, n := range load {
+		most = max(most, n)
+	}
+	t.Logf("12000 agents, 1600 entries: an entry watches %.1f agents on average, %d at most", 12_000.0*3/1600, most)
+	is.True(most < 60)
+	watched := 0
+	for _, e := range entries[:18] {
+		watched += load[e.ID]
+	}
+	is.Equal(sum, watched) // Both sides agree on who watches whom.
+	moved := 0
+	for _, a := range agents[:1000] {
+		before, after := membership.Watchers(a, entries), membership.Watchers(a, entries[1:])
+		if !slices.Equal(before, after) {
+			moved++
+		}
+	}
+	is.True(moved < 15) // One entry of 1,600 moves only the agents that it watched.
+}
+
+func TestTreeReachesAllThroughEitherTree(t *testing.T) {
+	is := is.New(t)
+	entries := fleet("entry", 1600)
+	tree := membership.NewTree("zone-3", entries)
+	is.True(len(tree.Relays()) <= membership.Trees)
+	reached := map[string]bool{}
+	var spread func(string)
+	spread = func(id string) {
+		if reached[id] {
+			return
+		}
+		reached[id] = true
+		for _, c := range tree.Children(id) {
+			spread(c)
+		}
+	}
+	// One of two relays is gone.
+	spread(tree.Relays()[len(tree.Relays())-1])
+	want, most := 0, 0
+	for _, e := range entries {
+		if e.Zone != "zone-3" {
+			continue
+		}
+		want++
+		most = max(most, len(tree.Children(e.ID)))
+		for _, p := range tree.Parents(e.ID) {
+			is.True(p != e.ID)
+		}
+	}
+	is.Equal(len(reached), want)
+	t.Logf("%d entries in a zone: %d hops, at most %d children", want, tree.Depth(), most)
+	is.True(tree.Depth() <= 3)
+}
