Admit work by whole answers and by proof that the upstream is warm

Cause: the limit rose to the maximum by any answer and stayed there when a warm upstream turned cold without a new incarnation, so that a full load met it.

Change: a warming limit counts whole answers to requests of the same cold turn; starts beyond the cold limit need parts of answers in time that vouch for them; late parts set the upstream back to cold; tokens in progress are limited beside requests.

Ruled out: zero starts after a silent turn (the histories look the same to the agent), judging the time to the first part (depends on the prompt).

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -65,12 +65,8 @@
 		meters:   newMeters(o.Registry),
 		fence:    fence.New(uuid.NewString()),
 		queue:    fairness.New(o.Settings.QueueLimit),
-		limiter: admission.New(admission.Options{
-			Cold: o.Settings.Upstream.ColdLimit,
-			Max:  o.Settings.Upstream.MaxLimit,
-			Idle: o.Settings.Upstream.Idle(),
-		}),
-		tasks: map[string]*task{},
+		limiter:  admission.New(o.Settings.Upstream.admission()),
+		tasks:    map[string]*task{},
 	}
 	a.wake = sync.NewCond(&a.mu)
 	return a
--- a/pkg/agent/settings.go
+++ b/pkg/agent/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/admission"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/process"
 )
 
@@ -24,6 +25,14 @@
 	ColdLimit int `yaml:"cold_limit" validate:"min=1"`
 	// MaxLimit is the number of requests that the warm upstream bears at most.
 	MaxLimit int `yaml:"max_limit" validate:"gtefield=ColdLimit,max=4096"`
+	// ColdTokens and MaxTokens are the expected tokens in progress that the upstream bears
+	// when it has just started and when it is warm; 0 means that tokens are not limited.
+	ColdTokens int64 `yaml:"cold_tokens" validate:"min=0"`
+	MaxTokens  int64 `yaml:"max_tokens" validate:"gtefield=ColdTokens"`
+	// LateFactor is the multiple of the usual time beyond which a part of an answer is late.
+	LateFactor float64 `yaml:"late_factor" validate:"min=1.5,max=100"`
+	// LateFloorMillis is a time up to which no part of an answer is late.
+	LateFloorMillis int64 `yaml:"late_floor_ms" validate:"min=0"`
 	// IdleMillis is the time without work after which the upstream counts as cold; 0 means never.
 	IdleMillis int64 `yaml:"idle_ms" validate:"min=0"`
 }
@@ -33,6 +42,19 @@
 	return time.Duration(u.IdleMillis) * time.Millisecond
 }
 
+// admission returns the options of the limiter.
+func (u UpstreamSettings) admission() admission.Options {
+	return admission.Options{
+		Cold:       u.ColdLimit,
+		Max:        u.MaxLimit,
+		ColdTokens: u.ColdTokens,
+		MaxTokens:  u.MaxTokens,
+		LateFactor: u.LateFactor,
+		LateFloor:  time.Duration(u.LateFloorMillis) * time.Millisecond,
+		Idle:       u.Idle(),
+	}
+}
+
 // Settings are the settings of coltsfoot-agent.
 type Settings struct {
 	process.Common `yaml:",inline"`
@@ -51,6 +73,9 @@
 		Common:      process.DefaultCommon(),
 		QueueLimit:  256,
 		ProbeMillis: 250,
-		Upstream:    UpstreamSettings{ColdLimit: 2, MaxLimit: 32, IdleMillis: 300_000},
+		Upstream: UpstreamSettings{
+			ColdLimit: 2, MaxLimit: 32, IdleMillis: 300_000,
+			LateFactor: admission.DefaultLateFactor, LateFloorMillis: 100,
+		},
 	}
 }
--- a/pkg/agent/task.go
+++ b/pkg/agent/task.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/admission"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/fairness"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/fence"
@@ -27,8 +28,10 @@
 	ended chan peer.RunResult
 
 	arrived time.Time
-	offset  int64
-	sum     *xxhash.Digest
+	// run is set when the task has started.
+	run    *admission.Run
+	offset int64
+	sum    *xxhash.Digest
 }
 
 func (a *Agent) newTask(conn *jsonrpc2.Conn, r peer.RunRequest) *task {
--- a/pkg/agent/work.go
+++ b/pkg/agent/work.go
@@ -42,9 +42,17 @@
 
 // startOne takes tasks from the queue until one may start. Agent.mu is held.
 func (a *Agent) startOne() *task {
-	for a.queue.Len() > 0 && a.limiter.Start(a.now()) {
-		i, _ := a.queue.Pop()
+	for {
+		i, ok := a.queue.Peek()
+		if !ok {
+			return nil
+		}
 		t := a.tasks[i.ID]
+		t.run, ok = a.limiter.Start(a.now(), i.Cost, false)
+		if !ok {
+			return nil
+		}
+		a.queue.Pop()
 		c := a.closedTo(t.req)
 		if c == code.OK {
 			c = a.fence.Start(t.key, a.now())
@@ -52,12 +60,11 @@
 		if c == code.OK {
 			return t
 		}
-		a.limiter.End(a.now(), false)
+		a.limiter.End(t.run, a.now(), false)
 		a.fence.Refuse(t.key, a.now())
 		delete(a.tasks, i.ID)
 		t.finish(c, "", 0)
 	}
-	return nil
 }
 
 // execute runs a started task at the upstream.
@@ -68,6 +75,7 @@
 	})
 	began := a.now()
 	answer, err := a.client.Run(t.ctx, t.req, func(p upstream.Part) error {
+		a.part(t)
 		return t.send(a.fence.Incarnation(), p)
 	})
 	c, detail := a.verdict(t, answer, err)
@@ -79,6 +87,17 @@
 	})
 }
 
+// part notes a part of the answer to a task.
+func (a *Agent) part(t *task) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	unproven := a.limiter.Unproven()
+	a.limiter.Part(t.run, a.now())
+	if a.limiter.Unproven() < unproven {
+		a.wake.Signal()
+	}
+}
+
 // verdict turns the end of a run into a code.
 func (a *Agent) verdict(t *task, answer upstream.Answer, err error) (code.Code, string) {
 	switch {
@@ -101,7 +120,10 @@
 	a.meters.ended(c, took)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.limiter.End(now, c == code.OK)
+	a.limiter.End(t.run, now, c == code.OK)
+	if c == code.UpstreamLost {
+		a.limiter.Reset()
+	}
 	a.fence.End(t.key, now)
 	a.queue.Settle(t.req.Organisation, t.req.Cost, max(answer.Tokens, 1))
 	a.service += serviceGain * (float64(took.Milliseconds()) - a.service)
--- a/pkg/fairness/queue.go
+++ b/pkg/fairness/queue.go
@@ -52,6 +52,14 @@
 	return i, true
 }
 
+// Peek returns the next item without removing it.
+func (q *Queue) Peek() (Item, bool) {
+	if len(q.items) == 0 {
+		return Item{}, false
+	}
+	return q.items[0], true
+}
+
 // Remove removes the item with the ID and reports whether it waited.
 func (q *Queue) Remove(id string) bool {
 	at := slices.IndexFunc(q.items, func(i Item) bool { return i.ID == id })
