--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -50,6 +50,8 @@
 	EngineArgs []string
 	// ServiceArgs are further arguments of the plain service stand-ins.
 	ServiceArgs []string
+	// AgentColdLimit replaces the default cold limit of the agents when it is not 0.
+	AgentColdLimit int
 	// Limits of the first configuration; the zero value means a directory life of 1 s.
 	Limits configuration.Limits
 }
@@ -57,6 +59,9 @@
 // OperatorToken is the operators' token of all processes of a fleet.
 const OperatorToken = "operator-token"
 
+// ProcessToken is the token that the processes of a fleet present to each other.
+const ProcessToken = "process-token"
+
 // Token returns the bearer token of an organisation.
 func Token(organisation string) string { return "token-" + organisation }
 
@@ -76,6 +81,9 @@
 	order []string
 }
 
+// fleetRate bounds the calls a second with which the provider's machines keep the platform.
+const fleetRate = 10_000
+
 // startLimit bounds the start of a fleet.
 const startLimit = 30 * time.Second
 
@@ -122,7 +130,7 @@
 		return err
 	}
 	f.PlatformURL = "http://" + address
-	f.Platform = platform.New(platform.Options{URL: f.PlatformURL})
+	f.Platform = platform.New(platform.Options{URL: f.PlatformURL, Rate: fleetRate, Burst: fleetRate})
 	f.Store = configstore.New(f.Platform)
 	p := f.newProcess("platform", "coltsfoot-standin", "", "platform", "--address", address)
 	if err := p.start(); err != nil {
@@ -179,7 +187,7 @@
 
 // startUpstream starts an upstream stand-in with its agent and lists the instance.
 func (f *Fleet) startUpstream(ctx context.Context, name string, d Deployment, i int, kind agent.UpstreamKind, args []string) error {
-	addresses, err := freeAddresses(3)
+	addresses, err := freeAddresses(4)
 	if err != nil {
 		return err
 	}
@@ -191,8 +199,12 @@
 	s := agent.DefaultSettings()
 	s.Common = f.common(name, d, i, addresses[1])
 	s.ControlAddress = addresses[2]
+	s.WorkAddress = addresses[3]
 	s.ProbeMillis = 50
 	s.Upstream.Kind = kind
+	if f.opts.AgentColdLimit != 0 {
+		s.Upstream.ColdLimit = f.opts.AgentColdLimit
+	}
 	s.Upstream.URL = f.Upstreams[name]
 	if err := f.startWith(name, "coltsfoot-agent", s.OperatorAddress, s); err != nil {
 		return err
@@ -249,6 +261,7 @@
 	c.Zone = d.Zones[i%len(d.Zones)]
 	c.OperatorAddress = operator
 	c.OperatorToken = OperatorToken
+	c.Credentials.Token = ProcessToken
 	return c
 }
 
--- a/pkg/agent/work.go
+++ b/pkg/agent/work.go
@@ -7,8 +7,6 @@
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
-	"github.com/coltsfootpitch/coltsfootpitch/pkg/fence"
-	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/upstream"
 )
 
@@ -55,13 +53,13 @@
 		a.queue.Pop()
 		c := a.closedTo(t.req)
 		if c == code.OK {
-			c = a.fence.Start(t.key, a.now())
+			c = a.fence.Start(t.fenced.Key, a.clock())
 		}
 		if c == code.OK {
 			return t
 		}
 		a.limiter.End(t.run, a.now(), false)
-		a.fence.Refuse(t.key, a.now())
+		a.fence.Refuse(t.fenced.Key)
 		delete(a.tasks, i.ID)
 		t.finish(c, "", 0)
 	}
@@ -76,7 +74,7 @@
 	began := a.now()
 	answer, err := a.client.Run(t.ctx, t.req, func(p upstream.Part) error {
 		a.part(t)
-		return t.send(a.fence.Incarnation(), p)
+		return t.send(p)
 	})
 	c, detail := a.verdict(t, answer, err)
 	a.end(t, began, c, answer)
@@ -124,7 +122,7 @@
 	if c == code.UpstreamLost {
 		a.limiter.Reset()
 	}
-	a.fence.End(t.key, now)
+	a.fence.End(t.fenced.Key)
 	a.queue.Settle(t.req.Organisation, t.req.Cost, max(answer.Tokens, 1))
 	a.service += serviceGain * (float64(took.Milliseconds()) - a.service)
 	delete(a.tasks, t.id)
@@ -133,7 +131,3 @@
 
 // serviceGain is the weight of the newest sample in the mean service time.
 const serviceGain = 0.1
-
-func keyOf(r peer.CancelRequest) fence.Key {
-	return fence.Key{Request: r.Request, Attempt: r.Attempt}
-}
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -2,14 +2,11 @@
 
 import (
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
-	"github.com/coltsfootpitch/coltsfootpitch/pkg/configuration"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
 )
 
 // Methods of the protocol.
 const (
-	MethodRun       = "run"
-	MethodFrame     = "frame"
 	MethodCancel    = "cancel"
 	MethodStatus    = "status"
 	MethodConfigure = "configure"
@@ -39,10 +36,15 @@
 // RunRequest asks an agent to run one attempt of a request at its upstream.
 type RunRequest struct {
 	News
+	// Call is the identity that the entry gave to the request; it is unique over all
+	// entries and their lives, while the caller chooses Request.
+	Call    string `json:"call"`
 	Request string `json:"request"`
 	Attempt int    `json:"attempt"`
 	// Incarnation is the incarnation of the agent that the attempt is addressed to.
-	Incarnation  string   `json:"incarnation"`
+	Incarnation string `json:"incarnation"`
+	// IssuedMillis is a time not after the sending, on the clock of the incarnation.
+	IssuedMillis int64    `json:"issued_ms"`
 	Organisation string   `json:"organisation"`
 	Priority     int      `json:"priority"`
 	Weight       int      `json:"weight"`
@@ -62,31 +64,34 @@
 	IdempotencyKey string `json:"idempotency_key,omitempty"`
 	// Cost is the expected cost in tokens; a service call costs 1.
 	Cost int64 `json:"cost"`
-	// StartByMillis is the time from receipt within which the attempt may start.
+	// StartByMillis is the time from the issue within which the attempt may start.
 	StartByMillis int64 `json:"start_by_ms"`
 	// TimeoutMillis is the time from receipt within which the answer must be whole.
 	TimeoutMillis int64 `json:"timeout_ms"`
 }
 
-// Frame carries bytes of an answer from the agent to the entry.
+// Frame is a piece of an answer on its way from the agent to the entry.
 type Frame struct {
-	Request     string `json:"request"`
-	Attempt     int    `json:"attempt"`
-	Incarnation string `json:"incarnation"`
 	// Offset is the number of answer bytes before this frame.
-	Offset int64  `json:"offset"`
-	Data   []byte `json:"data"`
+	Offset int64
+	Data   []byte
 	// Status and Headers are set in the first frame only.
-	Status  int      `json:"status,omitempty"`
-	Headers []Header `json:"headers,omitempty"`
+	Status  int
+	Headers []Header
+	// More is set when the next frame follows at once.
+	More bool
 }
 
 // RunResult ends an attempt.
 type RunResult struct {
 	News
-	Code        code.Code `json:"code"`
-	Detail      string    `json:"detail,omitempty"`
-	Incarnation string    `json:"incarnation"`
+	Code   code.Code `json:"code"`
+	Detail string    `json:"detail,omitempty"`
+	// Call, Request, Attempt and Incarnation tell which attempt ended.
+	Call        string `json:"call"`
+	Request     string `json:"request"`
+	Attempt     int    `json:"attempt"`
+	Incarnation string `json:"incarnation"`
 	// Length is the number of bytes of the whole answer and Checksum their xxHash64.
 	Length   int64  `json:"length"`
 	Checksum uint64 `json:"checksum,string"`
@@ -100,10 +105,12 @@
 // CancelRequest asks an agent to end an attempt, or to see that it never starts.
 type CancelRequest struct {
 	News
-	Request string `json:"request"`
-	Attempt int    `json:"attempt"`
-	// Incarnation is the incarnation of the agent that the attempt was addressed to.
-	Incarnation string `json:"incarnation"`
+	// Call, Request, Attempt, Incarnation and IssuedMillis are those of the RunRequest.
+	Call         string `json:"call"`
+	Request      string `json:"request"`
+	Attempt      int    `json:"attempt"`
+	Incarnation  string `json:"incarnation"`
+	IssuedMillis int64  `json:"issued_ms"`
 }
 
 // CancelState states what became of a cancelled attempt.
@@ -133,9 +140,13 @@
 // Status is the state of an agent and its upstream.
 type Status struct {
 	News
-	Upstream    string   `json:"upstream"`
-	Zone        string   `json:"zone"`
-	Incarnation string   `json:"incarnation"`
+	Upstream    string `json:"upstream"`
+	Zone        string `json:"zone"`
+	Incarnation string `json:"incarnation"`
+	// WorkAddress is the host:port to which attempts are sent.
+	WorkAddress string `json:"work_address,omitempty"`
+	// ClockMillis is the time since the start of the incarnation.
+	ClockMillis int64    `json:"clock_ms"`
 	Models      []string `json:"models,omitempty"`
 	Services    []string `json:"services,omitempty"`
 	// Limit is the number of requests that the upstream bears now.
@@ -150,14 +161,3 @@
 	// ServiceMillis is the mean service time of the newest requests.
 	ServiceMillis float64 `json:"service_ms"`
 }
-
-// ConfigureRequest hands a configuration document to a process that is behind.
-type ConfigureRequest struct {
-	News
-	Document *configuration.Document `json:"document"`
-}
-
-// ConfigureResult answers with the version in force at the receiver.
-type ConfigureResult struct {
-	News
-}
