--- a/pkg/agent/task.go
+++ b/pkg/agent/task.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/admission"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/fairness"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/fence"
@@ -28,8 +29,10 @@
 	arrived time.Time
 	// startIn is the start budget left when the attempt was admitted.
 	startIn time.Duration
-	offset  int64
-	sum     *xxhash.Digest
+	// run is set when the task has started.
+	run    *admission.Run
+	offset int64
+	sum    *xxhash.Digest
 }
 
 func (a *Agent) newTask(s peer.Sender, r peer.RunRequest) *task {
