--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -67,12 +67,8 @@
 		fence:    fence.New(fence.Options{Incarnation: uuid.NewString()}),
 		born:     o.Now(),
 		queue:    fairness.New(o.Settings.QueueLimit),
-		limiter: admission.New(admission.Options{
-			Cold: o.Settings.Upstream.ColdLimit,
-			Max:  o.Settings.Upstream.MaxLimit,
-			Idle: o.Settings.Upstream.Idle(),
-		}),
-		tasks: map[string]*task{},
+		limiter:  admission.New(o.Settings.Upstream.admission()),
+		tasks:    map[string]*task{},
 	}
 	a.wake = sync.NewCond(&a.mu)
 	return a
--- a/pkg/process/main.go
+++ b/pkg/process/main.go
@@ -143,6 +143,10 @@
 	case <-signals:
 	case s := <-app.Wait():
 		exit = s.ExitCode
+		if s.Signal != nil {
+			// fx relays the signal that signals receives too; only another one is the second.
+			<-signals
+		}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), base.StopTimeout())
 	defer cancel()
