--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := bin
 GATE := $(BIN)/coltsfoot-gate KNOWN-RED.txt
 
-.PHONY: build demo test bench lint
+.PHONY: build demo test bench lint slopes
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -18,6 +18,10 @@
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
 
+# Measures what each further peer, change or organisation costs; docs/CAPACITY.md quotes a run.
+slopes: build
+	$(GO) run ./internal/slopes --bin $(BIN)
+
 lint:
 	@test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
 	$(GO) vet ./...
--- /dev/null
+++ b/internal/slopes/configuration.go
@@ -0,0 +1,138 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/configuration"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/membership"
+)
+
+const editRounds = 40
+
+// document returns a configuration with n organisations.
+func document(n int) *configuration.Document {
+	d := &configuration.Document{Version: 1, Edit: "first", Limits: configuration.DefaultLimits()}
+	for z := range fullZones {
+		d.Zones = append(d.Zones, configuration.Zone{Name: fmt.Sprintf("zone-%d", z), Region: "r", State: configuration.ZoneIn})
+	}
+	for i := range n {
+		d.Organisations = append(d.Organisations, configuration.Organisation{
+			Name: fmt.Sprintf("organisation-%04d", i), KeySHA256: fmt.Sprintf("%064x", i), Weight: 10, Priority: 1,
+		})
+	}
+	return d
+}
+
+// measureConfiguration measures an edit of one organisation: the update that travels,
+// the work of a process that hands it on and of one that takes it, and the memory.
+func measureConfiguration(_ context.Context, r *rates) error {
+	var x, memory []float64
+	var cpu [2][]float64
+	for _, n := range []int{400, 1200, 3600} {
+		before := heap()
+		sender, receiver := &configuration.Holder{}, &configuration.Holder{}
+		sender.Adopt(document(n))
+		receiver.Adopt(document(n))
+		made, took, err := edits(sender, receiver, r)
+		if err != nil {
+			return err
+		}
+		x = append(x, float64(n))
+		cpu[0] = append(cpu[0], float64(made)/editRounds)
+		cpu[1] = append(cpu[1], float64(took)/editRounds)
+		memory = append(memory, float64(heap()-before)/2)
+		whole, err := json.Marshal(sender.Document())
+		if err != nil {
+			return err
+		}
+		r.whole = float64(len(whole))
+		if receiver.View().Version() != sender.View().Version() {
+			return fmt.Errorf("the receiver is behind")
+		}
+	}
+	r.diffCPU = fit(x, cpu[0])
+	r.takeCPU = fit(x, cpu[1])
+	r.holder = fit(x, memory)
+	return nil
+}
+
+// edits edits one organisation after the other at the sender, passes each on, and returns
+// the processor time of making the updates and of taking them.
+func edits(sender, receiver *configuration.Holder, r *rates) (made, took time.Duration, err error) {
+	for i := range editRounds {
+		sender.Adopt(edited(sender.Document(), i))
+		start, err := ownCPU()
+		if err != nil {
+			return 0, 0, err
+		}
+		u, _, err := sender.UpdateFrom(receiver.View().Version())
+		if err != nil {
+			return 0, 0, err
+		}
+		text, err := json.Marshal(u)
+		if err != nil {
+			return 0, 0, err
+		}
+		middle, err := ownCPU()
+		if err != nil {
+			return 0, 0, err
+		}
+		var got configuration.Update
+		if err := json.Unmarshal(text, &got); err != nil {
+			return 0, 0, err
+		}
+		if _, err = receiver.Take(got); err != nil {
+			return 0, 0, err
+		}
+		end, err := ownCPU()
+		if err != nil {
+			return 0, 0, err
+		}
+		made += middle - start
+		took += end - middle
+		r.update = float64(len(text))
+	}
+	return made, took, nil
+}
+
+// edited returns the document after an edit of one organisation.
+func edited(d *configuration.Document, i int) *configuration.Document {
+	next := *d
+	next.Organisations = append([]configuration.Organisation(nil), next.Organisations...)
+	next.Organisations[i].Weight++
+	next.Version++
+	next.Edit = fmt.Sprintf("0b0e5c8c-6d0c-4f6f-9d3e-%012d", i)
+	next.Trail = append(append([]configuration.EditRef(nil), next.Trail...), configuration.EditRef{Version: next.Version, ID: next.Edit})
+	next.Trail = next.Trail[max(0, len(next.Trail)-16):]
+	return &next
+}
+
+// measureSubsets measures what an entry works out when the instance list changes.
+func measureSubsets(_ context.Context, r *rates) error {
+	entries, agents := members("entry", fullNodes), members("agent", fullWorkers)
+	const rounds = 5
+	start, err := ownCPU()
+	if err != nil {
+		return err
+	}
+	watched := 0
+	for i := range rounds {
+		watched += len(membership.Watched(entries[i*101], entries, agents))
+		membership.NewTree(entries[i*101].Zone, entries)
+	}
+	end, err := ownCPU()
+	r.watched = float64(watched) / rounds
+	r.subsetCPU = (end - start) / time.Duration(rounds)
+	return err
+}
+
+func members(prefix string, n int) []membership.Member {
+	out := make([]membership.Member, n)
+	for i := range out {
+		out[i] = membership.Member{ID: fmt.Sprintf("%s-%d", prefix, i), Zone: fmt.Sprintf("zone-%d", i%fullZones)}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/slopes/fleet.go
@@ -0,0 +1,133 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/coltsfootpitch/coltsfootpitch/internal/fleet"
+)
+
+// window is the time over which idle fleets are measured.
+const window = 5 * time.Second
+
+// size is the size of a fleet.
+type size struct{ entries, workers int }
+
+// cost is the usage of one process of a role in a second, and its memory.
+type cost struct{ cpu, bytes, resident float64 }
+
+// measureFleets starts idle fleets and measures entries, agents and controllers: over the
+// number of agents, and over that of entries.
+func measureFleets(ctx context.Context, bin string, r *rates) error {
+	var agents, entries []float64
+	var overAgents, overEntries [3][]float64
+	for _, s := range []size{{3, 4}, {3, 12}, {3, 24}, {6, 12}, {9, 12}} {
+		all, err := measureFleet(ctx, bin, s)
+		if err != nil {
+			return err
+		}
+		e, a := all["entry"], all["agent"]
+		fmt.Printf("fleet entries=%d agents=%d entry_cpu=%.3f%% entry_bytes/s=%.0f agent_cpu=%.3f%% agent_bytes/s=%.0f entry_rss=%.0fMB agent_rss=%.0fMB\n",
+			s.entries, s.workers, 100*e.cpu, e.bytes, 100*a.cpu, a.bytes, e.resident/1e6, a.resident/1e6)
+		if s.entries == 3 {
+			agents = append(agents, float64(s.workers))
+			overAgents = e.add(overAgents)
+		}
+		if s.workers == 12 {
+			entries = append(entries, float64(s.entries))
+			overEntries = a.add(overEntries)
+		}
+		r.controller = all["controller"]
+	}
+	r.entryCPU, r.entryBytes, r.entryRSS = fit(agents, overAgents[0]), fit(agents, overAgents[1]), fit(agents, overAgents[2])
+	r.agentCPU, r.agentBytes, r.agentRSS = fit(entries, overEntries[0]), fit(entries, overEntries[1]), fit(entries, overEntries[2])
+	return nil
+}
+
+func (c cost) add(to [3][]float64) [3][]float64 {
+	for i, v := range []float64{c.cpu, c.bytes, c.resident} {
+		to[i] = append(to[i], v)
+	}
+	return to
+}
+
+// measureFleet returns the mean cost of the processes of each role in an idle fleet.
+func measureFleet(ctx context.Context, bin string, s size) (map[string]cost, error) {
+	dir, err := os.MkdirTemp("", "slopes")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	f, err := fleet.Start(ctx, fleet.Options{
+		Bin: bin, Dir: dir, Organisations: []string{"a", "b"},
+		Deployments: []fleet.Deployment{{
+			Region: "trondelag", Zones: []string{"gate-north", "gate-south", "lab-hall"}, Entries: s.entries,
+			Model: "intake-llm", Workers: s.workers, Service: "weighbridge-app",
+		}},
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	// The start is over.
+	time.Sleep(time.Second)
+	before, err := usages(f)
+	if err != nil {
+		return nil, err
+	}
+	time.Sleep(window)
+	after, err := usages(f)
+	if err != nil {
+		return nil, err
+	}
+	return mean(before, after), nil
+}
+
+func usages(f *fleet.Fleet) (map[string]usage, error) {
+	out := map[string]usage{}
+	for name, p := range f.Processes {
+		if p.Operator == "" {
+			continue
+		}
+		u, err := usageOf(p.PID())
+		if err != nil {
+			return nil, err
+		}
+		out[name] = u
+	}
+	return out, nil
+}
+
+// mean returns the cost of a mean process of each role.
+func mean(before, after map[string]usage) map[string]cost {
+	sum := map[string]cost{}
+	count := map[string]float64{}
+	for name, a := range after {
+		b := before[name]
+		role := roleOf(name)
+		c := sum[role]
+		c.cpu += (a.cpu - b.cpu).Seconds() / window.Seconds()
+		c.bytes += float64(a.bytes-b.bytes) / window.Seconds()
+		c.resident += float64(a.resident)
+		sum[role] = c
+		count[role]++
+	}
+	for role, c := range sum {
+		n := count[role]
+		sum[role] = cost{c.cpu / n, c.bytes / n, c.resident / n}
+	}
+	return sum
+}
+
+func roleOf(name string) string {
+	switch {
+	case strings.HasSuffix(name, "-controller"):
+		return "controller"
+	case strings.Contains(name, "-entry-"):
+		return "entry"
+	}
+	return "agent"
+}
--- /dev/null
+++ b/internal/slopes/main.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	c := &cli.Command{
+		Name:  "slopes",
+		Usage: "measure the costs of control and work them out at the size aimed for",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "bin", Value: "bin", Usage: "`DIRECTORY` of the binaries"},
+		},
+		Action: run,
+	}
+	if err := c.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, c *cli.Command) error {
+	var r rates
+	for _, measure := range []func(context.Context, *rates) error{
+		measureExchanges,
+		measureConfiguration,
+		measureSubsets,
+		func(ctx context.Context, r *rates) error { return measureFleets(ctx, c.String("bin"), r) },
+	} {
+		if err := measure(ctx, &r); err != nil {
+			return err
+		}
+	}
+	r.report(os.Stdout)
+	return nil
+}
--- /dev/null
+++ b/internal/slopes/usage.go
@@ -0,0 +1,105 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// usage is what a process has used since its start.
+type usage struct {
+	cpu   time.Duration
+	bytes int64
+	// resident is the memory held now, in bytes.
+	resident int64
+}
+
+// usageOf reads the usage of a process from the system.
+func usageOf(pid int) (usage, error) {
+	var u usage
+	tasks, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
+	if err != nil {
+		return u, err
+	}
+	for _, t := range tasks {
+		text, err := os.ReadFile(t)
+		if err != nil {
+			// The thread has ended.
+			continue
+		}
+		ns, err := strconv.ParseInt(strings.Fields(string(text))[0], 10, 64)
+		if err != nil {
+			return u, err
+		}
+		u.cpu += time.Duration(ns)
+	}
+	fields, err := counters(fmt.Sprintf("/proc/%d/io", pid))
+	if err != nil {
+		return u, err
+	}
+	u.bytes = fields["rchar"] + fields["wchar"]
+	fields, err = counters(fmt.Sprintf("/proc/%d/status", pid))
+	u.resident = fields["VmRSS"] << 10
+	return u, err
+}
+
+// counters reads lines of the form "name: number".
+func counters(path string) (map[string]int64, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	out := map[string]int64{}
+	for line := range strings.Lines(string(text)) {
+		name, rest, _ := strings.Cut(line, ":")
+		words := strings.Fields(rest)
+		if len(words) == 0 {
+			continue
+		}
+		n, err := strconv.ParseInt(words[0], 10, 64)
+		if err == nil {
+			out[name] = n
+		}
+	}
+	return out, nil
+}
+
+// ownCPU returns the processor time of this process.
+func ownCPU() (time.Duration, error) {
+	var r syscall.Rusage
+	err := syscall.Getrusage(syscall.RUSAGE_SELF, &r)
+	return time.Duration(r.Utime.Nano() + r.Stime.Nano()), err
+}
+
+// heap returns the bytes of the objects in use in this process.
+func heap() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapInuse + m.StackInuse)
+}
+
+// line is a straight line fitted to points.
+type line struct{ base, slope float64 }
+
+// fit returns the line of least squares.
+func fit(x, y []float64) line {
+	n := float64(len(x))
+	var sx, sy, sxx, sxy float64
+	for i := range x {
+		sx += x[i]
+		sy += y[i]
+		sxx += x[i] * x[i]
+		sxy += x[i] * y[i]
+	}
+	slope := (n*sxy - sx*sy) / (n*sxx - sx*sx)
+	return line{base: (sy - slope*sx) / n, slope: slope}
+}
+
+func (l line) at(x float64) float64 { return l.base + l.slope*x }
--- a/pkg/configstore/edit.go
+++ b/pkg/configstore/edit.go
@@ -245,6 +245,7 @@
 	}
 	// The follower takes the trail from the head.
 	u.Trail = nil
+	u.Continues = false
 	text, err := json.Marshal(u)
 	if err != nil || len(text) > configuration.MaxUpdateBytes {
 		return nil, err
--- a/pkg/configuration/holder.go
+++ b/pkg/configuration/holder.go
@@ -101,6 +101,8 @@
 	mu sync.Mutex
 	// recent holds replaced documents, oldest first.
 	recent []*Document
+	// updates holds updates to the document in force by the version that they build on.
+	updates map[int64]Update
 }
 
 // View returns the document in force, or nil when none was adopted yet.
@@ -132,6 +134,7 @@
 		h.recent = h.recent[max(0, len(h.recent)-recentLength):]
 	}
 	h.view.Store(next)
+	h.updates = map[int64]Update{}
 	return true
 }
 
@@ -143,10 +146,44 @@
 	if d == nil || version >= d.Version {
 		return Update{}, false, nil
 	}
-	u, err := Diff(h.earlier(version), d)
+	old := h.earlier(version)
+	from := old.version()
+	if u, ok := h.cached(from, d); ok {
+		return u, true, nil
+	}
+	u, err := Diff(old, d)
+	if err == nil {
+		h.cache(u)
+	}
 	return u, err == nil, err
 }
 
+// cached returns the update from a version to d that was made or taken before.
+func (h *Holder) cached(from int64, d *Document) (Update, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	u, ok := h.updates[from]
+	return u, ok && u.Version == d.Version
+}
+
+// cache keeps an update for other processes that are as far behind. Updates with all
+// sections are not kept, because of their size.
+func (h *Holder) cache(u Update) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if u.From != 0 && u.Version == h.View().Version() {
+		h.updates[u.From] = u
+	}
+}
+
+// version returns the version of d; a nil document has version 0.
+func (d *Document) version() int64 {
+	if d == nil {
+		return 0
+	}
+	return d.Version
+}
+
 func (h *Holder) earlier(version int64) *Document {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -169,5 +206,9 @@
 	if err != nil {
 		return false, err
 	}
-	return h.Adopt(d), nil
+	if !h.Adopt(d) {
+		return false, nil
+	}
+	h.cache(u)
+	return true, nil
 }
--- a/pkg/configuration/update.go
+++ b/pkg/configuration/update.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"reflect"
+	"slices"
 
 	"github.com/samber/oops"
 )
@@ -33,8 +34,10 @@
 	FromEdit string `json:"from_edit,omitempty"`
 	Version  int64  `json:"version"`
 	Edit     string `json:"edit"`
-	// Trail is that of the document that the update leads to.
-	Trail []EditRef `json:"trail,omitempty"`
+	// Trail is that of the document that the update leads to. When Continues is set it
+	// holds only the edits after the document that the update builds on.
+	Trail     []EditRef `json:"trail,omitempty"`
+	Continues bool      `json:"continues,omitempty"`
 	// Changes hold the sections that differ.
 	Changes []Change `json:"changes"`
 }
@@ -45,6 +48,7 @@
 	if old != nil {
 		u.From = old.Version
 		u.FromEdit = old.Edit
+		u.shorten()
 	}
 	for _, s := range Sections() {
 		c, changed, err := diffSection(old, next, s)
@@ -143,9 +147,22 @@
 	next.Version = u.Version
 	next.Edit = u.Edit
 	next.Trail = u.Trail
+	if u.Continues {
+		next.Trail = append(slices.Clone(old.Trail), u.Trail...)
+		next.Trail = next.Trail[max(0, len(next.Trail)-trailLength):]
+	}
 	return next, nil
 }
 
+// shorten leaves out the part of the trail that the receiver has.
+func (u *Update) shorten() {
+	i := slices.Index(u.Trail, EditRef{u.From, u.FromEdit})
+	if i >= 0 {
+		u.Trail = u.Trail[i+1:]
+		u.Continues = true
+	}
+}
+
 func applyChange(d *Document, c Change) error {
 	if len(c.Whole) > 0 {
 		// A fresh target: decoding must not write into a shared slice.
--- a/pkg/configuration/update_test.go
+++ b/pkg/configuration/update_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
@@ -64,3 +65,32 @@
 	is.NoErr(err)
 	is.Equal(u.From, int64(0)) // Unknown here: all sections whole.
 }
+
+// A process that took every update has the same trail as one that took the whole document.
+func TestTrailThroughUpdates(t *testing.T) {
+	is := is.New(t)
+	var sender, receiver configuration.Holder
+	d := sample(1, "edit-1", "m1")
+	sender.Adopt(d)
+	receiver.Adopt(d)
+	for v := int64(2); v < 40; v++ {
+		next := *d
+		next.Version = v
+		next.Edit = fmt.Sprintf("edit-%d", v)
+		next.Models = []configuration.Model{{Name: fmt.Sprintf("m%d", v)}}
+		next.Trail = append(append([]configuration.EditRef(nil), d.Trail...), configuration.EditRef{Version: v, ID: next.Edit})
+		next.Trail = next.Trail[max(0, len(next.Trail)-16):]
+		sender.Adopt(&next)
+		d = &next
+		if v%3 == 0 {
+			continue // The receiver misses this one.
+		}
+		u, _, err := sender.UpdateFrom(receiver.View().Version())
+		is.NoErr(err)
+		is.True(len(u.Trail) <= 2)
+		took, err := receiver.Take(u)
+		is.NoErr(err)
+		is.True(took)
+		is.Equal(receiver.Document().Trail, d.Trail)
+	}
+}
