Queue work by organisation with start-time fair queueing

Cause: waiting work was served by priority and arrival, a full queue refused whoever came next, and a higher priority starved a lower one.

Change: start-time fair queueing by organisation within priority, the same between priorities with factor 8; costs corrected by actual tokens; a full queue pushes out the newest item of the organisation that holds most of it for its weight; bounded in items and bytes; organisations below their share save up a bounded service.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -42,6 +42,8 @@
 	fence   *fence.Fence
 	queue   *fairness.Queue
 	limiter *admission.Limiter
+	// cold is the state of the limiter that was last recorded.
+	cold    bool
 	tasks   map[string]*task
 	health  upstream.Health
 	up      bool
@@ -66,7 +68,7 @@
 		meters:   newMeters(o.Registry),
 		fence:    fence.New(fence.Options{Incarnation: uuid.NewString()}),
 		born:     o.Now(),
-		queue:    fairness.New(o.Settings.QueueLimit),
+		queue:    fairness.New(o.Settings.queue()),
 		limiter:  admission.New(o.Settings.Upstream.admission()),
 		tasks:    map[string]*task{},
 	}
--- a/pkg/agent/meters.go
+++ b/pkg/agent/meters.go
@@ -14,6 +14,11 @@
 	failed  metrics.Counter
 	refused metrics.Counter
 	service metrics.Timer
+	// surplus counts the requests given back for want of room.
+	surplus metrics.Counter
+	// cold counts how often the upstream went back to cold.
+	cold  metrics.Counter
+	limit metrics.Gauge
 }
 
 func newMeters(r metrics.Registry) meters {
@@ -25,6 +30,9 @@
 		failed:  metrics.GetOrRegisterCounter("agent_work_failed", r),
 		refused: metrics.GetOrRegisterCounter("agent_work_refused", r),
 		service: metrics.GetOrRegisterTimer("agent_service_seconds", r),
+		surplus: metrics.GetOrRegisterCounter("agent_surplus_given_back", r),
+		cold:    metrics.GetOrRegisterCounter("agent_upstream_cold", r),
+		limit:   metrics.GetOrRegisterGauge("agent_limit", r),
 	}
 }
 
--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -28,19 +28,16 @@
 func (a *Agent) admit(t *task) code.Code {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if c := a.closedTo(t.req); c != code.OK {
+	if c := a.takes(t.req); c != code.OK {
 		return a.fence.Reject(t.fenced, a.clock(), c)
 	}
 	budget := time.Duration(t.req.StartByMillis) * time.Millisecond
 	if c := a.fence.Admit(t.fenced, a.clock(), budget); c != code.OK {
 		return c
 	}
-	if !a.queue.Push(t.item()) {
-		a.fence.Refuse(t.fenced.Key)
-		return code.Overloaded
-	}
 	t.startIn = a.fence.StartBy(t.fenced.Key) - a.clock()
 	a.tasks[t.id] = t
+	a.giveBack(a.queue.Push(t.item()))
 	a.wake.Signal()
 	return code.OK
 }
@@ -110,8 +107,7 @@
 	a.mu.Lock()
 	waiting := a.queue.Remove(t.id)
 	if waiting {
-		a.fence.Refuse(t.fenced.Key)
-		delete(a.tasks, t.id)
+		a.drop(t)
 	}
 	a.mu.Unlock()
 	if waiting {
@@ -129,8 +125,7 @@
 			return
 		}
 		t := a.tasks[i.ID]
-		a.fence.Refuse(t.fenced.Key)
-		delete(a.tasks, i.ID)
+		a.drop(t)
 		t.finish(code.UpstreamLeaving, "", 0)
 	}
 }
--- a/pkg/agent/settings.go
+++ b/pkg/agent/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/admission"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/fairness"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/process"
 )
 
@@ -65,15 +66,27 @@
 	Upstream    UpstreamSettings `yaml:"upstream"`
 	// QueueLimit bounds the requests that wait.
 	QueueLimit int `yaml:"queue_limit" validate:"min=1"`
+	// QueueBytes bounds the memory that the bodies of waiting requests hold.
+	QueueBytes int64 `yaml:"queue_bytes" validate:"min=1024"`
+	// SavedTokens is the service that an organisation of weight 1 may save up while it
+	// offers less than its share.
+	SavedTokens int64 `yaml:"saved_tokens" validate:"min=0"`
 	// ProbeMillis is the interval of the health probe.
 	ProbeMillis int64 `yaml:"probe_ms" validate:"min=10"`
 }
 
+// queue returns the options of the fairness queue.
+func (s Settings) queue() fairness.Options {
+	return fairness.Options{Items: s.QueueLimit, Bytes: s.QueueBytes, Burst: s.SavedTokens}
+}
+
 // DefaultSettings returns the settings before the file is read.
 func DefaultSettings() Settings {
 	return Settings{
 		Common:      process.DefaultCommon(),
 		QueueLimit:  256,
+		QueueBytes:  32 << 20,
+		SavedTokens: 16_384,
 		ProbeMillis: 250,
 		Upstream: UpstreamSettings{
 			ColdLimit: 2, MaxLimit: 32, IdleMillis: 300_000,
--- a/pkg/agent/status.go
+++ b/pkg/agent/status.go
@@ -74,7 +74,7 @@
 	}
 	if h.Incarnation != a.health.Incarnation {
 		a.limiter.Reset()
-		a.events.Record(event.Event{Kind: event.UpstreamCold, Upstream: a.settings.Name, Detail: "incarnation " + h.Incarnation})
+		a.limitChanged("new incarnation")
 	}
 	a.health = h
 	a.wake.Broadcast()
--- a/pkg/agent/task.go
+++ b/pkg/agent/task.go
@@ -61,6 +61,7 @@
 		Weight:       t.req.Weight,
 		Priority:     t.req.Priority,
 		Cost:         t.req.Cost,
+		Bytes:        int64(len(t.req.Body)),
 	}
 }
 
@@ -75,7 +76,15 @@
 
 // finish hands the result to the waiting call. Only the first result counts.
 func (t *task) finish(c code.Code, detail string, tokens int64) {
-	r := peer.RunResult{Code: c, Detail: detail, Length: t.offset, Checksum: t.sum.Sum64(), Tokens: tokens}
+	t.end(peer.RunResult{Code: c, Detail: detail, Length: t.offset, Checksum: t.sum.Sum64(), Tokens: tokens})
+}
+
+// giveBack refuses the task for want of room; wait is the time until there may be some.
+func (t *task) giveBack(wait time.Duration) {
+	t.end(peer.RunResult{Code: code.Overloaded, Checksum: t.sum.Sum64(), RetryAfterMillis: wait.Milliseconds()})
+}
+
+func (t *task) end(r peer.RunResult) {
 	select {
 	case t.ended <- r:
 	default:
--- a/pkg/agent/work.go
+++ b/pkg/agent/work.go
@@ -7,6 +7,7 @@
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/upstream"
 )
 
@@ -59,8 +60,7 @@
 			return t
 		}
 		a.limiter.End(t.run, a.now(), false)
-		a.fence.Refuse(t.fenced.Key)
-		delete(a.tasks, i.ID)
+		a.drop(t)
 		t.finish(c, "", 0)
 	}
 }
@@ -73,7 +73,9 @@
 	})
 	began := a.now()
 	answer, err := a.client.Run(t.ctx, t.req, func(p upstream.Part) error {
-		a.part(t)
+		if t.req.Stream && !p.More {
+			a.part(t)
+		}
 		return t.send(p)
 	})
 	c, detail := a.verdict(t, answer, err)
@@ -91,6 +93,7 @@
 	defer a.mu.Unlock()
 	unproven := a.limiter.Unproven()
 	a.limiter.Part(t.run, a.now())
+	a.limitChanged("late parts")
 	if a.limiter.Unproven() < unproven {
 		a.wake.Signal()
 	}
@@ -122,12 +125,22 @@
 	if c == code.UpstreamLost {
 		a.limiter.Reset()
 	}
+	a.limitChanged("answers")
 	a.fence.End(t.fenced.Key)
-	a.queue.Settle(t.req.Organisation, t.req.Cost, max(answer.Tokens, 1))
+	a.queue.Settle(t.req.Organisation, t.req.Cost, spent(t.req, c, answer))
 	a.service += serviceGain * (float64(took.Milliseconds()) - a.service)
 	delete(a.tasks, t.id)
 	a.wake.Broadcast()
 }
 
+// spent returns the actual cost of a run. The tokens of a whole answer that is not a
+// stream are not counted; its expected cost stands.
+func spent(r peer.RunRequest, c code.Code, answer upstream.Answer) int64 {
+	if answer.Tokens == 0 && c == code.OK {
+		return r.Cost
+	}
+	return max(answer.Tokens, 1)
+}
+
 // serviceGain is the weight of the newest sample in the mean service time.
 const serviceGain = 0.1
--- /dev/null
+++ b/pkg/fairness/dominant_test.go
@@ -0,0 +1,175 @@
+package fairness
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// The modelled upstream runs slots requests at a time, one token of each in a unit of time.
+const (
+	slots      = 32
+	smallOnes  = 9
+	meanTokens = 100.0
+	// timesOthers is the load that the dominant organisation offers, relative to all
+	// others together.
+	timesOthers = 50
+	horizon     = 30_000.0
+	burst       = 16_384
+)
+
+// arrival is one request that is sent at a time.
+type arrival struct {
+	at     float64
+	item   Item
+	tokens int64
+}
+
+// arrivals returns Poisson arrivals of an organisation that offers load, in parts of
+// the capacity. The expected cost is up to twice the actual one.
+func arrivals(r *rand.Rand, name string, load float64) []arrival {
+	var out []arrival
+	rate := load * slots / meanTokens
+	for at := r.ExpFloat64() / rate; at < horizon; at += r.ExpFloat64() / rate {
+		tokens := 1 + int64(r.ExpFloat64()*meanTokens)
+		out = append(out, arrival{at: at, tokens: tokens, item: Item{
+			ID: fmt.Sprint(name, len(out)), Organisation: name, Cost: tokens + r.Int63n(tokens+1), Bytes: 1024,
+		}})
+	}
+	return out
+}
+
+// running is a request in a slot.
+type running struct {
+	end float64
+	arrival
+}
+
+type slotHeap []running
+
+func (h slotHeap) Len() int           { return len(h) }
+func (h slotHeap) Less(i, j int) bool { return h[i].end < h[j].end }
+func (h slotHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *slotHeap) Push(x any)        { *h = append(*h, x.(running)) }
+func (h *slotHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// report is what one organisation got.
+type report struct {
+	offered, served, tokens int64
+	waits, responses        []float64
+}
+
+func p95(list []float64) float64 {
+	slices.Sort(list)
+	if len(list) == 0 {
+		return 0
+	}
+	return list[len(list)*95/100]
+}
+
+// simulate runs the arrivals through a queue and returns what each organisation got and
+// the number of moments at which a slot was free while work waited.
+func simulate(all []arrival) (map[string]*report, int) {
+	slices.SortStableFunc(all, func(a, b arrival) int {
+		if a.at < b.at {
+			return -1
+		}
+		return 1
+	})
+	q := New(Options{Items: 256, Bytes: 1 << 20, Burst: burst})
+	waiting := map[string]arrival{}
+	reports := map[string]*report{}
+	var busy slotHeap
+	idle := 0
+	start := func(now float64) {
+		for len(busy) < slots {
+			i, ok := q.Pop()
+			if !ok {
+				return
+			}
+			a := waiting[i.ID]
+			delete(waiting, i.ID)
+			heap.Push(&busy, running{now + float64(a.tokens), a})
+			reports[i.Organisation].waits = append(reports[i.Organisation].waits, now-a.at)
+		}
+		if q.Len() > 0 && len(busy) < slots {
+			idle++
+		}
+	}
+	for _, a := range all {
+		for len(busy) > 0 && busy[0].end <= a.at {
+			d := heap.Pop(&busy).(running)
+			r := reports[d.item.Organisation]
+			r.served++
+			r.tokens += d.tokens
+			r.responses = append(r.responses, d.end-d.at)
+			q.Settle(d.item.Organisation, d.item.Cost, d.tokens)
+			start(d.end)
+		}
+		r := reports[a.item.Organisation]
+		if r == nil {
+			r = &report{}
+			reports[a.item.Organisation] = r
+		}
+		r.offered++
+		waiting[a.item.ID] = a
+		for _, o := range q.Push(a.item) {
+			delete(waiting, o.ID)
+		}
+		start(a.at)
+	}
+	return reports, idle
+}
+
+// offer returns the requests of the small organisations, each with a part of its share,
+// and of the dominant one.
+func offer(part float64, dominant bool) []arrival {
+	share := 1.0 / (smallOnes + 1)
+	var all []arrival
+	for n := range smallOnes {
+		r := rand.New(rand.NewSource(int64(n) + 1))
+		all = append(all, arrivals(r, fmt.Sprint("small-", n), part*share)...)
+	}
+	if dominant {
+		r := rand.New(rand.NewSource(1000))
+		all = append(all, arrivals(r, "dominant", timesOthers*part*share*smallOnes)...)
+	}
+	return all
+}
+
+func TestDominantOrganisationDoesNotStarveTheSmallOnes(t *testing.T) {
+	for _, part := range []float64{0.3, 0.6, 0.8, 0.9, 0.95} {
+		t.Run(fmt.Sprint(part), func(t *testing.T) {
+			is := is.New(t)
+			without, _ := simulate(offer(part, false))
+			with, idle := simulate(offer(part, true))
+			is.Equal(idle, 0)
+			total := int64(0)
+			for _, r := range with {
+				total += r.tokens
+			}
+			worst, worstResponse, wait, waitAlone := 1.0, 0.0, 0.0, 0.0
+			for name, w := range without {
+				r := with[name]
+				worst = min(worst, float64(r.served)/float64(w.served))
+				wait = max(wait, p95(r.waits))
+				waitAlone = max(waitAlone, p95(w.waits))
+				worstResponse = max(worstResponse, p95(r.responses)/p95(w.responses))
+			}
+			used := float64(total) / (slots * horizon)
+			t.Logf("small ones offer %.2f of the capacity: least served %.4f, most p95 of the wait %.1f tokens (%.1f without), of the time to the whole answer ratio %.2f, capacity used %.3f",
+				part*smallOnes/(smallOnes+1), worst, wait, waitAlone, worstResponse, used)
+			is.True(worst >= 0.99)
+			is.True(worstResponse <= 2)
+			is.True(used >= 0.99)
+		})
+	}
+}
--- a/pkg/fairness/queue.go
+++ b/pkg/fairness/queue.go
@@ -1,74 +1,241 @@
 package fairness
 
-import "slices"
+import "container/list"
 
 // Item is one request that waits.
 type Item struct {
 	// ID identifies the item in the queue.
 	ID           string
 	Organisation string
-	// Weight is the share of the organisation relative to the others.
+	// Weight is the share of the organisation relative to the others; 0 counts as 1.
 	Weight int
 	// Priority is served before lower numbers.
 	Priority int
-	// Cost is the expected cost in tokens.
+	// Cost is the expected cost in tokens; 0 counts as 1.
 	Cost int64
+	// Bytes is the memory that the item holds.
+	Bytes int64
 }
 
+// Options bound a queue.
+type Options struct {
+	// Items is the number of items that wait at most.
+	Items int
+	// Bytes is the memory that waiting items hold at most; 0 means that it is not bounded.
+	Bytes int64
+	// Burst is the service in tokens that an organisation of weight 1 may save up while
+	// it offers less than its share; the zero value means none.
+	Burst int64
+}
+
+// PriorityFactor is the ratio of the shares of two successive priorities while both wait.
+const PriorityFactor = 8
+
+// idleFlows is the number of organisations without waiting items that are remembered.
+const idleFlows = 4096
+
 // Queue holds waiting items. It is not safe for concurrent use.
 type Queue struct {
-	max   int
-	items []Item
+	opts Options
+	// capacity is the number of items by which the load of organisations is measured.
+	capacity float64
+	bytes    int64
+	byID     map[string]*list.Element
+	flows    map[string]*flow
+	classes  map[int]*class
+	// now is the virtual time of the classes.
+	now     float64
+	waiting indexed[*class]
+	// loads has the flow that holds most of the queue for its weight first.
+	loads indexed[*flow]
 }
 
-// New returns an empty queue of at most max items.
-func New(max int) *Queue { return &Queue{max: max} }
+// New returns an empty queue.
+func New(o Options) *Queue {
+	q := &Queue{opts: o, capacity: float64(max(o.Items, 1)), byID: map[string]*list.Element{}, flows: map[string]*flow{}, classes: map[int]*class{}}
+	q.waiting = indexed[*class]{
+		less:  func(a, b *class) bool { return a.tag < b.tag },
+		place: func(c *class) *int { return &c.tagAt },
+	}
+	q.loads = indexed[*flow]{
+		less:  func(a, b *flow) bool { return a.share() > b.share() },
+		place: func(f *flow) *int { return &f.loadAt },
+	}
+	return q
+}
 
 // Len returns the number of waiting items.
-func (q *Queue) Len() int { return len(q.items) }
+func (q *Queue) Len() int { return len(q.byID) }
 
-// Push adds an item and reports whether there was room.
-func (q *Queue) Push(i Item) bool {
-	if len(q.items) >= q.max {
-		return false
-	}
-	at, _ := slices.BinarySearchFunc(q.items, i, func(a, b Item) int {
-		if a.Priority >= b.Priority {
-			return -1
-		}
-		return 1
-	})
-	q.items = slices.Insert(q.items, at, i)
-	return true
+// Push adds an item. It returns the items that were pushed out for want of room, which
+// may include the new one.
+func (q *Queue) Push(i Item) []Item {
+	f := q.flow(i)
+	e := f.items.PushBack(&entry{item: i, flow: f})
+	q.byID[i.ID] = e
+	q.bytes += i.Bytes
+	f.load += q.load(i)
+	q.arrange(f)
+	return q.trim()
 }
 
-// Pop removes and returns the next item.
-func (q *Queue) Pop() (Item, bool) {
-	if len(q.items) == 0 {
-		return Item{}, false
+// SetItems changes the number of items that wait at most and returns the items pushed out.
+func (q *Queue) SetItems(n int) []Item {
+	q.opts.Items = n
+	return q.trim()
+}
+
+// trim pushes items out until the queue is within its bounds.
+func (q *Queue) trim() []Item {
+	var out []Item
+	for len(q.byID) > 0 && q.full() {
+		last := q.loads.first().items.Back()
+		out = append(out, last.Value.(*entry).item)
+		q.take(last)
 	}
-	i := q.items[0]
-	q.items = q.items[1:]
-	return i, true
+	return out
+}
+
+func (q *Queue) full() bool {
+	return len(q.byID) > q.opts.Items || q.opts.Bytes > 0 && q.bytes > q.opts.Bytes
 }
 
 // Peek returns the next item without removing it.
 func (q *Queue) Peek() (Item, bool) {
-	if len(q.items) == 0 {
+	if len(q.byID) == 0 {
 		return Item{}, false
 	}
-	return q.items[0], true
+	f := q.waiting.first().flows.first()
+	return f.items.Front().Value.(*entry).item, true
+}
+
+// Pop removes and returns the next item, and charges its organisation with its cost.
+func (q *Queue) Pop() (Item, bool) {
+	if len(q.byID) == 0 {
+		return Item{}, false
+	}
+	c := q.waiting.first()
+	f := c.flows.first()
+	e := f.items.Front()
+	i := e.Value.(*entry).item
+	q.now = c.tag
+	c.now = max(c.now, f.tag)
+	c.tag += float64(max(i.Cost, 1)) / c.weight
+	f.tag += float64(max(i.Cost, 1)) / f.weight
+	q.take(e)
+	return i, true
 }
 
 // Remove removes the item with the ID and reports whether it waited.
 func (q *Queue) Remove(id string) bool {
-	at := slices.IndexFunc(q.items, func(i Item) bool { return i.ID == id })
-	if at < 0 {
-		return false
+	e, ok := q.byID[id]
+	if ok {
+		q.take(e)
 	}
-	q.items = slices.Delete(q.items, at, at+1)
-	return true
+	return ok
 }
 
 // Settle corrects the charge of an organisation once the actual cost is known.
-func (q *Queue) Settle(organisation string, expected, actual int64) {}
+func (q *Queue) Settle(organisation string, expected, actual int64) {
+	f, ok := q.flows[organisation]
+	if !ok {
+		return
+	}
+	c := f.class
+	diff := float64(actual - max(expected, 1))
+	f.tag = max(c.now-q.saved(), f.tag+diff/f.weight)
+	c.tag = max(q.now, c.tag+diff/c.weight)
+	q.arrange(f)
+}
+
+// saved is how far the tag of a flow may fall behind the virtual time.
+func (q *Queue) saved() float64 { return float64(q.opts.Burst) }
+
+// take removes an item from its flow.
+func (q *Queue) take(e *list.Element) {
+	n := e.Value.(*entry)
+	n.flow.items.Remove(e)
+	delete(q.byID, n.item.ID)
+	q.bytes -= n.item.Bytes
+	n.flow.load -= q.load(n.item)
+	q.arrange(n.flow)
+}
+
+// load is the part of the queue that an item fills.
+func (q *Queue) load(i Item) float64 {
+	load := 1 / q.capacity
+	if q.opts.Bytes > 0 {
+		load += float64(i.Bytes) / float64(q.opts.Bytes)
+	}
+	return load
+}
+
+// arrange puts a flow and its class into the heaps where they belong.
+func (q *Queue) arrange(f *flow) {
+	if f.items.Len() == 0 {
+		f.load = 0
+		f.class.flows.remove(f)
+		q.loads.remove(f)
+	} else {
+		f.class.flows.update(f)
+		q.loads.update(f)
+	}
+	if f.class.flows.Len() == 0 {
+		q.waiting.remove(f.class)
+		return
+	}
+	q.waiting.update(f.class)
+}
+
+// flow returns the flow of an item's organisation, ready to wait.
+func (q *Queue) flow(i Item) *flow {
+	f, ok := q.flows[i.Organisation]
+	if !ok {
+		q.forget()
+		f = &flow{name: i.Organisation, class: q.class(i.Priority), tagAt: absent, loadAt: absent}
+		q.flows[i.Organisation] = f
+	}
+	if f.items.Len() > 0 {
+		return f
+	}
+	f.weight = float64(max(i.Weight, 1))
+	if c := q.class(i.Priority); c != f.class {
+		f.class = c
+		f.tag = c.now - q.saved()
+	}
+	if f.class.flows.Len() == 0 {
+		f.class.tag = max(f.class.tag, q.now)
+	}
+	f.tag = max(f.tag, f.class.now-q.saved())
+	return f
+}
+
+func (q *Queue) class(priority int) *class {
+	c, ok := q.classes[priority]
+	if !ok {
+		c = newClass(priority)
+		q.classes[priority] = c
+	}
+	return c
+}
+
+// forget drops organisations that wait for nothing: those that are owed nothing, and
+// all when that leaves too many.
+func (q *Queue) forget() {
+	if len(q.flows)-q.loads.Len() < idleFlows {
+		return
+	}
+	for name, f := range q.flows {
+		if f.items.Len() == 0 && f.tag <= f.class.now-q.saved() {
+			delete(q.flows, name)
+		}
+	}
+	if len(q.flows)-q.loads.Len() < idleFlows {
+		return
+	}
+	for name, f := range q.flows {
+		if f.items.Len() == 0 {
+			delete(q.flows, name)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/fairness/queue_test.go
@@ -0,0 +1,238 @@
+package fairness
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// fuzzSeed makes each run of the fuzz tests the same.
+const fuzzSeed = "20261203"
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": fuzzSeed, "rapid.checks": "300", "rapid.nofailfile": "true", "rapid.shrinktime": "1s"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// shelf is the simple model of a queue: what each organisation has waiting, in order.
+type shelf map[string][]Item
+
+func (s shelf) drop(t *rapid.T, i Item, at int) {
+	list := s[i.Organisation]
+	if len(list) == 0 || list[at].ID != i.ID {
+		t.Fatalf("item %s of %s is out of order or unknown", i.ID, i.Organisation)
+	}
+	s[i.Organisation] = append(append([]Item(nil), list[:at]...), list[at+1:]...)
+}
+
+func (s shelf) len() int {
+	n := 0
+	for _, l := range s {
+		n += len(l)
+	}
+	return n
+}
+
+func (s shelf) longest() int {
+	n := 0
+	for _, l := range s {
+		n = max(n, len(l))
+	}
+	return n
+}
+
+func TestQueueAgainstAModel(t *testing.T) {
+	const bound = 24
+	rapid.Check(t, func(t *rapid.T) {
+		q := New(Options{Items: bound})
+		model := shelf{}
+		next := 0
+		for _, n := range rapid.SliceOfN(rapid.Uint16(), 300, 300).Draw(t, "actions") {
+			organisation := int(n>>8) % 9
+			switch n % 8 {
+			case 0, 1, 2, 3:
+				i := Item{ID: fmt.Sprint(next), Organisation: fmt.Sprint(organisation), Priority: organisation % 3, Cost: int64(n % 97)}
+				next++
+				model[i.Organisation] = append(model[i.Organisation], i)
+				for _, o := range q.Push(i) {
+					if len(model[o.Organisation]) < model.longest() {
+						t.Fatalf("%s was pushed out with %d items, the longest has %d", o.Organisation, len(model[o.Organisation]), model.longest())
+					}
+					model.drop(t, o, len(model[o.Organisation])-1)
+				}
+			case 4, 5:
+				peeked, _ := q.Peek()
+				i, ok := q.Pop()
+				if ok != (model.len() > 0) || i.ID != peeked.ID {
+					t.Fatalf("pop gave %v %v, peek %v, waiting %d", i, ok, peeked, model.len())
+				}
+				if ok {
+					model.drop(t, i, 0)
+				}
+			case 6:
+				if l := model[fmt.Sprint(organisation)]; len(l) > 0 {
+					at := int(n) % len(l)
+					if !q.Remove(l[at].ID) || q.Remove(l[at].ID) {
+						t.Fatal("remove")
+					}
+					model.drop(t, l[at], at)
+				}
+			case 7:
+				q.Settle(fmt.Sprint(organisation), int64(n%50), int64(n%300))
+			}
+			if q.Len() != model.len() || q.Len() > bound {
+				t.Fatalf("%d items wait, the model has %d", q.Len(), model.len())
+			}
+		}
+	})
+}
+
+func TestSharesFollowWeightsAndActualCosts(t *testing.T) {
+	is := is.New(t)
+	q := New(Options{Items: 1000})
+	served := map[string]int64{}
+	for n := range 200 {
+		q.Push(Item{ID: fmt.Sprint("a", n), Organisation: "a", Weight: 1, Cost: 10})
+		q.Push(Item{ID: fmt.Sprint("b", n), Organisation: "b", Weight: 3, Cost: 10})
+	}
+	for range 100 {
+		i, _ := q.Pop()
+		// The answers of organisation a are three times as long as expected.
+		actual := int64(10)
+		if i.Organisation == "a" {
+			actual = 30
+		}
+		q.Settle(i.Organisation, i.Cost, actual)
+		served[i.Organisation] += actual
+	}
+	t.Log(served)
+	is.True(served["b"] >= 3*served["a"]-60)
+	is.True(served["b"] <= 3*served["a"]+60)
+}
+
+func TestPrioritiesNeverStarve(t *testing.T) {
+	is := is.New(t)
+	q := New(Options{Items: 3000})
+	for n := range 1000 {
+		q.Push(Item{ID: fmt.Sprint("low", n), Organisation: "low", Priority: 0, Cost: 10})
+		q.Push(Item{ID: fmt.Sprint("high", n), Organisation: "high", Priority: 1, Cost: 10})
+	}
+	served := map[string]int{}
+	for range 900 {
+		i, _ := q.Pop()
+		served[i.Organisation]++
+	}
+	is.Equal(served["high"], 900*PriorityFactor/(PriorityFactor+1))
+	is.Equal(served["low"], 900/(PriorityFactor+1))
+}
+
+func TestOrganisationAloneMayUseAll(t *testing.T) {
+	is := is.New(t)
+	q := New(Options{Items: 100})
+	for n := range 100 {
+		is.Equal(len(q.Push(Item{ID: fmt.Sprint(n), Organisation: "only"})), 0)
+	}
+	for n := range 100 {
+		i, ok := q.Pop()
+		is.True(ok)
+		is.Equal(i.ID, fmt.Sprint(n))
+	}
+}
+
+func TestServiceTakenAloneIsNotHeldAgainstAnOrganisation(t *testing.T) {
+	is := is.New(t)
+	q := New(Options{Items: 2000})
+	for n := range 1000 {
+		q.Push(Item{ID: fmt.Sprint("x", n), Organisation: "early", Cost: 100})
+	}
+	for range 900 {
+		q.Pop()
+	}
+	for n := range 100 {
+		q.Push(Item{ID: fmt.Sprint("y", n), Organisation: "late", Cost: 100})
+	}
+	early := 0
+	for range 20 {
+		if i, _ := q.Pop(); i.Organisation == "early" {
+			early++
+		}
+	}
+	is.Equal(early, 10)
+}
+
+func TestFullQueuePushesOutTheOrganisationFurthestOverItsShare(t *testing.T) {
+	is := is.New(t)
+	q := New(Options{Items: 256})
+	for n := range 10_000 {
+		q.Push(Item{ID: fmt.Sprint("d", n), Organisation: "dominant", Cost: 1})
+	}
+	is.Equal(q.Len(), 256)
+	for n := range 100 {
+		out := q.Push(Item{ID: fmt.Sprint("s", n), Organisation: fmt.Sprint("small", n), Cost: 1})
+		is.Equal(len(out), 1)
+		is.Equal(out[0].Organisation, "dominant")
+	}
+}
+
+func TestMemoryIsBoundedWithAllOrganisations(t *testing.T) {
+	is := is.New(t)
+	const organisations = 3600
+	q := New(Options{Items: 256, Bytes: 1 << 20})
+	for n := range 20 * organisations {
+		q.Push(Item{ID: fmt.Sprint(n), Organisation: fmt.Sprint(n % organisations), Cost: 10, Bytes: int64(n % 40_000)})
+		is.True(q.bytes <= 1<<20)
+		if n%3 == 0 {
+			q.Pop()
+		}
+	}
+	is.True(q.Len() <= 256)
+	is.True(len(q.flows) <= idleFlows+256+1)
+	for n := range 20_000 {
+		q.Push(Item{ID: fmt.Sprint("new", n), Organisation: fmt.Sprint("other", n)})
+		q.Pop()
+	}
+	is.True(len(q.flows) <= idleFlows+256+1)
+}
+
+func TestSmallerBoundGivesTheSurplusBack(t *testing.T) {
+	is := is.New(t)
+	q := New(Options{Items: 64})
+	for n := range 60 {
+		q.Push(Item{ID: fmt.Sprint("d", n), Organisation: "dominant"})
+	}
+	q.Push(Item{ID: "s", Organisation: "small"})
+	out := q.SetItems(8)
+	is.Equal(len(out), 53)
+	for _, i := range out {
+		is.Equal(i.Organisation, "dominant")
+	}
+	is.Equal(q.Len(), 8)
+}
+
+func BenchmarkPushPop(b *testing.B) {
+	for _, organisations := range []int{10, 100, 1000, 3600} {
+		b.Run(fmt.Sprint(organisations), func(b *testing.B) {
+			q := New(Options{Items: 4 * organisations})
+			items := make([]Item, 2*organisations)
+			for n := range items {
+				items[n] = Item{ID: fmt.Sprint(n), Organisation: fmt.Sprint(n % organisations), Cost: int64(1 + n%100)}
+				q.Push(items[n])
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				i, _ := q.Pop()
+				q.Settle(i.Organisation, i.Cost, i.Cost+1)
+				q.Push(i)
+			}
+		})
+	}
+}
