--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -42,6 +42,8 @@
 	fence   *fence.Fence
 	queue   *fairness.Queue
 	limiter *admission.Limiter
+	// cold is the state of the limiter that was last recorded.
+	cold    bool
 	tasks   map[string]*task
 	health  upstream.Health
 	up      bool
@@ -66,13 +68,9 @@
 		meters:   newMeters(o.Registry),
 		fence:    fence.New(fence.Options{Incarnation: uuid.NewString()}),
 		born:     o.Now(),
-		queue:    fairness.New(o.Settings.QueueLimit),
-		limiter: admission.New(admission.Options{
-			Cold: o.Settings.Upstream.ColdLimit,
-			Max:  o.Settings.Upstream.MaxLimit,
-			Idle: o.Settings.Upstream.Idle(),
-		}),
-		tasks: map[string]*task{},
+		queue:    fairness.New(o.Settings.queue()),
+		limiter:  admission.New(o.Settings.Upstream.admission()),
+		tasks:    map[string]*task{},
 	}
 	a.wake = sync.NewCond(&a.mu)
 	return a
--- a/pkg/agent/task.go
+++ b/pkg/agent/task.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/admission"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/fairness"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/fence"
@@ -28,8 +29,10 @@
 	arrived time.Time
 	// startIn is the start budget left when the attempt was admitted.
 	startIn time.Duration
-	offset  int64
-	sum     *xxhash.Digest
+	// run is set when the task has started.
+	run    *admission.Run
+	offset int64
+	sum    *xxhash.Digest
 }
 
 func (a *Agent) newTask(s peer.Sender, r peer.RunRequest) *task {
@@ -58,6 +61,7 @@
 		Weight:       t.req.Weight,
 		Priority:     t.req.Priority,
 		Cost:         t.req.Cost,
+		Bytes:        int64(len(t.req.Body)),
 	}
 }
 
@@ -72,7 +76,15 @@
 
 // finish hands the result to the waiting call. Only the first result counts.
 func (t *task) finish(c code.Code, detail string, tokens int64) {
-	r := peer.RunResult{Code: c, Detail: detail, Length: t.offset, Checksum: t.sum.Sum64(), Tokens: tokens}
+	t.end(peer.RunResult{Code: c, Detail: detail, Length: t.offset, Checksum: t.sum.Sum64(), Tokens: tokens})
+}
+
+// giveBack refuses the task for want of room; wait is the time until there may be some.
+func (t *task) giveBack(wait time.Duration) {
+	t.end(peer.RunResult{Code: code.Overloaded, Checksum: t.sum.Sum64(), RetryAfterMillis: wait.Milliseconds()})
+}
+
+func (t *task) end(r peer.RunResult) {
 	select {
 	case t.ended <- r:
 	default:
--- a/pkg/agent/work.go
+++ b/pkg/agent/work.go
@@ -7,6 +7,7 @@
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/upstream"
 )
 
@@ -40,9 +41,17 @@
 
 // startOne takes tasks from the queue until one may start. Agent.mu is held.
 func (a *Agent) startOne() *task {
-	for a.queue.Len() > 0 && a.limiter.Start(a.now()) {
-		i, _ := a.queue.Pop()
+	for {
+		i, ok := a.queue.Peek()
+		if !ok {
+			return nil
+		}
 		t := a.tasks[i.ID]
+		t.run, ok = a.limiter.Start(a.now(), i.Cost, false)
+		if !ok {
+			return nil
+		}
+		a.queue.Pop()
 		c := a.closedTo(t.req)
 		if c == code.OK {
 			c = a.fence.Start(t.fenced.Key, a.clock())
@@ -50,12 +59,10 @@
 		if c == code.OK {
 			return t
 		}
-		a.limiter.End(a.now(), false)
-		a.fence.Refuse(t.fenced.Key)
-		delete(a.tasks, i.ID)
+		a.limiter.End(t.run, a.now(), false)
+		a.drop(t)
 		t.finish(c, "", 0)
 	}
-	return nil
 }
 
 // execute runs a started task at the upstream.
@@ -65,7 +72,12 @@
 		Organisation: t.req.Organisation, Upstream: a.settings.Name, Zone: a.settings.Zone,
 	})
 	began := a.now()
-	answer, err := a.client.Run(t.ctx, t.req, t.send)
+	answer, err := a.client.Run(t.ctx, t.req, func(p upstream.Part) error {
+		if t.req.Stream && !p.More {
+			a.part(t)
+		}
+		return t.send(p)
+	})
 	c, detail := a.verdict(t, answer, err)
 	a.end(t, began, c, answer)
 	t.finish(c, detail, answer.Tokens)
@@ -75,6 +87,18 @@
 	})
 }
 
+// part notes a part of the answer to a task.
+func (a *Agent) part(t *task) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	unproven := a.limiter.Unproven()
+	a.limiter.Part(t.run, a.now())
+	a.limitChanged("late parts")
+	if a.limiter.Unproven() < unproven {
+		a.wake.Signal()
+	}
+}
+
 // verdict turns the end of a run into a code.
 func (a *Agent) verdict(t *task, answer upstream.Answer, err error) (code.Code, string) {
 	switch {
@@ -97,13 +121,26 @@
 	a.meters.ended(c, took)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.limiter.End(now, c == code.OK)
+	a.limiter.End(t.run, now, c == code.OK)
+	if c == code.UpstreamLost {
+		a.limiter.Reset()
+	}
+	a.limitChanged("answers")
 	a.fence.End(t.fenced.Key)
-	a.queue.Settle(t.req.Organisation, t.req.Cost, max(answer.Tokens, 1))
+	a.queue.Settle(t.req.Organisation, t.req.Cost, spent(t.req, c, answer))
 	a.service += serviceGain * (float64(took.Milliseconds()) - a.service)
 	delete(a.tasks, t.id)
 	a.wake.Broadcast()
 }
 
+// spent returns the actual cost of a run. The tokens of a whole answer that is not a
+// stream are not counted; its expected cost stands.
+func spent(r peer.RunRequest, c code.Code, answer upstream.Answer) int64 {
+	if answer.Tokens == 0 && c == code.OK {
+		return r.Cost
+	}
+	return max(answer.Tokens, 1)
+}
+
 // serviceGain is the weight of the newest sample in the mean service time.
 const serviceGain = 0.1
