Check results against their attempt and end the writes of stalled callers

Causes found by new tests: a result of another incarnation was taken for the attempt's own (fuzz of the exchange between agent and entry: cut at any byte, crossed call, attempt and incarnation, a flipped byte); a caller that stops reading held its request at the entry for ever, past its deadline.

Now the incarnation is checked with call and attempt, a mismatch is counted (answers_not_whole) and recorded (frame-dropped), and writes to a caller end 2 s after the deadline of its request. New metrics: streams_resumed, streams_completed, claims_replayed, claims_refused.

--- a/pkg/caller/serve.go
+++ b/pkg/caller/serve.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/gin-gonic/gin"
 
@@ -34,6 +35,7 @@
 	}
 	ctx, cancel := context.WithTimeout(c.Request.Context(), h.timeout)
 	defer cancel()
+	defer limitWrites(c, h.timeout+lastWrite)()
 	sink := &responder{c: c, stream: r.Stream}
 	res := s.opts.Dispatcher.Do(ctx, r, sink)
 	if res.Code.Outcome() != code.Done {
@@ -41,6 +43,18 @@
 	}
 }
 
+// lastWrite is the time after the deadline of a request for telling its end.
+const lastWrite = 2 * time.Second
+
+// limitWrites ends the writes of an exchange that a caller does not read, and returns a
+// function that lifts the limit for the next exchange of the connection.
+func limitWrites(c *gin.Context, limit time.Duration) func() {
+	control := http.NewResponseController(c.Writer)
+	// A connection without deadlines is limited by the caller going away only.
+	_ = control.SetWriteDeadline(time.Now().Add(limit))
+	return func() { _ = control.SetWriteDeadline(time.Time{}) }
+}
+
 // responder sends an answer to a caller. It implements dispatch.Sink.
 type responder struct {
 	c      *gin.Context
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/claimstore"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
@@ -60,6 +61,7 @@
 	calls atomic.Uint64
 
 	claims *claimer
+	meters meters
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget
@@ -69,13 +71,14 @@
 
 // New returns a dispatcher over the table. The store commits the claims of keyed
 // requests whose home is this entry.
-func New(t *Table, config *configuration.Holder, events *event.Recorder, store *claimstore.Store) *Dispatcher {
+func New(t *Table, config *configuration.Holder, events *event.Recorder, store *claimstore.Store, reg metrics.Registry) *Dispatcher {
 	return &Dispatcher{
 		table:    t,
 		config:   config,
 		events:   events,
 		life:     uuid.NewString(),
 		claims:   newClaimer(t, store),
+		meters:   newMeters(reg),
 		budgets:  map[string]*retry.Budget{},
 		inFlight: map[string]int{},
 	}
--- a/pkg/dispatch/keyed.go
+++ b/pkg/dispatch/keyed.go
@@ -32,9 +32,11 @@
 	case code.OK:
 		return s.claimed(ctx)
 	case code.Duplicate:
+		s.d.meters.replayed.Inc(1)
 		s.claimEvent(event.ClaimReplayed, dec.Code)
 		return s.replay(dec.Answer)
 	}
+	s.d.meters.refused.Inc(1)
 	s.claimEvent(event.ClaimRefused, dec.Code)
 	return Result{Code: dec.Code, RetryAfter: defaultRetryAfter}
 }
--- a/pkg/dispatch/session.go
+++ b/pkg/dispatch/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
@@ -94,9 +95,11 @@
 	case resume.Repeat:
 		return last, true
 	case resume.Resume:
+		s.d.meters.resumed.Inc(1)
 		s.streamEvent(event.StreamResumed, last)
 		return last, true
 	case resume.Complete:
+		s.d.meters.completed.Inc(1)
 		s.streamEvent(event.StreamCompleted, last)
 		if s.answer.complete(p.Events, s.sink) != nil {
 			return Result{Code: code.CallerGone}, false
@@ -129,6 +132,10 @@
 		s.d.table.observe(p.id, res.Load)
 		s.informLater(p, res.ConfigVersion)
 	} else {
+		if errors.Is(err, peer.ErrNotWhole) {
+			s.d.meters.notWhole.Inc(1)
+			s.record(event.FrameDropped, p, code.AnswerNotWhole)
+		}
 		out.Code, out.Detail = s.settle(ctx, p, r, err), err.Error()
 	}
 	if res.RetryAfterMillis > 0 {
--- /dev/null
+++ b/pkg/dispatch/session_test.go
@@ -0,0 +1,107 @@
+package dispatch
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/configuration"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/instancelist"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+)
+
+// agentStub answers each attempt with the next of its codes; all stubs of a test share
+// the list. It implements peer.Runner.
+type agentStub struct {
+	codes chan code.Code
+}
+
+func (a *agentStub) Run(_ context.Context, _ peer.Sender, r peer.RunRequest) peer.RunResult {
+	const emptyChecksum = 0xef46db3751d8e999 // xxHash64 of no bytes
+	return peer.RunResult{Code: <-a.codes, Call: r.Call, Attempt: r.Attempt, Incarnation: r.Incarnation, Checksum: emptyChecksum}
+}
+
+// newStubs returns a dispatcher before two agents that answer with the codes in turn.
+func newStubs(t *testing.T, codes ...code.Code) *Dispatcher {
+	is := is.New(t)
+	stub := &agentStub{codes: make(chan code.Code, len(codes))}
+	for _, c := range codes {
+		stub.codes <- c
+	}
+	doc := &configuration.Document{
+		Version: 1, Limits: configuration.DefaultLimits(),
+		Zones:    []configuration.Zone{{Name: "z", Region: "r", State: configuration.ZoneIn}},
+		Services: []configuration.Service{{Name: "svc"}},
+	}
+	holder := &configuration.Holder{}
+	holder.Adopt(doc)
+	rec := event.NewRecorder("entry", event.NewClock(nil), nil)
+	table := NewTable("entry", "z", holder, rec, peer.Credentials{}, time.Now)
+	var list []instancelist.Instance
+	for _, id := range []string{"a", "b"} {
+		work := listen(t)
+		srv := &http.Server{Handler: peer.WorkHandler(stub, peer.Credentials{})}
+		go func() { _ = srv.Serve(work) }()
+		t.Cleanup(func() { srv.Close() })
+		control := listen(t)
+		ctl := peer.NewServer(peer.Credentials{})
+		status := peer.Status{Upstream: id, Zone: "z", Incarnation: "i", WorkAddress: work.Addr().String(), Services: []string{"svc"}, Limit: 1, Reachable: true}
+		peer.Handle(ctl, peer.MethodStatus, func(context.Context, *jsonrpc2.Conn, peer.StatusRequest) (peer.Status, error) {
+			return status, nil
+		})
+		go func() { _ = ctl.Serve(control) }()
+		t.Cleanup(func() { ctl.Close() })
+		list = append(list, instancelist.Instance{ID: id, Role: instancelist.Upstream, Zone: "z", State: instancelist.Live, Control: control.Addr().String()})
+	}
+	table.SetInstances(list)
+	for id := range table.peers() {
+		table.observe(id, statusOf(is, table, id))
+	}
+	return New(table, holder, rec, nil, nil)
+}
+
+func statusOf(is *is.I, t *Table, id string) peer.Status {
+	s, err := peer.Call[peer.Status](context.Background(), t.peers()[id], peer.MethodStatus, peer.StatusRequest{})
+	is.NoErr(err)
+	return s
+}
+
+func listen(t *testing.T) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+func TestFinalNotRunNeedsEveryAttemptToBeSo(t *testing.T) {
+	request := Request{ID: "r", Kind: peer.ServiceWork, Target: "svc", Method: http.MethodGet, Path: "/", Organisation: configuration.Organisation{Name: "o"}}
+	for _, c := range []struct {
+		name       string
+		idempotent bool
+		codes      []code.Code
+		want       code.Code
+	}{
+		{"refused by both", false, []code.Code{code.Overloaded, code.ZoneOut}, code.ZoneOut},
+		{"lost and then refused", true, []code.Code{code.UpstreamLost, code.Overloaded}, code.UpstreamLost},
+		{"lost and not to be repeated", false, []code.Code{code.UpstreamLost}, code.UpstreamLost},
+		{"refused and then lost", false, []code.Code{code.Overloaded, code.UpstreamLost}, code.UpstreamLost},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			r := request
+			r.Idempotent = c.idempotent
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			got := newStubs(t, c.codes...).Do(ctx, r, &received{})
+			is.Equal(got.Code, c.want)
+		})
+	}
+}
--- a/pkg/peer/run.go
+++ b/pkg/peer/run.go
@@ -16,6 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/samber/oops"
 
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/sse"
 )
 
@@ -184,6 +185,9 @@
 	if result.Call != req.Call || result.Attempt != req.Attempt {
 		return ErrNotWhole
 	}
+	if result.Incarnation != req.Incarnation && result.Code != code.StaleIncarnation {
+		return ErrNotWhole
+	}
 	if result.Length != r.offset || result.Checksum != r.sum.Sum64() {
 		return ErrNotWhole
 	}
--- a/test/stream_test.go
+++ b/test/stream_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -22,6 +23,7 @@
 	commands["streamed"] = streamed
 	commands["crash"] = crash
 	commands["vanish"] = vanish
+	commands["stall"] = stall
 }
 
 // streams are those of one stream command.
@@ -197,3 +199,29 @@
 	}
 	return sum
 }
+
+// stall: stall COUNT starts endless streams whose callers never read, and waits until the
+// engines run nothing and the entries have ended the requests.
+func stall(ts *testscript.TestScript, _ bool, args []string) {
+	f := worldOf(ts).fleet
+	entries := callers(f)
+	count := number(ts, args[0])
+	for n := range count {
+		raw, err := net.Dial("tcp", entries[n%len(entries)])
+		ts.Check(err)
+		defer raw.Close()
+		ts.Check(raw.(*net.TCPConn).SetReadBuffer(4096))
+		body := client.Chat("intake-llm", prompt("stalled", n), 2_000_000, true).Body
+		_, err = fmt.Fprintf(raw, "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %s\r\nX-Timeout-Ms: 6000\r\nContent-Length: %d\r\n\r\n%s",
+			fleet.Token(organisations[0]), len(body), body)
+		ts.Check(err)
+	}
+	began := time.Now()
+	for countEvents(f, event.RequestEnded) < count || engineLedger(ts, f).Running > 0 {
+		if time.Since(began) > scenarioLimit/2 {
+			ts.Fatalf("%d of %d requests ended, engines run %d", countEvents(f, event.RequestEnded), count, engineLedger(ts, f).Running)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	ts.Logf("requests of stalled callers ended after %s", time.Since(began).Round(time.Millisecond))
+}
