Give each fleet a loopback address of its own

Cause: scenario zone_leaves failed once in the merge of rank groups: an entry could not open its operators' listener, address already in use. Two test processes ran fleets at that time and chose ports from the same range; a port that is free when it is looked at may be taken before its process listens. Ruled out: outgoing connections, whose ports lie above the range; starting again on another port, which would hide the cause.

--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -116,15 +116,15 @@
 
 var nextPort atomic.Int64
 
-func init() {
-	nextPort.Store(int64(os.Getpid()))
-}
+// host is a loopback address that belongs to this process alone, so that fleets of
+// processes that run side by side do not choose the same ports.
+var host = fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()>>16&0x7f, os.Getpid()>>8&0xff, os.Getpid()&0xff)
 
 // freeAddress returns a loopback address with a port that is free now.
 func freeAddress() (string, error) {
 	for range lastPort - firstPort {
 		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
-		address := fmt.Sprintf("127.0.0.1:%d", port)
+		address := fmt.Sprintf("%s:%d", host, port)
 		l, err := net.Listen("tcp", address)
 		if err == nil {
 			return address, l.Close()
