Let a request that crashes upstreams cost two of them

Cause: a request that crashes each engine was retried and sent again without end.

Change: the agent tells a crash (no answer, or another incarnation) from a lost connection and makes what ran there suspect, by fingerprint. A suspect runs only alone; the entry claims that trial by a conditional write at the platform. A crash then convicts, an end clears. Verdicts go on every status and result, and to all processes before the caller hears of the loss. Agents refuse suspects that are not alone and what is convicted.

Ruled out: accusing on a lost connection alone; accusing when an agent is lost (a zone that is lost would accuse thousands of innocents).

Fuzz: 1,000,000 actions with late and crossed news, nine entries, at most that bound; in turn at most 2.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -14,6 +14,7 @@
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/fairness"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/fence"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/poison"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/upstream"
 )
 
@@ -42,6 +43,8 @@
 	fence   *fence.Fence
 	queue   *fairness.Queue
 	limiter *admission.Limiter
+	// verdicts are the requests known to crash upstreams.
+	verdicts *poison.Table
 	// cold is the state of the limiter that was last recorded.
 	cold    bool
 	tasks   map[string]*task
@@ -71,6 +74,7 @@
 		queue:    fairness.New(o.Settings.queue()),
 		limiter:  admission.New(o.Settings.Upstream.admission()),
 		tasks:    map[string]*task{},
+		verdicts: poison.New(poison.Options{}),
 	}
 	a.wake = sync.NewCond(&a.mu)
 	return a
--- a/pkg/agent/meters.go
+++ b/pkg/agent/meters.go
@@ -6,6 +6,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/poison"
 )
 
 // meters are the metrics of an agent.
@@ -19,6 +20,10 @@
 	// cold counts how often the upstream went back to cold.
 	cold  metrics.Counter
 	limit metrics.Gauge
+	// suspects, cleared and convicted count the verdicts taken in.
+	suspects  metrics.Counter
+	cleared   metrics.Counter
+	convicted metrics.Counter
 }
 
 func newMeters(r metrics.Registry) meters {
@@ -26,13 +31,27 @@
 		r = metrics.NewRegistry()
 	}
 	return meters{
-		whole:   metrics.GetOrRegisterCounter("agent_work_whole", r),
-		failed:  metrics.GetOrRegisterCounter("agent_work_failed", r),
-		refused: metrics.GetOrRegisterCounter("agent_work_refused", r),
-		service: metrics.GetOrRegisterTimer("agent_service_seconds", r),
-		surplus: metrics.GetOrRegisterCounter("agent_surplus_given_back", r),
-		cold:    metrics.GetOrRegisterCounter("agent_upstream_cold", r),
-		limit:   metrics.GetOrRegisterGauge("agent_limit", r),
+		whole:     metrics.GetOrRegisterCounter("agent_work_whole", r),
+		failed:    metrics.GetOrRegisterCounter("agent_work_failed", r),
+		refused:   metrics.GetOrRegisterCounter("agent_work_refused", r),
+		service:   metrics.GetOrRegisterTimer("agent_service_seconds", r),
+		surplus:   metrics.GetOrRegisterCounter("agent_surplus_given_back", r),
+		cold:      metrics.GetOrRegisterCounter("agent_upstream_cold", r),
+		limit:     metrics.GetOrRegisterGauge("agent_limit", r),
+		suspects:  metrics.GetOrRegisterCounter("agent_requests_suspect", r),
+		cleared:   metrics.GetOrRegisterCounter("agent_requests_cleared", r),
+		convicted: metrics.GetOrRegisterCounter("agent_requests_convicted", r),
+	}
+}
+
+func (m meters) verdict(s poison.State) {
+	switch s {
+	case poison.Suspect:
+		m.suspects.Inc(1)
+	case poison.Cleared:
+		m.cleared.Inc(1)
+	case poison.Convicted:
+		m.convicted.Inc(1)
 	}
 }
 
--- /dev/null
+++ b/pkg/agent/poison.go
@@ -0,0 +1,84 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/poison"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/upstream"
+)
+
+// crashCall bounds the question whether the upstream has crashed.
+const crashCall = time.Second
+
+// quarantined returns the reason why a request that may crash the upstream must not
+// start, or OK. Agent.mu is held.
+func (a *Agent) quarantined(r peer.RunRequest) code.Code {
+	switch a.verdicts.Check(r.Fingerprint, a.now()) {
+	case poison.Convicted:
+		return code.CrashingRequest
+	case poison.Suspect:
+		if !r.Alone {
+			return code.SuspectNotAlone
+		}
+	}
+	return code.OK
+}
+
+// crashed reports whether a run that ended with err was cut off by a crash of the
+// upstream, which then does not answer or answers as another incarnation.
+func (a *Agent) crashed(t *task, err error) bool {
+	if err == nil || errors.Is(err, upstream.ErrNotSent) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), crashCall)
+	defer cancel()
+	h, err := a.client.Health(ctx)
+	return err != nil || h.Incarnation != t.life
+}
+
+// judge takes in what the end of a run says about its request.
+func (a *Agent) judge(t *task, c code.Code, crashed bool) {
+	state := poison.Unknown
+	switch {
+	case crashed && t.req.Alone:
+		state = poison.Convicted
+	case crashed:
+		state = poison.Suspect
+	case c == code.OK && t.req.Alone:
+		state = poison.Cleared
+	}
+	if state == poison.Unknown || t.req.Fingerprint == "" {
+		return
+	}
+	v := poison.Verdict{Fingerprint: t.req.Fingerprint, State: state, Stamp: a.events.Clock().Now()}
+	a.mu.Lock()
+	a.takeVerdict(v)
+	a.mu.Unlock()
+}
+
+// takeVerdict takes in a verdict. Agent.mu is held.
+func (a *Agent) takeVerdict(v poison.Verdict) {
+	if !a.verdicts.Take(v, a.now()) {
+		return
+	}
+	a.meters.verdict(v.State)
+	a.events.Record(event.Event{Kind: event.Verdict, Upstream: a.settings.Name, Detail: string(v.State) + " " + string(v.Fingerprint)})
+}
+
+// TakeVerdicts serves peer.MethodVerdict.
+func (a *Agent) TakeVerdicts(_ context.Context, _ *jsonrpc2.Conn, r peer.VerdictRequest) (peer.VerdictResult, error) {
+	a.events.Clock().Observe(r.Stamp)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, v := range r.Verdicts {
+		a.takeVerdict(v)
+	}
+	return peer.VerdictResult{News: a.news()}, nil
+}
--- a/pkg/agent/status.go
+++ b/pkg/agent/status.go
@@ -32,6 +32,7 @@
 		Leaving:       a.leaving,
 		Reachable:     a.up,
 		ServiceMillis: a.service,
+		Verdicts:      a.verdicts.News(a.now()),
 	}
 }
 
--- a/pkg/agent/surplus.go
+++ b/pkg/agent/surplus.go
@@ -12,6 +12,9 @@
 	if c := a.closedTo(r); c != code.OK {
 		return c
 	}
+	if c := a.quarantined(r); c != code.OK {
+		return c
+	}
 	if !a.limiter.Fits(a.now(), r.Cost) {
 		return code.Overloaded
 	}
--- a/pkg/agent/task.go
+++ b/pkg/agent/task.go
@@ -29,6 +29,8 @@
 	arrived time.Time
 	// startIn is the start budget left when the attempt was admitted.
 	startIn time.Duration
+	// life is the incarnation of the upstream at the start.
+	life string
 	// run is set when the task has started.
 	run    *admission.Run
 	offset int64
--- a/pkg/agent/work.go
+++ b/pkg/agent/work.go
@@ -47,16 +47,20 @@
 			return nil
 		}
 		t := a.tasks[i.ID]
-		t.run, ok = a.limiter.Start(a.now(), i.Cost, false)
+		t.run, ok = a.limiter.Start(a.now(), i.Cost, t.req.Alone)
 		if !ok {
 			return nil
 		}
 		a.queue.Pop()
 		c := a.closedTo(t.req)
+		if c == code.OK {
+			c = a.quarantined(t.req)
+		}
 		if c == code.OK {
 			c = a.fence.Start(t.fenced.Key, a.clock())
 		}
 		if c == code.OK {
+			t.life = a.health.Incarnation
 			return t
 		}
 		a.limiter.End(t.run, a.now(), false)
@@ -79,7 +83,9 @@
 		return t.send(p)
 	})
 	c, detail := a.verdict(t, answer, err)
-	a.end(t, began, c, answer)
+	crashed := a.crashed(t, err)
+	a.judge(t, c, crashed)
+	a.end(t, began, c, answer, crashed)
 	t.finish(c, detail, answer.Tokens)
 	a.events.Record(event.Event{
 		Kind: event.WorkEnded, Request: t.req.Request, Attempt: t.req.Attempt,
@@ -115,14 +121,14 @@
 }
 
 // end updates the tables after a run.
-func (a *Agent) end(t *task, began time.Time, c code.Code, answer upstream.Answer) {
+func (a *Agent) end(t *task, began time.Time, c code.Code, answer upstream.Answer, crashed bool) {
 	now := a.now()
 	took := now.Sub(began)
 	a.meters.ended(c, took)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.limiter.End(t.run, now, c == code.OK)
-	if c == code.UpstreamLost {
+	if crashed {
 		a.limiter.Reset()
 	}
 	a.limitChanged("answers")
--- a/pkg/code/code.go
+++ b/pkg/code/code.go
@@ -53,6 +53,7 @@
 	DeadlineTooShort    Code = 3012
 	ClaimUnavailable    Code = 3013
 	NotConfigured       Code = 3014
+	SuspectNotAlone     Code = 3015
 
 	UpstreamLost      Code = 4001
 	AgentLost         Code = 4002
@@ -109,6 +110,7 @@
 	DeadlineTooShort:    {"deadline-too-short", http.StatusServiceUnavailable, "The expected wait exceeds the deadline."},
 	ClaimUnavailable:    {"claim-unavailable", http.StatusServiceUnavailable, "The idempotency key cannot be claimed now."},
 	NotConfigured:       {"not-configured", http.StatusServiceUnavailable, "No configuration is in force yet."},
+	SuspectNotAlone:     {"suspect-not-alone", http.StatusServiceUnavailable, "The request ran when an upstream crashed; it runs again only alone."},
 
 	UpstreamLost:      {"upstream-lost", http.StatusBadGateway, "The upstream was lost after the request may have started."},
 	AgentLost:         {"agent-lost", http.StatusBadGateway, "The agent was lost after the request may have started."},
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -14,6 +14,7 @@
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/configuration"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/poison"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/retry"
 )
 
@@ -59,7 +60,8 @@
 	life  string
 	calls atomic.Uint64
 
-	claims *claimer
+	claims     *claimer
+	quarantine *Quarantine
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget
@@ -69,15 +71,16 @@
 
 // New returns a dispatcher over the table. The store commits the claims of keyed
 // requests whose home is this entry.
-func New(t *Table, config *configuration.Holder, events *event.Recorder, store *claimstore.Store) *Dispatcher {
+func New(t *Table, config *configuration.Holder, events *event.Recorder, store *claimstore.Store, q *Quarantine) *Dispatcher {
 	return &Dispatcher{
-		table:    t,
-		config:   config,
-		events:   events,
-		life:     uuid.NewString(),
-		claims:   newClaimer(t, store),
-		budgets:  map[string]*retry.Budget{},
-		inFlight: map[string]int{},
+		table:      t,
+		config:     config,
+		events:     events,
+		life:       uuid.NewString(),
+		claims:     newClaimer(t, store),
+		quarantine: q,
+		budgets:    map[string]*retry.Budget{},
+		inFlight:   map[string]int{},
 	}
 }
 
@@ -87,6 +90,7 @@
 // Do runs a request until it has a final result. The deadline of ctx is that of the request.
 func (d *Dispatcher) Do(ctx context.Context, r Request, sink Sink) Result {
 	s := &session{d: d, call: d.nextCall(), req: r, sink: sink}
+	s.fingerprint = poison.Of(r.Organisation.Name, r.Target, r.Method, r.Path, r.Body)
 	if !d.enter(r.Organisation) {
 		return Result{Code: code.OrganisationLimit, RetryAfter: defaultRetryAfter}
 	}
--- /dev/null
+++ b/pkg/dispatch/quarantine.go
@@ -0,0 +1,178 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/poison"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/poisonstore"
+)
+
+const (
+	// spreadLimit bounds the time for which an answer waits until the other processes
+	// know a verdict.
+	spreadLimit = 300 * time.Millisecond
+	// spreadWorkers is the number of processes told at a time.
+	spreadWorkers = 32
+	// trialWait is the time for which a request waits while another entry tries its like.
+	trialWait = 5 * time.Second
+	// trialPoll is the interval at which the end of that trial is looked for.
+	trialPoll = 50 * time.Millisecond
+	// trialCall bounds the calls to the platform for a trial.
+	trialCall = 3 * time.Second
+)
+
+// Quarantine keeps requests that may crash upstreams from running beside others. It is
+// safe for concurrent use.
+type Quarantine struct {
+	table *Table
+	store *poisonstore.Store
+
+	mu       sync.Mutex
+	verdicts *poison.Table
+
+	refused metrics.Counter
+	trials  metrics.Counter
+}
+
+// NewQuarantine returns a quarantine that hears of verdicts from the processes of the table.
+func NewQuarantine(t *Table, store *poisonstore.Store, r metrics.Registry) *Quarantine {
+	q := &Quarantine{
+		table:    t,
+		store:    store,
+		verdicts: poison.New(poison.Options{}),
+		refused:  metrics.GetOrRegisterCounter("entry_crashing_refused", r),
+		trials:   metrics.GetOrRegisterCounter("entry_suspect_trials", r),
+	}
+	t.onVerdicts = q.Take
+	return q
+}
+
+// Load takes in the verdicts kept at the platform, trying again until ctx ends.
+func (q *Quarantine) Load(ctx context.Context) {
+	for ctx.Err() == nil {
+		list, err := q.store.Load(ctx)
+		if err == nil {
+			q.Take(list)
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Second):
+		}
+	}
+}
+
+// Take takes in verdicts.
+func (q *Quarantine) Take(list []poison.Verdict) {
+	for _, v := range list {
+		q.table.events.Clock().Observe(v.Stamp)
+		q.mu.Lock()
+		changed := q.verdicts.Take(v, q.table.now())
+		q.mu.Unlock()
+		if changed {
+			q.table.events.Record(event.Event{Kind: event.Verdict, Detail: string(v.State) + " " + string(v.Fingerprint)})
+		}
+	}
+}
+
+// News returns the newest verdicts.
+func (q *Quarantine) News() []poison.Verdict {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.verdicts.News(q.table.now())
+}
+
+func (q *Quarantine) check(f poison.Fingerprint) poison.State {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.verdicts.Check(f, q.table.now())
+}
+
+// verdict returns a verdict seen now.
+func (q *Quarantine) verdict(f poison.Fingerprint, s poison.State) poison.Verdict {
+	return poison.Verdict{Fingerprint: f, State: s, Stamp: q.table.events.Clock().Now()}
+}
+
+// spread tells all other processes what is known of a fingerprint, and returns when
+// they have answered or the time is up. Whoever was not reached hears it with a status.
+func (q *Quarantine) spread(f poison.Fingerprint) {
+	v := q.verdict(f, q.check(f))
+	ctx, cancel := context.WithTimeout(context.Background(), spreadLimit)
+	defer cancel()
+	slots := make(chan struct{}, spreadWorkers)
+	var calls sync.WaitGroup
+	for _, c := range q.table.peers() {
+		slots <- struct{}{}
+		calls.Go(func() {
+			_, _ = peer.Call[peer.VerdictResult](ctx, c, peer.MethodVerdict, peer.VerdictRequest{News: q.table.news(), Verdicts: []poison.Verdict{v}})
+			<-slots
+		})
+	}
+	calls.Wait()
+}
+
+// permit says how a request may run.
+type permit struct {
+	state poison.State
+	// trial is set when the request may run once, alone.
+	trial *poisonstore.Trial
+}
+
+// enter decides how a request may run. A suspect waits while another entry tries its
+// like; without a trial it must not run.
+func (q *Quarantine) enter(ctx context.Context, f poison.Fingerprint) permit {
+	ctx, cancel := context.WithTimeout(ctx, trialWait)
+	defer cancel()
+	for {
+		state := q.check(f)
+		if state != poison.Suspect {
+			return permit{state: state}
+		}
+		t, err := q.begin(ctx, f)
+		if err == nil {
+			return permit{state: state, trial: t}
+		}
+		if errors.Is(err, poisonstore.ErrConvicted) {
+			q.Take([]poison.Verdict{q.verdict(f, poison.Convicted)})
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return permit{state: state}
+		case <-time.After(trialPoll):
+		}
+	}
+}
+
+func (q *Quarantine) begin(ctx context.Context, f poison.Fingerprint) (*poisonstore.Trial, error) {
+	t, err := q.store.Begin(ctx, q.verdict(f, poison.Suspect))
+	if err != nil {
+		return nil, err
+	}
+	// The trial of another entry may have ended between the check and the claim.
+	if q.check(f) == poison.Suspect {
+		q.trials.Inc(1)
+		return t, nil
+	}
+	q.end(t, f)
+	return nil, poisonstore.ErrBusy
+}
+
+// end ends a trial with what is known of the request now, and tells the others.
+func (q *Quarantine) end(t *poisonstore.Trial, f poison.Fingerprint) {
+	state := q.check(f)
+	if state != poison.Suspect {
+		q.spread(f)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), trialCall)
+	defer cancel()
+	// A trial that could not be ended at the platform ends there with its time.
+	_ = t.End(ctx, q.verdict(f, state))
+}
--- a/pkg/dispatch/session.go
+++ b/pkg/dispatch/session.go
@@ -7,6 +7,7 @@
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/poison"
 )
 
 // session is the run of one request.
@@ -19,6 +20,9 @@
 	attempt int
 	tried   []string
 	answer  answer
+	// fingerprint identifies what the request asks for; permit says how it may run.
+	fingerprint poison.Fingerprint
+	permit      permit
 	// unknown is the first code of an attempt that may have run.
 	unknown code.Code
 }
@@ -34,6 +38,7 @@
 // run makes attempts until one ends the request. The request is called "not run" only
 // when that is true of every attempt.
 func (s *session) run(ctx context.Context) Result {
+	defer s.endTrial()
 	res := s.attempts(ctx)
 	if res.Code.Outcome() == code.NotRun && s.unknown != 0 {
 		res.Code = s.unknown
@@ -45,10 +50,13 @@
 func (s *session) attempts(ctx context.Context) Result {
 	last := Result{Code: code.NoUpstream, RetryAfter: defaultRetryAfter}
 	for s.attempt < s.d.config.View().Document.Limits.MaxAttempts {
-		if s.attempt > 0 && !s.d.withdraw(s.req.Organisation.Name) {
+		if res, refused := s.permitted(ctx); refused {
+			return res
+		}
+		if s.attempt > 0 && s.permit.trial == nil && !s.d.withdraw(s.req.Organisation.Name) {
 			return last
 		}
-		p, ok := s.d.table.pick(target{s.req.Kind, s.req.Target}, s.tried)
+		p, ok := s.pickNext()
 		if !ok {
 			return last
 		}
@@ -58,6 +66,7 @@
 		if last.Code.Outcome() == code.Unknown && s.unknown == 0 {
 			s.unknown = last.Code
 		}
+		s.learn(last.Code)
 		if !s.again(ctx, last.Code) {
 			return last
 		}
@@ -134,6 +143,8 @@
 		Stream:         s.req.Stream,
 		Idempotent:     s.req.Idempotent,
 		IdempotencyKey: s.req.IdempotencyKey,
+		Fingerprint:    s.fingerprint,
+		Alone:          s.permit.trial != nil,
 		Cost:           s.req.Cost,
 		StartByMillis:  min(left, startBudget).Milliseconds(),
 		TimeoutMillis:  max(left.Milliseconds(), 1),
--- a/pkg/dispatch/table.go
+++ b/pkg/dispatch/table.go
@@ -11,6 +11,7 @@
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/instancelist"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/poison"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/routing"
 )
 
@@ -33,6 +34,9 @@
 	credentials peer.Credentials
 	now         func() time.Time
 
+	// onVerdicts receives the verdicts that come with a status; nil before it is set.
+	onVerdicts func([]poison.Verdict)
+
 	mu      sync.Mutex
 	members map[string]*member
 	order   []string
@@ -75,6 +79,9 @@
 // observe takes in the status of a member.
 func (t *Table) observe(id string, s peer.Status) {
 	t.events.Clock().Observe(s.Stamp)
+	if t.onVerdicts != nil && len(s.Verdicts) > 0 {
+		t.onVerdicts(s.Verdicts)
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m := t.members[id]
--- a/pkg/entry/module.go
+++ b/pkg/entry/module.go
@@ -14,6 +14,7 @@
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/operator"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/platform"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/poisonstore"
 )
 
 // Module returns the parts of an entry process.
@@ -27,11 +28,13 @@
 			newTable,
 			newPoller,
 			newClaimStore,
+			newPoisonStore,
+			dispatch.NewQuarantine,
 			dispatch.New,
 			newCaller,
 			newNode,
 		),
-		fx.Invoke(registerClaims, register),
+		fx.Invoke(registerClaims, registerVerdicts, register),
 	)
 }
 
@@ -39,6 +42,8 @@
 	return platform.New(platform.Options{URL: s.PlatformURL, Registry: reg})
 }
 
+func newPoisonStore(p *platform.Client) *poisonstore.Store { return poisonstore.New(p, nil) }
+
 func newHolder(reg metrics.Registry) (*configuration.Holder, error) {
 	h := &configuration.Holder{}
 	return h, h.Register(reg)
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -31,6 +31,7 @@
 	credentials peer.Credentials
 	operator    *operator.Server
 	events      *event.Recorder
+	quarantine  *dispatch.Quarantine
 
 	cancel context.CancelFunc
 	loops  sync.WaitGroup
@@ -143,6 +144,7 @@
 		Upstream: n.settings.Name,
 		Zone:     n.settings.Zone,
 		Leaving:  n.callers.Leaving(),
+		Verdicts: n.quarantine.News(),
 	}, nil
 }
 
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -29,6 +29,7 @@
 	UpstreamFound     Kind = "upstream-found"
 	UpstreamGone      Kind = "upstream-gone"
 	UpstreamCold      Kind = "upstream-cold"
+	Verdict           Kind = "verdict"
 	UpstreamWarm      Kind = "upstream-warm"
 	LeaseAcquired     Kind = "lease-acquired"
 	LeaseLost         Kind = "lease-lost"
--- a/pkg/fairness/flow.go
+++ b/pkg/fairness/flow.go
@@ -19,6 +19,15 @@
 
 func (f *flow) share() float64 { return f.load / f.weight }
 
+// isDue reports whether a is served before b. Of two that are due at the same time,
+// the one that holds less of the queue goes first.
+func isDue(a, b *flow) bool {
+	if a.tag != b.tag {
+		return a.tag < b.tag
+	}
+	return a.share() < b.share()
+}
+
 // class holds the flows of one priority.
 type class struct {
 	weight float64
@@ -35,7 +44,7 @@
 		c.weight *= PriorityFactor
 	}
 	c.flows = indexed[*flow]{
-		less:  func(a, b *flow) bool { return a.tag < b.tag },
+		less:  isDue,
 		place: func(f *flow) *int { return &f.tagAt },
 	}
 	return c
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/poison"
 )
 
 // Methods of the protocol.
@@ -62,6 +63,10 @@
 	Idempotent bool `json:"idempotent"`
 	// IdempotencyKey is the caller's key, empty when there is none.
 	IdempotencyKey string `json:"idempotency_key,omitempty"`
+	// Fingerprint identifies what the caller asks for, whoever sends it again.
+	Fingerprint poison.Fingerprint `json:"fingerprint,omitempty"`
+	// Alone is set when nothing else may run beside the attempt.
+	Alone bool `json:"alone,omitempty"`
 	// Cost is the expected cost in tokens; a service call costs 1.
 	Cost int64 `json:"cost"`
 	// StartByMillis is the time from the issue within which the attempt may start.
@@ -160,4 +165,6 @@
 	Reachable bool `json:"reachable"`
 	// ServiceMillis is the mean service time of the newest requests.
 	ServiceMillis float64 `json:"service_ms"`
+	// Verdicts are the newest verdicts on requests that crash upstreams.
+	Verdicts []poison.Verdict `json:"verdicts,omitempty"`
 }
--- /dev/null
+++ b/pkg/poison/fleet_test.go
@@ -0,0 +1,225 @@
+package poison
+
+import (
+	"flag"
+	"os"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
+)
+
+const fuzzSeed = "20261203"
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": fuzzSeed, "rapid.checks": "5000", "rapid.nofailfile": "true", "rapid.shrinktime": "1s"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+const (
+	entries   = 9
+	upstreams = 16
+	culprit   = Fingerprint("culprit")
+)
+
+// run is the crashing request on its way to an upstream or running there.
+type run struct {
+	entry    int
+	upstream int
+	alone    bool
+	started  bool
+}
+
+// letter is a verdict on its way to a process.
+type letter struct {
+	to int
+	v  Verdict
+}
+
+// model is a fleet of entries and agents that tell each other verdicts late and
+// crossed. Processes 0 to entries-1 are entries, the others agents.
+type model struct {
+	tables  []*Table
+	runs    []run
+	letters []letter
+	// trial is the entry that holds the claim, or -1; ended trials stay at the platform
+	// only as convictions.
+	trial     int
+	convicted bool
+	stamp     int64
+	crashes   int
+	// first is the number of upstreams on which the request ran when it crashed one for
+	// the first time.
+	first int
+}
+
+func newModel() *model {
+	m := &model{trial: -1}
+	for range entries + upstreams {
+		m.tables = append(m.tables, New(Options{}))
+	}
+	return m
+}
+
+func (m *model) see(at int, s State) Verdict {
+	m.stamp++
+	v := Verdict{Fingerprint: culprit, State: s, Stamp: event.Stamp{Wall: m.stamp}}
+	m.tables[at].Take(v, epoch)
+	return v
+}
+
+// send is an attempt of an entry to run the request on an upstream.
+func (m *model) send(entry, upstream int) {
+	switch m.tables[entry].Check(culprit, epoch) {
+	case Convicted:
+		return
+	case Suspect:
+		if m.convicted {
+			m.see(entry, Convicted)
+			return
+		}
+		if m.trial >= 0 {
+			return
+		}
+		m.trial = entry
+		m.runs = append(m.runs, run{entry: entry, upstream: upstream, alone: true})
+	default:
+		m.runs = append(m.runs, run{entry: entry, upstream: upstream})
+	}
+}
+
+// start lets an attempt reach its agent, which may refuse it.
+func (m *model) start(i int) {
+	r := &m.runs[i]
+	switch m.tables[entries+r.upstream].Check(culprit, epoch) {
+	case Convicted:
+		m.drop(i, Convicted)
+	case Suspect:
+		if !r.alone {
+			m.drop(i, Suspect)
+			return
+		}
+		r.started = true
+	default:
+		r.started = true
+	}
+}
+
+// drop ends an attempt that did not run.
+func (m *model) drop(i int, why State) {
+	r := m.runs[i]
+	m.runs = append(m.runs[:i], m.runs[i+1:]...)
+	m.see(r.entry, why)
+	if r.alone {
+		m.trial = -1
+	}
+}
+
+// crash lets the upstream of a started run crash; all runs there end.
+func (m *model) crash(i int) {
+	at := m.runs[i].upstream
+	if m.crashes == 0 {
+		m.first = m.running()
+	}
+	m.crashes++
+	kept := m.runs[:0]
+	for _, r := range m.runs {
+		if r.upstream != at || !r.started {
+			kept = append(kept, r)
+			continue
+		}
+		s := Suspect
+		if r.alone {
+			s = Convicted
+			m.convicted = true
+			m.trial = -1
+		}
+		v := m.see(entries+at, s)
+		m.tables[r.entry].Take(v, epoch)
+		for to := range m.tables {
+			m.letters = append(m.letters, letter{to, v})
+		}
+	}
+	m.runs = kept
+}
+
+// running returns the number of upstreams that the request runs on or is sent to by
+// entries without news.
+func (m *model) running() int {
+	seen := map[int]bool{}
+	for _, r := range m.runs {
+		seen[r.upstream] = true
+	}
+	return len(seen)
+}
+
+func (m *model) deliver(i int) {
+	l := m.letters[i]
+	m.letters = append(m.letters[:i], m.letters[i+1:]...)
+	m.tables[l.to].Take(l.v, epoch)
+}
+
+// TestOneFingerprintCostsFewUpstreams checks the bound: the upstreams on which the
+// request ran or was under way when the first one crashed, those to which entries sent
+// it before the news reached them, and one for the trial.
+func TestOneFingerprintCostsFewUpstreams(t *testing.T) {
+	worst, actions, convicted := 0, 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel()
+		late := 0
+		// In turn: the caller sends again, anywhere, after it has its answer, which waits
+		// until the news has reached the others.
+		inTurn := rapid.Bool().Draw(t, "in turn")
+		for _, n := range rapid.SliceOfN(rapid.Uint32(), 200, 200).Draw(t, "actions") {
+			actions++
+			pick := int(n >> 8)
+			switch n % 6 {
+			case 0, 1:
+				before := len(m.runs)
+				if inTurn && before > 0 {
+					continue
+				}
+				m.send(pick%entries, (pick/entries)%upstreams)
+				if m.crashes > 0 && len(m.runs) > before && !m.runs[before].alone {
+					late++
+				}
+			case 2:
+				if len(m.runs) > 0 && !m.runs[pick%len(m.runs)].started {
+					m.start(pick % len(m.runs))
+				}
+			case 3:
+				if len(m.runs) > 0 && m.runs[pick%len(m.runs)].started {
+					m.crash(pick % len(m.runs))
+				}
+				for inTurn && len(m.letters) > 0 {
+					m.deliver(pick % len(m.letters))
+				}
+			default:
+				if len(m.letters) > 0 {
+					m.deliver(pick % len(m.letters))
+				}
+			}
+			if m.crashes > m.first+late+1 {
+				t.Fatalf("%d upstreams crashed; at the first crash %d had it, %d were sent it without news", m.crashes, m.first, late)
+			}
+		}
+		if inTurn && m.crashes > 2 {
+			t.Fatalf("%d upstreams crashed", m.crashes)
+		}
+		if inTurn && m.crashes == 2 {
+			convicted++
+		}
+		worst = max(worst, m.crashes)
+	})
+	t.Logf("%d actions, worst %d upstreams without bound on the delay of news; %d times sent again in turn, at most 2 upstreams", actions, worst, convicted)
+	is := is.New(t)
+	is.True(actions >= 1_000_000)
+	is.True(convicted > 1000)
+}
--- /dev/null
+++ b/pkg/poison/table.go
@@ -0,0 +1,152 @@
+package poison
+
+import (
+	"slices"
+	"time"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
+)
+
+// State is what is known of a fingerprint.
+type State string
+
+// States of a fingerprint.
+const (
+	// Unknown means that nothing speaks against the request.
+	Unknown State = ""
+	// Suspect means that the request ran when an upstream crashed.
+	Suspect State = "suspect"
+	// Cleared means that the request ended after it was a suspect.
+	Cleared State = "cleared"
+	// Convicted means that an upstream crashed while the request ran there alone.
+	Convicted State = "convicted"
+)
+
+// Verdict is a fact about a fingerprint.
+type Verdict struct {
+	Fingerprint Fingerprint `json:"fingerprint"`
+	State       State       `json:"state"`
+	// Stamp is the time at which the fact was seen.
+	Stamp event.Stamp `json:"stamp"`
+}
+
+// Options bound a table.
+type Options struct {
+	// Max is the number of fingerprints kept; the zero value means DefaultMax.
+	Max int
+}
+
+const (
+	// DefaultMax is the default of Options.Max.
+	DefaultMax = 4096
+	// SuspectLife is the time for which a suspect or a cleared request is remembered.
+	SuspectLife = 10 * time.Minute
+	// ConvictLife is the time for which a convicted request is refused.
+	ConvictLife = 24 * time.Hour
+	// NewsLife is the time for which a verdict is told to other processes.
+	NewsLife = 10 * time.Second
+	// NewsMax is the number of verdicts told in one message.
+	NewsMax = 16
+)
+
+// record is a verdict with the time at which this process took it in.
+type record struct {
+	verdict Verdict
+	taken   time.Time
+}
+
+func (r record) expired(now time.Time) bool {
+	life := SuspectLife
+	if r.verdict.State == Convicted {
+		life = ConvictLife
+	}
+	return now.Sub(r.taken) > life
+}
+
+// Table holds verdicts. It is not safe for concurrent use.
+type Table struct {
+	max     int
+	records map[Fingerprint]record
+}
+
+// New returns an empty table.
+func New(o Options) *Table {
+	if o.Max == 0 {
+		o.Max = DefaultMax
+	}
+	return &Table{max: o.Max, records: map[Fingerprint]record{}}
+}
+
+// Len returns the number of fingerprints kept.
+func (t *Table) Len() int { return len(t.records) }
+
+// Check returns what is known of a fingerprint.
+func (t *Table) Check(f Fingerprint, now time.Time) State {
+	r, ok := t.records[f]
+	if !ok || r.expired(now) {
+		return Unknown
+	}
+	return r.verdict.State
+}
+
+// Take takes in a verdict and reports whether it changed what is known.
+func (t *Table) Take(v Verdict, now time.Time) bool {
+	old, ok := t.records[v.Fingerprint]
+	if ok && !old.expired(now) && !supersedes(v, old.verdict) {
+		return false
+	}
+	if !ok && len(t.records) >= t.max {
+		t.evict(now)
+	}
+	t.records[v.Fingerprint] = record{verdict: v, taken: now}
+	return !ok || old.verdict.State != v.State
+}
+
+// supersedes reports whether v counts rather than old.
+func supersedes(v, old Verdict) bool {
+	if old.State == Convicted || v.State == Convicted {
+		return v.State == Convicted && old.State != Convicted
+	}
+	return old.Stamp.Before(v.Stamp)
+}
+
+// evict makes room: the expired go first, then the oldest that is not convicted, then
+// the oldest.
+func (t *Table) evict(now time.Time) {
+	var worst Fingerprint
+	for f, r := range t.records {
+		if r.expired(now) {
+			delete(t.records, f)
+			continue
+		}
+		if worst == "" || goesBefore(r, t.records[worst]) {
+			worst = f
+		}
+	}
+	if len(t.records) >= t.max {
+		delete(t.records, worst)
+	}
+}
+
+func goesBefore(a, b record) bool {
+	if (a.verdict.State == Convicted) != (b.verdict.State == Convicted) {
+		return b.verdict.State == Convicted
+	}
+	return a.taken.Before(b.taken)
+}
+
+// News returns the newest verdicts, to be told to other processes.
+func (t *Table) News(now time.Time) []Verdict {
+	var fresh []record
+	for _, r := range t.records {
+		if now.Sub(r.taken) <= NewsLife {
+			fresh = append(fresh, r)
+		}
+	}
+	slices.SortFunc(fresh, func(a, b record) int { return b.taken.Compare(a.taken) })
+	out := make([]Verdict, 0, min(len(fresh), NewsMax))
+	for _, r := range fresh[:min(len(fresh), NewsMax)] {
+		out = append(out, r.verdict)
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/poison/table_test.go
@@ -0,0 +1,101 @@
+package poison
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
+)
+
+var epoch = time.Unix(1_000, 0)
+
+func verdict(f string, s State, wall int64) Verdict {
+	return Verdict{Fingerprint: Fingerprint(f), State: s, Stamp: event.Stamp{Wall: wall}}
+}
+
+func TestFingerprintIsThatOfTheContent(t *testing.T) {
+	is := is.New(t)
+	a := Of("org", "model", "POST", "/v1", []byte("body"))
+	is.Equal(a, Of("org", "model", "POST", "/v1", []byte("body")))
+	is.Equal(len(a), 2*fingerprintBytes)
+	others := []Fingerprint{
+		Of("other", "model", "POST", "/v1", []byte("body")),
+		Of("org", "models", "POST", "/v1", []byte("body")),
+		Of("orgm", "odel", "POST", "/v1", []byte("body")),
+		Of("org", "model", "POST", "/v1b", []byte("ody")),
+		Of("org", "model", "GET", "/v1", []byte("body")),
+	}
+	for _, o := range others {
+		is.True(a != o)
+	}
+}
+
+func TestNewestVerdictCountsAndAConvictionStands(t *testing.T) {
+	cases := []struct {
+		name  string
+		taken []Verdict
+		want  State
+	}{
+		{"nothing known", nil, Unknown},
+		{"suspect", []Verdict{verdict("f", Suspect, 1)}, Suspect},
+		{"cleared after suspect", []Verdict{verdict("f", Suspect, 1), verdict("f", Cleared, 2)}, Cleared},
+		{"crossed messages", []Verdict{verdict("f", Cleared, 2), verdict("f", Suspect, 1)}, Cleared},
+		{"suspect again", []Verdict{verdict("f", Cleared, 2), verdict("f", Suspect, 3)}, Suspect},
+		{"late conviction", []Verdict{verdict("f", Cleared, 9), verdict("f", Convicted, 2)}, Convicted},
+		{"conviction stands", []Verdict{verdict("f", Convicted, 2), verdict("f", Cleared, 9)}, Convicted},
+		{"another fingerprint", []Verdict{verdict("g", Convicted, 2)}, Unknown},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			table := New(Options{})
+			for _, v := range c.taken {
+				table.Take(v, epoch)
+			}
+			is.Equal(table.Check("f", epoch), c.want)
+		})
+	}
+}
+
+func TestVerdictsExpire(t *testing.T) {
+	is := is.New(t)
+	table := New(Options{})
+	table.Take(verdict("s", Suspect, 1), epoch)
+	table.Take(verdict("c", Convicted, 1), epoch)
+	is.Equal(table.Check("s", epoch.Add(SuspectLife+1)), Unknown)
+	is.Equal(table.Check("c", epoch.Add(SuspectLife+1)), Convicted)
+	is.Equal(table.Check("c", epoch.Add(ConvictLife+1)), Unknown)
+}
+
+func TestRepeatedVerdictIsNoNews(t *testing.T) {
+	is := is.New(t)
+	table := New(Options{})
+	is.True(table.Take(verdict("f", Suspect, 1), epoch))
+	is.True(!table.Take(verdict("f", Suspect, 1), epoch))
+	is.Equal(len(table.News(epoch)), 1)
+	is.Equal(len(table.News(epoch.Add(NewsLife+1))), 0)
+}
+
+func TestTableIsBoundedAndKeepsTheConvicted(t *testing.T) {
+	is := is.New(t)
+	table := New(Options{Max: 100})
+	table.Take(verdict("convicted", Convicted, 1), epoch)
+	for n := range 10_000 {
+		table.Take(verdict(fmt.Sprint(n), Suspect, int64(n)), epoch.Add(time.Duration(n)*time.Millisecond))
+		is.True(table.Len() <= 100)
+	}
+	is.Equal(table.Check("convicted", epoch), Convicted)
+	is.Equal(table.Check("9999", epoch), Suspect)
+	is.True(len(table.News(epoch.Add(10*time.Second))) <= NewsMax)
+}
+
+func BenchmarkFingerprint(b *testing.B) {
+	body := make([]byte, 4096)
+	b.SetBytes(int64(len(body)))
+	for b.Loop() {
+		Of("org", "model", "POST", "/v1/chat/completions", body)
+	}
+}
--- /dev/null
+++ b/pkg/poisonstore/store.go
@@ -0,0 +1,147 @@
+// Package poisonstore keeps suspects and convictions at the platform: it decides which
+// entry may try a suspect, and lets a restarted entry know what the others know. It is
+// called only after a crash.
+package poisonstore
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/samber/oops"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/platform"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/poison"
+)
+
+// Kind is the kind of the platform's objects, named by fingerprint.
+const Kind = "suspect"
+
+// TrialLife is the time after which the trial of an entry that was lost may be taken over.
+const TrialLife = 2 * time.Minute
+
+// ErrBusy says that another entry tries the suspect.
+var ErrBusy = errors.New("poisonstore: another entry tries the suspect")
+
+// ErrConvicted says that the request is convicted.
+var ErrConvicted = errors.New("poisonstore: the request is convicted")
+
+// record is the value of an object.
+type record struct {
+	Verdict poison.Verdict `json:"verdict"`
+	// Trial identifies the trial in progress; Until is its end in milliseconds since 1970.
+	Trial string `json:"trial,omitempty"`
+	Until int64  `json:"until_ms"`
+}
+
+// Store keeps suspects at the platform. It is safe for concurrent use.
+type Store struct {
+	platform *platform.Client
+	now      func() time.Time
+}
+
+// New returns a store; a nil now means time.Now.
+func New(p *platform.Client, now func() time.Time) *Store {
+	if now == nil {
+		now = time.Now
+	}
+	return &Store{platform: p, now: now}
+}
+
+// Trial is the right to run a suspect once, alone.
+type Trial struct {
+	store    *Store
+	suspect  poison.Verdict
+	id       string
+	revision int64
+}
+
+// Begin claims the trial of a suspect. It returns ErrBusy while another entry tries it,
+// ErrConvicted when it was convicted, and another error when the platform gives no answer.
+func (s *Store) Begin(ctx context.Context, v poison.Verdict) (*Trial, error) {
+	name := string(v.Fingerprint)
+	revision := int64(0)
+	o, err := s.platform.Get(ctx, Kind, name)
+	if err == nil {
+		revision = o.Revision
+		err = s.free(o)
+	}
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return nil, err
+	}
+	t := &Trial{store: s, suspect: v, id: uuid.NewString()}
+	o, err = s.platform.Put(ctx, Kind, name, revision, record{Verdict: v, Trial: t.id, Until: s.now().Add(TrialLife).UnixMilli()})
+	if err != nil {
+		return s.settle(ctx, t, err)
+	}
+	t.revision = o.Revision
+	return t, nil
+}
+
+// free reports whether the object leaves room for a trial.
+func (s *Store) free(o platform.Object) error {
+	var r record
+	if err := json.Unmarshal(o.Value, &r); err != nil {
+		return oops.Wrapf(err, "read suspect %s", o.Name)
+	}
+	left := time.UnixMilli(r.Until).After(s.now())
+	if r.Verdict.State == poison.Convicted && left {
+		return ErrConvicted
+	}
+	if r.Trial != "" && left {
+		return ErrBusy
+	}
+	return nil
+}
+
+// settle finds out whether a write without an answer took effect.
+func (s *Store) settle(ctx context.Context, t *Trial, lost error) (*Trial, error) {
+	if errors.Is(lost, platform.ErrConflict) {
+		return nil, ErrBusy
+	}
+	o, err := s.platform.Get(ctx, Kind, string(t.suspect.Fingerprint))
+	if err != nil {
+		return nil, errors.Join(lost, err)
+	}
+	var r record
+	if json.Unmarshal(o.Value, &r) != nil || r.Trial != t.id {
+		return nil, errors.Join(ErrBusy, lost)
+	}
+	t.revision = o.Revision
+	return t, nil
+}
+
+// End ends the trial. A conviction is kept for its life; otherwise the object is removed.
+func (t *Trial) End(ctx context.Context, v poison.Verdict) error {
+	p := t.store.platform
+	if v.State != poison.Convicted {
+		return p.Delete(ctx, Kind, string(v.Fingerprint), t.revision)
+	}
+	until := t.store.now().Add(poison.ConvictLife).UnixMilli()
+	_, err := p.Put(ctx, Kind, string(v.Fingerprint), t.revision, record{Verdict: v, Until: until})
+	return err
+}
+
+// Load returns the verdicts kept and removes those that have expired.
+func (s *Store) Load(ctx context.Context) ([]poison.Verdict, error) {
+	l, err := s.platform.List(ctx, Kind)
+	if err != nil {
+		return nil, err
+	}
+	var out []poison.Verdict
+	for _, o := range l.Items {
+		var r record
+		if json.Unmarshal(o.Value, &r) != nil {
+			continue
+		}
+		if time.UnixMilli(r.Until).After(s.now()) {
+			out = append(out, r.Verdict)
+			continue
+		}
+		// Another entry may have removed or replaced it; then it is no longer ours to remove.
+		_ = s.platform.Delete(ctx, Kind, o.Name, o.Revision)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/test/poison_test.go
@@ -0,0 +1,86 @@
+package test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/coltsfootpitch/coltsfootpitch/internal/client"
+	"github.com/coltsfootpitch/coltsfootpitch/internal/fleet"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/standin/model"
+)
+
+func init() {
+	commands["poison"] = sendPoison
+	commands["crashes"] = crashes
+}
+
+// sendPoison: poison together|in-turn TIMES sends a request that crashes its engine to
+// every entry, TIMES at each, at the same moment or one after the other. No answer may
+// be whole.
+func sendPoison(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	var names []string
+	for name := range w.fleet.Callers {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	call := client.Chat("intake-llm", "please "+model.PoisonText, 20, true)
+	c := client.New(fleet.Token(organisations[0]), nil)
+	var mu sync.Mutex
+	codes := map[code.Code]int{}
+	one := func(name string) {
+		ctx, cancel := context.WithTimeout(context.Background(), scenarioLimit)
+		defer cancel()
+		a, err := c.DoAt(ctx, w.fleet.Callers[name], call)
+		mu.Lock()
+		defer mu.Unlock()
+		codes[code.Code(a.Code)]++
+		if a.Whole {
+			ts.Fatalf("the crashing request was answered at %s: %v %v", name, a, err)
+		}
+	}
+	for range number(ts, args[1]) {
+		var senders sync.WaitGroup
+		for _, name := range names {
+			if args[0] == "in-turn" {
+				one(name)
+				continue
+			}
+			senders.Go(func() { one(name) })
+		}
+		senders.Wait()
+	}
+	ts.Logf("codes: %v", codes)
+}
+
+// crashes: crashes MIN MAX checks the number of crashes of all engines.
+func crashes(ts *testscript.TestScript, _ bool, args []string) {
+	sum, overshoots := 0, 0
+	for name, url := range worldOf(ts).fleet.Upstreams {
+		if !strings.HasPrefix(name, "intake-llm") {
+			continue
+		}
+		resp, err := http.Get(url + "/ledger")
+		ts.Check(err)
+		var l model.Ledger
+		err = json.NewDecoder(resp.Body).Decode(&l)
+		resp.Body.Close()
+		ts.Check(err)
+		sum += l.Crashes
+		overshoots += l.Overshoots
+	}
+	ts.Logf("%d crashes, %d of them overshoots", sum, overshoots)
+	if sum < number(ts, args[0]) || sum > number(ts, args[1]) {
+		ts.Fatalf("%d crashes, want %s to %s", sum, args[0], args[1])
+	}
+	if overshoots > 0 {
+		ts.Fatalf("%d engines received more than they bear", overshoots)
+	}
+}
