--- a/pkg/agent/agent_test.go
+++ b/pkg/agent/agent_test.go
@@ -237,3 +237,21 @@
 	is.Equal(status.Running, 3)
 	is.Equal(status.Queued, 9)
 }
+
+func TestCrashOfALeavingUpstreamConvictsNobody(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 2, 8, 8)
+	trial := r.start("1", "fs", true)
+	left := make(chan struct{})
+	go func() {
+		r.Leave(context.Background())
+		close(left)
+	}()
+	for !r.Status().Leaving {
+		time.Sleep(time.Millisecond)
+	}
+	r.up.fall()
+	is.Equal((<-trial).Code, code.UpstreamLost)
+	<-left
+	is.Equal(r.Status().Verdicts[0].State, poison.Suspect)
+}
--- a/pkg/agent/poison.go
+++ b/pkg/agent/poison.go
@@ -45,22 +45,27 @@
 
 // judge takes in what the end of a run says about its request.
 func (a *Agent) judge(t *task, c code.Code, crashed bool) {
-	state := poison.Unknown
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	state := a.finding(t, c, crashed)
+	if state == poison.Unknown || t.req.Fingerprint == "" {
+		return
+	}
+	a.takeVerdict(poison.Verdict{Fingerprint: t.req.Fingerprint, State: state, Stamp: a.events.Clock().Now()})
+}
+
+// finding is what the end of a run says about its request. An upstream that is leaving
+// may end by itself and convicts nobody. Agent.mu is held.
+func (a *Agent) finding(t *task, c code.Code, crashed bool) poison.State {
 	switch {
-	case crashed && t.req.Alone:
-		state = poison.Convicted
+	case crashed && t.req.Alone && !a.leaving:
+		return poison.Convicted
 	case crashed:
-		state = poison.Suspect
+		return poison.Suspect
 	case c == code.OK && t.req.Alone:
-		state = poison.Cleared
+		return poison.Cleared
 	}
-	if state == poison.Unknown || t.req.Fingerprint == "" {
-		return
-	}
-	v := poison.Verdict{Fingerprint: t.req.Fingerprint, State: state, Stamp: a.events.Clock().Now()}
-	a.mu.Lock()
-	a.takeVerdict(v)
-	a.mu.Unlock()
+	return poison.Unknown
 }
 
 // takeVerdict takes in a verdict. Agent.mu is held.
