--- /dev/null
+++ b/pkg/claimstore/contention_test.go
@@ -0,0 +1,86 @@
+package claimstore
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/idempotency"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/platform"
+)
+
+// slowObjects takes 5 ms for each call, like a platform that answers in milliseconds.
+type slowObjects struct {
+	mu   sync.Mutex
+	fake fakeObjects
+}
+
+const slowCall = 5 * time.Millisecond
+
+func (s *slowObjects) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+	time.Sleep(slowCall)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fake.Get(ctx, kind, name)
+}
+
+func (s *slowObjects) Put(ctx context.Context, kind, name string, revision int64, value any) (platform.Object, error) {
+	time.Sleep(slowCall)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fake.Put(ctx, kind, name, revision, value)
+}
+
+const (
+	contentionRounds = 10
+	contentionOf     = idempotency.Key("k")
+)
+
+// commitRounds lets each writer commit a group of ops claims in each round of Interval and
+// returns the calls made and the share of groups that were refused.
+func commitRounds(t *testing.T, writers, ops int) (int, int) {
+	objects := &slowObjects{}
+	var mu sync.Mutex
+	refused := 0
+	var all sync.WaitGroup
+	for w := range writers {
+		h := newHeld(0, Options{Objects: objects, Now: time.Now}, New(Options{}).meters)
+		all.Go(func() {
+			for round := range contentionRounds {
+				began := time.Now()
+				var group []idempotency.Op
+				for i := range ops {
+					id := fmt.Sprintf("%d-%d-%d", w, round, i)
+					group = append(group, idempotency.Op{Kind: idempotency.Ask, Key: contentionOf + idempotency.Key(id), ID: id, TTL: time.Hour, Timeout: time.Minute})
+				}
+				if _, err := h.commit(context.Background(), group); err != nil {
+					mu.Lock()
+					refused++
+					mu.Unlock()
+				}
+				time.Sleep(Interval - time.Since(began)%Interval)
+			}
+		})
+	}
+	all.Wait()
+	t.Logf("%d writers of %d claims a round: %.1f calls a round, %d of %d groups refused",
+		writers, ops, float64(objects.fake.calls)/contentionRounds, refused, writers*contentionRounds)
+	return objects.fake.calls, refused
+}
+
+func TestOneHomeAgainstEveryEntryWriting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		home, refused := commitRounds(t, 1, 9)
+		if home > contentionRounds+1 || refused > 0 {
+			t.Errorf("a home made %d calls in %d rounds and refused %d groups", home, contentionRounds, refused)
+		}
+		nine, _ := commitRounds(t, 9, 1)
+		hundred, _ := commitRounds(t, 40, 1)
+		if nine < 9*home || hundred < nine {
+			t.Errorf("contention cost less than expected: %d calls by 9 entries, %d by 40", nine, hundred)
+		}
+	})
+}
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -15,6 +15,7 @@
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/configuration"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/poison"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/retry"
 )
 
@@ -60,8 +61,9 @@
 	life  string
 	calls atomic.Uint64
 
-	claims *claimer
-	meters meters
+	claims     *claimer
+	quarantine *Quarantine
+	meters     meters
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget
@@ -71,16 +73,17 @@
 
 // New returns a dispatcher over the table. The store commits the claims of keyed
 // requests whose home is this entry.
-func New(t *Table, config *configuration.Holder, events *event.Recorder, store *claimstore.Store, reg metrics.Registry) *Dispatcher {
+func New(t *Table, config *configuration.Holder, events *event.Recorder, store *claimstore.Store, q *Quarantine, reg metrics.Registry) *Dispatcher {
 	return &Dispatcher{
-		table:    t,
-		config:   config,
-		events:   events,
-		life:     uuid.NewString(),
-		claims:   newClaimer(t, store),
-		meters:   newMeters(reg),
-		budgets:  map[string]*retry.Budget{},
-		inFlight: map[string]int{},
+		table:      t,
+		config:     config,
+		events:     events,
+		life:       uuid.NewString(),
+		claims:     newClaimer(t, store),
+		quarantine: q,
+		meters:     newMeters(reg),
+		budgets:    map[string]*retry.Budget{},
+		inFlight:   map[string]int{},
 	}
 }
 
@@ -90,6 +93,7 @@
 // Do runs a request until it has a final result. The deadline of ctx is that of the request.
 func (d *Dispatcher) Do(ctx context.Context, r Request, sink Sink) Result {
 	s := &session{d: d, call: d.nextCall(), req: r, sink: sink}
+	s.fingerprint = poison.Of(r.Organisation.Name, r.Target, r.Method, r.Path, r.Body)
 	if !d.enter(r.Organisation) {
 		return Result{Code: code.OrganisationLimit, RetryAfter: defaultRetryAfter}
 	}
--- a/pkg/dispatch/session_test.go
+++ b/pkg/dispatch/session_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
@@ -64,7 +65,8 @@
 	for id := range table.peers() {
 		table.observe(id, statusOf(is, table, id))
 	}
-	return New(table, holder, rec, nil, nil)
+	reg := metrics.NewRegistry()
+	return New(table, holder, rec, nil, NewQuarantine(table, nil, reg), reg)
 }
 
 func statusOf(is *is.I, t *Table, id string) peer.Status {
