--- a/pkg/resume/plan_test.go
+++ b/pkg/resume/plan_test.go
@@ -41,6 +41,8 @@
 		{"two choices", plainBody, []string{`data: {"choices":[{"index":0,"delta":{}},{"index":1,"delta":{}}]}` + "\n\n"}, Impossible},
 		{"tool call", plainBody, []string{`data: {"choices":[{"index":0,"delta":{"tool_calls":[]}}]}` + "\n\n"}, Impossible},
 		{"usage event", plainBody, []string{textEvent, `data: {"choices":[],"usage":{}}` + "\n\n"}, Impossible},
+		{"content that is no string", plainBody, []string{`data: {"choices":[{"index":0,"delta":{"content":[1]}}]}` + "\n\n"}, Impossible},
+		{"choices that are no list", plainBody, []string{`data: {"choices":{"index":0,"delta":{"content":"a"}}}` + "\n\n"}, Impossible},
 		{"error event", plainBody, []string{`data: {"error":{"message":"x"}}` + "\n\n"}, Impossible},
 		{"named event", plainBody, []string{"event: x\n" + textEvent}, Impossible},
 		{"text after the finish event", plainBody, []string{closeEvent, textEvent}, Impossible},
--- a/pkg/resume/transcript.go
+++ b/pkg/resume/transcript.go
@@ -85,39 +85,64 @@
 	if !ok || bytes.ContainsAny(body, "\r\n") || !gjson.ValidBytes(body) {
 		return chunk{}, false
 	}
-	root := gjson.ParseBytes(body)
-	choices := root.Get("choices").Array()
-	if len(choices) != 1 || root.Get("error").Exists() {
-		return chunk{}, false
-	}
-	choice := choices[0]
-	if choice.Get("index").Int() != 0 || !plain(choice, "index", "delta", "finish_reason") {
-		return chunk{}, false
-	}
-	delta := choice.Get("delta")
-	if !plain(delta, "role", "content") {
-		return chunk{}, false
-	}
-	return chunk{
-		id:       root.Get("id").Raw,
-		created:  root.Get("created").Raw,
-		model:    root.Get("model").Raw,
-		text:     delta.Get("content").String(),
-		tokens:   root.Get("usage.completion_tokens").Int(),
-		role:     delta.Get("role").Exists(),
-		finished: choice.Get("finish_reason").Type == gjson.String,
-	}, true
+	c := chunk{}
+	choices := 0
+	gjson.ParseBytes(body).ForEach(func(k, v gjson.Result) bool {
+		switch k.Str {
+		case "id":
+			c.id = v.Raw
+		case "created":
+			c.created = v.Raw
+		case "model":
+			c.model = v.Raw
+		case "usage":
+			c.tokens = v.Get("completion_tokens").Int()
+		case "error":
+			ok = false
+		case "choices":
+			v.ForEach(func(_, choice gjson.Result) bool {
+				choices++
+				ok = ok && c.choice(choice)
+				return ok
+			})
+		}
+		return ok
+	})
+	return c, ok && choices == 1
+}
+
+// choice reads the one choice of a chunk. It reports false for what is more than text.
+func (c *chunk) choice(choice gjson.Result) bool {
+	ok := choice.IsObject()
+	choice.ForEach(func(k, v gjson.Result) bool {
+		switch {
+		case k.Str == "index":
+			ok = v.Num == 0
+		case k.Str == "delta":
+			ok = c.delta(v)
+		case k.Str == "finish_reason":
+			c.finished = v.Type == gjson.String
+		default:
+			ok = v.Type == gjson.Null
+		}
+		return ok
+	})
+	return ok
 }
 
-// plain reports whether all fields of an object but the named ones are null.
-func plain(object gjson.Result, names ...string) bool {
+// delta reads the text of a choice. It reports false for what is more than text.
+func (c *chunk) delta(delta gjson.Result) bool {
 	ok := true
-	object.ForEach(func(k, v gjson.Result) bool {
-		known := v.Type == gjson.Null
-		for _, n := range names {
-			known = known || k.String() == n
+	delta.ForEach(func(k, v gjson.Result) bool {
+		switch {
+		case k.Str == "role":
+			c.role = true
+		case k.Str == "content":
+			c.text = v.Str
+			ok = v.Type == gjson.String || v.Type == gjson.Null
+		default:
+			ok = v.Type == gjson.Null
 		}
-		ok = known
 		return ok
 	})
 	return ok
