--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/claimstore"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
@@ -62,6 +63,7 @@
 
 	claims     *claimer
 	quarantine *Quarantine
+	meters     meters
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget
@@ -71,7 +73,7 @@
 
 // New returns a dispatcher over the table. The store commits the claims of keyed
 // requests whose home is this entry.
-func New(t *Table, config *configuration.Holder, events *event.Recorder, store *claimstore.Store, q *Quarantine) *Dispatcher {
+func New(t *Table, config *configuration.Holder, events *event.Recorder, store *claimstore.Store, q *Quarantine, reg metrics.Registry) *Dispatcher {
 	return &Dispatcher{
 		table:      t,
 		config:     config,
@@ -79,6 +81,7 @@
 		life:       uuid.NewString(),
 		claims:     newClaimer(t, store),
 		quarantine: q,
+		meters:     newMeters(reg),
 		budgets:    map[string]*retry.Budget{},
 		inFlight:   map[string]int{},
 	}
