End the demo's processes when its output is closed

Cause: 'make demo | head' ended the demo by SIGPIPE and left its 41 processes running; they were found by the load of the machine. Ruled out: a parent death signal, which is bound to a thread and not to the process.

--- a/cmd/coltsfoot-demo/main.go
+++ b/cmd/coltsfoot-demo/main.go
@@ -8,7 +8,9 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/coltsfootpitch/coltsfootpitch/internal/client"
@@ -47,7 +49,11 @@
 var organisations = []string{"fjordbeet", "innherred-growers", "skolen", "lagoon-air"}
 
 func run() error {
-	ctx, cancel := context.WithTimeout(context.Background(), demoLimit)
+	// A closed pipe or a signal ends the demo through its context, so that no process
+	// of the fleet is left behind.
+	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM, syscall.SIGPIPE)
+	defer stop()
+	ctx, cancel := context.WithTimeout(signals, demoLimit)
 	defer cancel()
 	self, err := os.Executable()
 	if err != nil {
