Keep routing in the own region and count own attempts until they end

Cause: Table.pick built a list of all instances for each decision, and the count of attempts sent was set to 0 at each status although they were still under way, so that an entry forgot its own work whenever a report had overtaken it. Routing preferred the own zone but ignored regions. An agent learned only from its own SIGTERM that it leaves.

Change: candidates lie side by side per target and are updated when news arrives. The agent reports how much of its work the asking entry sent; what that entry has in progress is known exactly and counts in place of it, once for each entry while unseen. Other regions are candidates only when nothing usable is left in the own one. A lost agent is passed over until its next status. Status calls tell an agent what the instance list says of it, with the revision of the entry, so that it refuses by itself. The directory grades entries: own region, other regions, in doubt, leaving; a leaving entry stays for the life of the longest answer that another entry may have given.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/admission"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/configuration"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/fairness"
@@ -45,6 +46,8 @@
 	health  upstream.Health
 	up      bool
 	leaving bool
+	listed  peer.Listed
+	zoneOut bool
 	closed  bool
 	service float64
 
@@ -93,7 +96,7 @@
 func (a *Agent) Leave(ctx context.Context) {
 	a.mu.Lock()
 	a.leaving = true
-	a.refuseWaiting()
+	a.refuseWaiting(code.UpstreamLeaving)
 	a.mu.Unlock()
 	for ctx.Err() == nil && a.busy() {
 		pause(ctx, leavePoll)
--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -18,9 +18,9 @@
 	defer t.cancel()
 	if c := a.admit(t); c != code.OK {
 		a.refused(t, c)
-		return a.complete(peer.RunResult{Code: c}), nil
+		return a.complete(t, peer.RunResult{Code: c}), nil
 	}
-	return a.complete(a.await(ctx, t)), nil
+	return a.complete(t, a.await(ctx, t)), nil
 }
 
 // admit puts the task in the queue, or returns the reason why it may not wait.
@@ -45,7 +45,7 @@
 
 // closedTo returns the reason why the agent takes no new work of this kind, or OK.
 func (a *Agent) closedTo(r peer.RunRequest) code.Code {
-	if a.leaving || a.closed {
+	if a.leaving || a.listed.Leaving || a.closed {
 		return code.UpstreamLeaving
 	}
 	view := a.config.View()
@@ -119,8 +119,8 @@
 	return waiting
 }
 
-// refuseWaiting ends all waiting tasks. Agent.mu is held.
-func (a *Agent) refuseWaiting() {
+// refuseWaiting ends all waiting tasks with the code. Agent.mu is held.
+func (a *Agent) refuseWaiting(c code.Code) {
 	for {
 		i, ok := a.queue.Pop()
 		if !ok {
@@ -129,7 +129,8 @@
 		t := a.tasks[i.ID]
 		a.fence.Refuse(t.key, a.now())
 		delete(a.tasks, i.ID)
-		t.finish(code.UpstreamLeaving, "", 0)
+		a.refused(t, c)
+		t.finish(c, "", 0)
 	}
 }
 
@@ -157,9 +158,9 @@
 }
 
 // complete adds to a result what every result carries.
-func (a *Agent) complete(r peer.RunResult) peer.RunResult {
+func (a *Agent) complete(t *task, r peer.RunResult) peer.RunResult {
 	r.News = a.news()
-	r.Load = a.Status()
+	r.Load = a.Status(t.req.From)
 	r.Incarnation = r.Load.Incarnation
 	return r
 }
--- a/pkg/agent/status.go
+++ b/pkg/agent/status.go
@@ -11,9 +11,10 @@
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/upstream"
 )
 
-// Status returns the state of the agent and its upstream.
-func (a *Agent) Status() peer.Status {
+// Status returns the state of the agent and its upstream for the entry from.
+func (a *Agent) Status(from string) peer.Status {
 	news := a.news()
+	view := a.config.View()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return peer.Status{
@@ -26,8 +27,10 @@
 		Limit:         a.limiter.Limit(a.now()),
 		Running:       a.limiter.Running(),
 		Queued:        a.queue.Len(),
+		Yours:         a.tasksOf(from),
 		Cold:          a.limiter.Cold(),
-		Leaving:       a.leaving,
+		Leaving:       a.leaving || a.listed.Leaving,
+		ZoneOut:       view != nil && view.ZoneOut(a.settings.Zone),
 		Reachable:     a.up,
 		ServiceMillis: a.service,
 	}
@@ -36,7 +39,8 @@
 // AnswerStatus serves peer.MethodStatus.
 func (a *Agent) AnswerStatus(_ context.Context, _ *jsonrpc2.Conn, r peer.StatusRequest) (peer.Status, error) {
 	a.events.Clock().Observe(r.Stamp)
-	return a.Status(), nil
+	a.heed(r.Listed)
+	return a.Status(r.From), nil
 }
 
 // Configure serves peer.MethodConfigure: it adopts the document when it is newer.
@@ -44,9 +48,7 @@
 	a.events.Clock().Observe(r.Stamp)
 	if r.Document != nil && a.config.Adopt(r.Document) {
 		a.events.Record(event.Event{Kind: event.ConfigAdopted, ConfigVersion: r.Document.Version, Zone: a.settings.Zone})
-		a.mu.Lock()
-		a.wake.Broadcast()
-		a.mu.Unlock()
+		a.followZone()
 	}
 	return peer.ConfigureResult{News: a.news()}, nil
 }
--- /dev/null
+++ b/pkg/directory/answer_test.go
@@ -0,0 +1,47 @@
+package directory
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestAnswer(t *testing.T) {
+	near := Entry{Address: "near", Near: true, Usable: true}
+	far := Entry{Address: "far", Usable: true}
+	silent := Entry{Address: "silent", Near: true}
+	gone := Entry{Address: "gone", Near: true, Usable: true, Leaving: true}
+	cases := []struct {
+		name    string
+		entries []Entry
+		want    []string
+	}{
+		{"own region only", []Entry{far, near, silent, gone}, []string{"near"}},
+		{"other regions as a fallback", []Entry{far, silent, gone}, []string{"far"}},
+		{"in doubt before leaving", []Entry{gone, silent}, []string{"silent"}},
+		{"leaving rather than none", []Entry{gone}, []string{"gone"}},
+		{"none known", nil, []string{}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			a := New(c.entries, 7, rand.New(rand.NewPCG(1, 2)))
+			slices.Sort(a.Addresses)
+			is.Equal(a.Addresses, c.want)
+			is.Equal(a.TTLSeconds, 7)
+		})
+	}
+}
+
+func TestLifeKeepsLongerAnswers(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	var l Life
+	l.Set(start, time.Minute)
+	l.Set(start.Add(10*time.Second), time.Second)
+	is.Equal(l.Until(start.Add(11*time.Second)), start.Add(70*time.Second))
+	is.Equal(l.Until(start.Add(2*time.Minute)), start.Add(121*time.Second))
+}
--- /dev/null
+++ b/pkg/directory/life.go
@@ -0,0 +1,25 @@
+package directory
+
+import "time"
+
+// Life tracks until when callers may hold an answer. The zero value is ready to use. It
+// is not safe for concurrent use.
+type Life struct {
+	ttl   time.Duration
+	until time.Time
+}
+
+// Set notes that answers given from now on live for ttl. Answers given before keep
+// the life that they were given.
+func (l *Life) Set(now time.Time, ttl time.Duration) {
+	l.until = l.Until(now)
+	l.ttl = ttl
+}
+
+// Until returns the time at which the last answer given up to now expires.
+func (l *Life) Until(now time.Time) time.Time {
+	if end := now.Add(l.ttl); end.After(l.until) {
+		return end
+	}
+	return l.until
+}
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -149,6 +149,7 @@
 		s.attempt++
 		s.tried = append(s.tried, p.id)
 		last = s.try(ctx, p)
+		s.d.table.release(p)
 		if !s.again(ctx, last.Code) {
 			return last
 		}
@@ -183,10 +184,13 @@
 		err = s.answer.finish(s.sink)
 	}
 	if err == nil {
-		s.d.table.observe(p.id, res.Load)
+		s.d.table.observe(p.id, res.Load, s.d.table.opts.Now())
 		s.informLater(p, res.ConfigVersion)
 	} else {
 		out.Code, out.Detail = s.settle(ctx, p, r, err), err.Error()
+		if out.Code == code.UpstreamUnreachable || out.Code == code.AgentLost {
+			s.d.table.lose(p.member)
+		}
 	}
 	if res.RetryAfterMillis > 0 {
 		out.RetryAfter = time.Duration(res.RetryAfterMillis) * time.Millisecond
@@ -245,6 +249,7 @@
 		News:           s.d.table.news(),
 		Request:        s.req.ID,
 		Attempt:        s.attempt,
+		From:           s.d.table.opts.Name,
 		Incarnation:    p.incarnation,
 		Organisation:   s.req.Organisation.Name,
 		Priority:       s.req.Organisation.Priority,
--- /dev/null
+++ b/pkg/dispatch/entries.go
@@ -0,0 +1,34 @@
+package dispatch
+
+import (
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/directory"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/instancelist"
+)
+
+// Entries returns the entries as known here.
+func (t *Table) Entries(selfUsable bool) []directory.Entry {
+	view := t.opts.Config.View()
+	now := t.opts.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []directory.Entry
+	for _, id := range t.order {
+		m := t.members[id]
+		if m.instance.Role != instancelist.Entry {
+			continue
+		}
+		reached := !m.lost && now.Sub(m.seen) <= StatusAge
+		leaving := m.status.Leaving || m.instance.State != instancelist.Live
+		if id == t.opts.Name {
+			reached = true
+			leaving = leaving || !selfUsable
+		}
+		out = append(out, directory.Entry{
+			Address: m.instance.Address,
+			Near:    m.instance.Region == t.opts.Region,
+			Leaving: leaving,
+			Usable:  reached && !view.ZoneOut(m.instance.Zone),
+		})
+	}
+	return out
+}
--- a/pkg/dispatch/poller.go
+++ b/pkg/dispatch/poller.go
@@ -4,25 +4,19 @@
 	"context"
 	"sync"
 	"time"
-
-	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
 )
 
 // pollWorkers is the number of status calls that an entry makes at a time.
 const pollWorkers = 16
 
-// probe is one status call to make.
-type probe struct {
-	id     string
-	client *peer.Client
-}
-
 // Poller asks the processes of the table for their status, at an interval and when
 // it is woken.
 type Poller struct {
 	table    *Table
 	interval time.Duration
 	wake     chan struct{}
+	// probes is reused from round to round.
+	probes []probe
 }
 
 // NewPoller returns a poller that makes a round each interval.
@@ -45,7 +39,7 @@
 	for range pollWorkers {
 		workers.Go(func() {
 			for j := range jobs {
-				p.table.refresh(ctx, j.id, j.client)
+				p.table.refresh(ctx, j)
 			}
 		})
 	}
@@ -64,9 +58,10 @@
 }
 
 func (p *Poller) round(ctx context.Context, jobs chan<- probe) {
-	for id, c := range p.table.peers() {
+	p.probes = p.table.probes(p.probes[:0])
+	for _, j := range p.probes {
 		select {
-		case jobs <- probe{id, c}:
+		case jobs <- j:
 		case <-ctx.Done():
 			return
 		}
--- /dev/null
+++ b/pkg/dispatch/pool.go
@@ -0,0 +1,85 @@
+package dispatch
+
+import (
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/instancelist"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/routing"
+)
+
+// pool holds the upstreams of one target, side by side with their candidates, so that
+// a decision reads one block of memory and builds nothing.
+type pool struct {
+	members    []*member
+	candidates []routing.Candidate
+}
+
+// slot is the place of a member in a pool.
+type slot struct {
+	pool *pool
+	at   int
+}
+
+// add gives m a place in the pool.
+func (p *pool) add(m *member) {
+	m.slots = append(m.slots, slot{p, len(p.members)})
+	p.members = append(p.members, m)
+	p.candidates = append(p.candidates, routing.Candidate{})
+}
+
+// setTried marks the candidates of the tried upstreams.
+func (p *pool) setTried(members map[string]*member, tried []string, value bool) {
+	for _, id := range tried {
+		m := members[id]
+		if m == nil {
+			continue
+		}
+		for _, s := range m.slots {
+			if s.pool == p {
+				p.candidates[s.at].Tried = value
+			}
+		}
+	}
+}
+
+// publish writes the candidate to each place of m.
+func (m *member) publish(c routing.Candidate) {
+	for _, s := range m.slots {
+		s.pool.candidates[s.at] = c
+	}
+}
+
+// publishOwn writes the attempts in progress to each place of m.
+func (m *member) publishOwn() {
+	for _, s := range m.slots {
+		s.pool.candidates[s.at].Own = m.own
+	}
+}
+
+// index rebuilds the pools and what else is derived from the members. Table.mu is held.
+func (t *Table) index() {
+	clear(t.byTarget)
+	t.entries = 0
+	for _, id := range t.order {
+		m := t.members[id]
+		m.slots = m.slots[:0]
+		if m.instance.Role == instancelist.Entry && m.instance.Region == t.opts.Region {
+			t.entries++
+		}
+		for _, name := range m.status.Models {
+			t.pool(target{peer.ModelWork, name}).add(m)
+		}
+		for _, name := range m.status.Services {
+			t.pool(target{peer.ServiceWork, name}).add(m)
+		}
+		t.judge(m)
+	}
+}
+
+func (t *Table) pool(w target) *pool {
+	p := t.byTarget[w]
+	if p == nil {
+		p = &pool{}
+		t.byTarget[w] = p
+	}
+	return p
+}
--- /dev/null
+++ b/pkg/dispatch/refresh.go
@@ -0,0 +1,76 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/instancelist"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+)
+
+// statusCall bounds a status call.
+const statusCall = time.Second
+
+// probe is one status call to make.
+type probe struct {
+	id     string
+	client *peer.Client
+	listed peer.Listed
+}
+
+// probes appends a status call for each other process to out.
+func (t *Table) probes(out []probe) []probe {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, id := range t.order {
+		m := t.members[id]
+		if id == t.opts.Name || m.instance.Control == "" {
+			continue
+		}
+		listed := peer.Listed{Leaving: m.instance.State == instancelist.Leaving, Revision: m.instance.Revision}
+		out = append(out, probe{id: id, client: m.client, listed: listed})
+	}
+	return out
+}
+
+// refresh asks one process for its status and hands it the configuration when it is behind.
+func (t *Table) refresh(ctx context.Context, p probe) {
+	ctx, cancel := context.WithTimeout(ctx, statusCall)
+	defer cancel()
+	asked := t.opts.Now()
+	r := peer.StatusRequest{News: t.news(), From: t.opts.Name, Listed: p.listed}
+	s, err := peer.Call[peer.Status](ctx, p.client, peer.MethodStatus, r)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		t.loseByID(p.id)
+	}
+	if err != nil {
+		return
+	}
+	t.observe(p.id, s, asked)
+	t.inform(ctx, p.client, s.ConfigVersion)
+}
+
+func (t *Table) loseByID(id string) {
+	t.mu.Lock()
+	m := t.members[id]
+	t.mu.Unlock()
+	if m != nil {
+		t.lose(m)
+	}
+}
+
+// inform hands the configuration in force to a process with an older one.
+func (t *Table) inform(ctx context.Context, c *peer.Client, version int64) {
+	view := t.opts.Config.View()
+	if view.Version() <= version {
+		return
+	}
+	// A failed call is made good by the next status call.
+	_, _ = peer.Call[peer.ConfigureResult](ctx, c, peer.MethodConfigure, peer.ConfigureRequest{News: t.news(), Document: view.Document})
+}
+
+func (t *Table) news() peer.News {
+	return peer.News{Stamp: t.opts.Events.Clock().Now(), ConfigVersion: t.opts.Config.View().Version()}
+}
--- a/pkg/dispatch/table.go
+++ b/pkg/dispatch/table.go
@@ -1,13 +1,13 @@
 package dispatch
 
 import (
-	"context"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/configuration"
-	"github.com/coltsfootpitch/coltsfootpitch/pkg/directory"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/instancelist"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
@@ -18,32 +18,56 @@
 type member struct {
 	instance instancelist.Instance
 	client   *peer.Client
+	key      uint64
+	distance routing.Distance
 	status   peer.Status
 	seen     time.Time
-	// sent counts the attempts in progress that the newest status does not show yet.
-	sent int
+	// own counts the attempts of this entry in progress.
+	own int32
+	// lost is set after a failed contact until the next status.
+	lost bool
+	// slots are the places of the upstream among the candidates of its targets.
+	slots []slot
 }
 
 // Table holds the upstreams and the other entries. It is safe for concurrent use.
 type Table struct {
-	name   string
-	zone   string
-	config *configuration.Holder
-	events *event.Recorder
-	now    func() time.Time
+	opts TableOptions
+
+	mu       sync.Mutex
+	members  map[string]*member
+	order    []string
+	byTarget map[target]*pool
+	view     *configuration.View
+	entries  int32
+	turn     int
+	epoch    time.Time
+}
 
-	mu      sync.Mutex
-	members map[string]*member
-	order   []string
-	turn    int
+// TableOptions configure a table.
+type TableOptions struct {
+	// Name, Zone and Region are those of the entry.
+	Name   string
+	Zone   string
+	Region string
+	Config *configuration.Holder
+	Events *event.Recorder
+	Now    func() time.Time
 }
 
 // StatusAge is the age at which a status no longer counts.
-const StatusAge = 3 * time.Second
-
-// NewTable returns an empty table for the entry with the name in the zone.
-func NewTable(name, zone string, config *configuration.Holder, events *event.Recorder, now func() time.Time) *Table {
-	return &Table{name: name, zone: zone, config: config, events: events, now: now, members: map[string]*member{}}
+const StatusAge = routing.ReportLife
+
+// NewTable returns an empty table.
+func NewTable(o TableOptions) *Table {
+	return &Table{
+		opts:     o,
+		members:  map[string]*member{},
+		byTarget: map[target]*pool{},
+		epoch:    o.Now(),
+		// Entries with equal news start their turns at different places.
+		turn: int(xxhash.Sum64String(o.Name) >> 1),
+	}
 }
 
 // SetInstances replaces the instance list and keeps what is known of the instances that stay.
@@ -55,34 +79,59 @@
 	for _, i := range list {
 		m, ok := t.members[i.ID]
 		if !ok || m.instance.Control != i.Control {
-			m = &member{client: peer.NewClient(i.Control)}
-			t.events.Record(event.Event{Kind: event.UpstreamFound, Upstream: i.ID, Zone: i.Zone})
+			m = &member{client: peer.NewClient(i.Control), key: xxhash.Sum64String(i.ID)}
+			t.record(event.UpstreamFound, i)
+		}
+		if i.State == instancelist.Leaving && m.instance.State != instancelist.Leaving {
+			t.record(event.InstanceLeaving, i)
 		}
 		m.instance = i
+		m.distance = t.distance(i)
 		next[i.ID] = m
 		t.order = append(t.order, i.ID)
 	}
 	for id, m := range t.members {
 		if next[id] == nil {
-			t.events.Record(event.Event{Kind: event.UpstreamGone, Upstream: id, Zone: m.instance.Zone})
+			t.record(event.UpstreamGone, m.instance)
 			// Attempts in progress end by themselves; the connection closes with the process.
 		}
 	}
 	t.members = next
+	t.index()
+}
+
+func (t *Table) record(k event.Kind, i instancelist.Instance) {
+	t.opts.Events.Record(event.Event{Kind: k, Upstream: i.ID, Zone: i.Zone})
 }
 
-// observe takes in the status of a member.
-func (t *Table) observe(id string, s peer.Status) {
-	t.events.Clock().Observe(s.Stamp)
+func (t *Table) distance(i instancelist.Instance) routing.Distance {
+	switch {
+	case i.Zone == t.opts.Zone:
+		return routing.SameZone
+	case i.Region == t.opts.Region:
+		return routing.SameRegion
+	}
+	return routing.OtherRegion
+}
+
+// observe takes in the status of a member that was asked for at a time. An answer that is older
+// than the one held is dropped.
+func (t *Table) observe(id string, s peer.Status, asked time.Time) {
+	t.opts.Events.Clock().Observe(s.Stamp)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m := t.members[id]
-	if m == nil {
+	if m == nil || s.Incarnation == m.status.Incarnation && s.Stamp.Before(m.status.Stamp) {
 		return
 	}
+	moved := !slices.Equal(s.Models, m.status.Models) || !slices.Equal(s.Services, m.status.Services)
 	m.status = s
-	m.seen = t.now()
-	m.sent = 0
+	m.seen = asked
+	m.lost = false
+	if moved {
+		t.index()
+	}
+	t.judge(m)
 }
 
 // target identifies what an upstream must hold.
@@ -96,128 +145,98 @@
 	id          string
 	incarnation string
 	client      *peer.Client
+	member      *member
+	// service is the mean service time of the upstream, 0 while unknown.
+	service time.Duration
 }
 
-// pick chooses an upstream that holds the target and is not in tried.
+// pick chooses an upstream that holds the target and is not in tried. The attempt
+// counts at the upstream until it is released.
 func (t *Table) pick(w target, tried []string) (picked, bool) {
-	view := t.config.View()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	list := make([]routing.Candidate, 0, len(t.order))
-	for _, id := range t.order {
-		m := t.members[id]
-		list = append(list, routing.Candidate{
-			ID:       id,
-			Zone:     m.instance.Zone,
-			Limit:    m.status.Limit,
-			Running:  m.status.Running,
-			Queued:   m.status.Queued,
-			Sent:     m.sent,
-			Excluded: !t.usable(m, w, view) || slices.Contains(tried, id),
-		})
+	t.follow()
+	pool := t.byTarget[w]
+	if pool == nil {
+		return picked{}, false
 	}
 	t.turn++
-	i := routing.Choose(t.zone, t.turn, list)
+	pool.setTried(t.members, tried, true)
+	i := routing.Choose(routing.Request{Now: t.since(t.opts.Now()), Entries: t.entries, Start: t.turn}, pool.candidates)
+	pool.setTried(t.members, tried, false)
 	if i < 0 {
 		return picked{}, false
 	}
-	m := t.members[list[i].ID]
-	m.sent++
-	return picked{id: m.instance.ID, incarnation: m.status.Incarnation, client: m.client}, true
+	m := pool.members[i]
+	m.own++
+	m.publishOwn()
+	return picked{
+		id: m.instance.ID, incarnation: m.status.Incarnation, client: m.client, member: m,
+		service: time.Duration(m.status.ServiceMillis * float64(time.Millisecond)),
+	}, true
 }
 
-// usable reports whether m may receive new work for w. Table.mu is held.
-func (t *Table) usable(m *member, w target, view *configuration.View) bool {
-	if m.instance.Role != instancelist.Upstream || m.instance.State != instancelist.Live {
-		return false
-	}
-	if view.ZoneOut(m.instance.Zone) || t.now().Sub(m.seen) > StatusAge {
-		return false
-	}
-	if m.status.Leaving || !m.status.Reachable {
-		return false
-	}
-	if w.kind == peer.ServiceWork {
-		return slices.Contains(m.status.Services, w.name)
-	}
-	return slices.Contains(m.status.Models, w.name)
+func (t *Table) since(at time.Time) time.Duration { return at.Sub(t.epoch) }
+
+// release ends the count of a picked attempt.
+func (t *Table) release(p picked) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p.member.own--
+	p.member.publishOwn()
 }
 
-// Entries returns the entries as known here.
-func (t *Table) Entries(selfUsable bool) []directory.Entry {
-	view := t.config.View()
+// lose keeps new work away from a member that could not be reached until its next status.
+func (t *Table) lose(m *member) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var out []directory.Entry
-	for _, id := range t.order {
-		m := t.members[id]
-		if m.instance.Role != instancelist.Entry {
-			continue
-		}
-		fresh := t.now().Sub(m.seen) <= StatusAge && !m.status.Leaving
-		if id == t.name {
-			fresh = selfUsable
-		}
-		usable := fresh && m.instance.State == instancelist.Live && !view.ZoneOut(m.instance.Zone)
-		out = append(out, directory.Entry{Address: m.instance.Address, Usable: usable})
+	m.lost = true
+	t.judge(m)
+}
+
+// follow takes in a configuration that was adopted since the last call. Table.mu is held.
+func (t *Table) follow() {
+	view := t.opts.Config.View()
+	if view == t.view {
+		return
+	}
+	t.view = view
+	for _, m := range t.members {
+		t.judge(m)
 	}
-	return out
+}
+
+// judge works out whether m is open to new work and publishes its state. Table.mu is held.
+func (t *Table) judge(m *member) {
+	live := m.instance.Role == instancelist.Upstream && m.instance.State == instancelist.Live
+	willing := m.status.Reachable && !m.status.Leaving && !m.status.ZoneOut && !m.lost
+	open := live && willing && t.view != nil && !t.view.ZoneOut(m.instance.Zone)
+	m.publish(routing.Candidate{
+		Key:           m.key,
+		Seen:          t.since(m.seen),
+		ServiceMillis: m.status.ServiceMillis,
+		Limit:         int32(m.status.Limit),
+		Running:       int32(m.status.Running),
+		Queued:        int32(m.status.Queued),
+		Reported:      int32(m.status.Yours),
+		Own:           m.own,
+		Distance:      m.distance,
+		Excluded:      !open,
+	})
 }
 
 // Ready reports whether at least one upstream can take work.
 func (t *Table) Ready() bool {
-	view := t.config.View()
-	if view == nil {
+	if t.opts.Config.View() == nil {
 		return false
 	}
+	now := t.opts.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, m := range t.members {
-		if m.status.Reachable && t.now().Sub(m.seen) <= StatusAge {
+		if m.status.Reachable && now.Sub(m.seen) <= StatusAge {
 			return true
 		}
 	}
 	return false
 }
-
-// peers returns the IDs and clients of all other processes.
-func (t *Table) peers() map[string]*peer.Client {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	out := make(map[string]*peer.Client, len(t.members))
-	for id, m := range t.members {
-		if id != t.name && m.instance.Control != "" {
-			out[id] = m.client
-		}
-	}
-	return out
-}
-
-// statusCall bounds a status call.
-const statusCall = time.Second
-
-// refresh asks one process for its status and hands it the configuration when it is behind.
-func (t *Table) refresh(ctx context.Context, id string, c *peer.Client) {
-	ctx, cancel := context.WithTimeout(ctx, statusCall)
-	defer cancel()
-	s, err := peer.Call[peer.Status](ctx, c, peer.MethodStatus, peer.StatusRequest{News: t.news(), From: t.name})
-	if err != nil {
-		return
-	}
-	t.observe(id, s)
-	t.inform(ctx, c, s.ConfigVersion)
-}
-
-// inform hands the configuration in force to a process with an older one.
-func (t *Table) inform(ctx context.Context, c *peer.Client, version int64) {
-	view := t.config.View()
-	if view.Version() <= version {
-		return
-	}
-	// A failed call is made good by the next status call.
-	_, _ = peer.Call[peer.ConfigureResult](ctx, c, peer.MethodConfigure, peer.ConfigureRequest{News: t.news(), Document: view.Document})
-}
-
-func (t *Table) news() peer.News {
-	return peer.News{Stamp: t.events.Clock().Now(), ConfigVersion: t.config.View().Version()}
-}
--- /dev/null
+++ b/pkg/dispatch/table_test.go
@@ -0,0 +1,186 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/configuration"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/instancelist"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+)
+
+// bench is a table with a clock that tests move.
+type bench struct {
+	*Table
+	now    time.Time
+	config *configuration.Holder
+	list   []instancelist.Instance
+}
+
+var work = target{peer.ModelWork, "intake-llm"}
+
+// newBench returns a table with n upstreams in two zones of the own region.
+func newBench(n int) *bench {
+	b := &bench{now: time.Unix(1000, 0), config: &configuration.Holder{}}
+	b.Table = NewTable(TableOptions{
+		Name: "entry-0", Zone: "a", Region: "r", Config: b.config,
+		Events: event.NewRecorder("entry-0", event.NewClock(nil), nil),
+		Now:    func() time.Time { return b.now },
+	})
+	b.zones(1, configuration.ZoneIn, configuration.ZoneIn, configuration.ZoneIn)
+	for i := range n {
+		b.add(instancelist.Instance{
+			ID: fmt.Sprintf("up-%d", i), Role: instancelist.Upstream, Zone: []string{"a", "b"}[i%2], Region: "r", State: instancelist.Live,
+		})
+	}
+	b.report()
+	return b
+}
+
+// zones adopts a configuration with states for the zones a and b of region r and c of region s.
+func (b *bench) zones(version int64, states ...configuration.ZoneState) {
+	d := &configuration.Document{Version: version}
+	for i, name := range []string{"a", "b", "c"} {
+		region := "r"
+		if name == "c" {
+			region = "s"
+		}
+		d.Zones = append(d.Zones, configuration.Zone{Name: name, Region: region, State: states[i]})
+	}
+	b.config.Adopt(d)
+}
+
+func (b *bench) add(i instancelist.Instance) {
+	i.Revision = int64(len(b.list) + 1)
+	b.list = append(b.list, i)
+	b.SetInstances(b.list)
+}
+
+func healthy() peer.Status {
+	return peer.Status{Models: []string{"intake-llm"}, Limit: 8, Reachable: true, Incarnation: "one"}
+}
+
+// report lets every upstream report that it is idle.
+func (b *bench) report() {
+	for _, i := range b.list {
+		b.observe(i.ID, healthy(), b.now)
+	}
+}
+
+func (b *bench) status(id string, change func(*peer.Status)) {
+	s := healthy()
+	change(&s)
+	b.observe(id, s, b.now)
+}
+
+func TestPickKeepsAwayFrom(t *testing.T) {
+	cases := []struct {
+		name   string
+		bring  func(b *bench)
+		expect string
+	}{
+		{"nothing", func(*bench) {}, "up-0"},
+		{"a zone that is out", func(b *bench) { b.zones(2, configuration.ZoneOut, configuration.ZoneIn, configuration.ZoneIn) }, "up-1"},
+		{"a zone that its agent knows to be out", func(b *bench) { b.status("up-0", func(s *peer.Status) { s.ZoneOut = true }) }, "up-1"},
+		{"a leaving agent", func(b *bench) { b.status("up-0", func(s *peer.Status) { s.Leaving = true }) }, "up-1"},
+		{"an unreachable upstream", func(b *bench) { b.status("up-0", func(s *peer.Status) { s.Reachable = false }) }, "up-1"},
+		{"another model", func(b *bench) { b.status("up-0", func(s *peer.Status) { s.Models = []string{"other"} }) }, "up-1"},
+		{"a leaving instance", func(b *bench) {
+			b.list[0].State = instancelist.Leaving
+			b.SetInstances(b.list)
+		}, "up-1"},
+		{"an instance that is gone", func(b *bench) { b.SetInstances(b.list[1:]) }, "up-1"},
+		{"an old status", func(b *bench) {
+			b.now = b.now.Add(StatusAge + 1)
+			b.status("up-1", func(*peer.Status) {})
+		}, "up-1"},
+		{"a lost agent", func(b *bench) { b.loseByID("up-0") }, "up-1"},
+		{"nothing after a new status", func(b *bench) { b.loseByID("up-0"); b.report() }, "up-0"},
+		{"every zone that is out", func(b *bench) { b.zones(2, configuration.ZoneOut, configuration.ZoneOut, configuration.ZoneIn) }, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(2)
+			c.bring(b)
+			p, _ := b.pick(work, nil)
+			is.New(t).Equal(p.id, c.expect)
+		})
+	}
+}
+
+// Other regions serve only when no usable upstream is left in the own one.
+func TestPickStaysInRegion(t *testing.T) {
+	is := is.New(t)
+	b := newBench(2)
+	b.add(instancelist.Instance{ID: "far", Role: instancelist.Upstream, Zone: "c", Region: "s", State: instancelist.Live})
+	b.report()
+	for range 100 {
+		p, ok := b.pick(work, nil)
+		is.True(ok && p.id != "far")
+	}
+	_, ok := b.pick(work, []string{"up-0", "up-1"})
+	is.True(!ok) // a refusal is no reason to load another region
+	b.zones(2, configuration.ZoneOut, configuration.ZoneOut, configuration.ZoneIn)
+	p, _ := b.pick(work, nil)
+	is.Equal(p.id, "far")
+}
+
+// Attempts in progress count until they are released, whatever reports come in between.
+func TestPickCountsAttemptsInProgress(t *testing.T) {
+	is := is.New(t)
+	b := newBench(2)
+	var mine []picked
+	for range 8 {
+		p, _ := b.pick(work, nil)
+		mine = append(mine, p)
+		b.report()
+	}
+	count := map[string]int{}
+	for _, p := range mine {
+		count[p.id]++
+	}
+	is.Equal(count["up-0"], 4) // idle reports that miss the attempts must not hide them
+	for _, p := range mine {
+		b.release(p)
+	}
+	for _, m := range b.members {
+		is.Equal(m.own, int32(0))
+	}
+}
+
+// An answer that was overtaken by a newer one changes nothing.
+func TestObserveDropsOvertakenStatus(t *testing.T) {
+	is := is.New(t)
+	b := newBench(1)
+	b.status("up-0", func(s *peer.Status) { s.Stamp = event.Stamp{Wall: 20}; s.Leaving = true })
+	b.status("up-0", func(s *peer.Status) { s.Stamp = event.Stamp{Wall: 10} })
+	_, ok := b.pick(work, nil)
+	is.True(!ok)
+}
+
+func TestPickAllocatesNothing(t *testing.T) {
+	b := newBench(200)
+	tried := []string{"up-3"}
+	is.New(t).Equal(testing.AllocsPerRun(100, func() {
+		p, _ := b.pick(work, tried)
+		b.release(p)
+	}), 0.0)
+}
+
+// BenchmarkPick is a whole decision of an entry: the table and the choice.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{16, 50, 200} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			t := newBench(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				p, _ := t.pick(work, nil)
+				t.release(p)
+			}
+		})
+	}
+}
--- a/pkg/entry/module.go
+++ b/pkg/entry/module.go
@@ -39,7 +39,7 @@
 }
 
 func newTable(s Settings, h *configuration.Holder, rec *event.Recorder) *dispatch.Table {
-	return dispatch.NewTable(s.Name, s.Zone, h, rec, time.Now)
+	return dispatch.NewTable(dispatch.TableOptions{Name: s.Name, Zone: s.Zone, Region: s.Region, Config: h, Events: rec, Now: time.Now})
 }
 
 func newPoller(s Settings, t *dispatch.Table) *dispatch.Poller {
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -11,6 +11,7 @@
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/caller"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/configstore"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/configuration"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/directory"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/dispatch"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/instancelist"
@@ -32,6 +33,9 @@
 	operator *operator.Server
 	events   *event.Recorder
 
+	lifeMu sync.Mutex
+	life   directory.Life
+
 	cancel context.CancelFunc
 	loops  sync.WaitGroup
 }
@@ -75,24 +79,18 @@
 	return err
 }
 
-// linger waits for the life of the newest address answer that names this entry.
+// linger waits until no caller holds an address answer that names this entry. Another
+// entry may give such an answer until its last status of this one is too old.
 func (n *node) linger(ctx context.Context) {
-	view := n.config.View()
-	if view == nil {
-		return
-	}
-	life := time.Duration(view.Document.Limits.DirectoryTTLSeconds) * time.Second
+	n.lifeMu.Lock()
+	end := n.life.Until(time.Now().Add(dispatch.StatusAge))
+	n.lifeMu.Unlock()
 	select {
 	case <-ctx.Done():
-	case <-time.After(life + n.noticeTime()):
+	case <-time.After(time.Until(end)):
 	}
 }
 
-// noticeTime is the time within which the other entries see that this one leaves.
-func (n *node) noticeTime() time.Duration {
-	return 2 * time.Duration(n.settings.StatusMillis) * time.Millisecond
-}
-
 func (n *node) instancesChanged(list []instancelist.Instance) {
 	n.table.SetInstances(list)
 	n.poller.Wake()
@@ -102,6 +100,9 @@
 	if !n.config.Adopt(d) {
 		return
 	}
+	n.lifeMu.Lock()
+	n.life.Set(time.Now(), time.Duration(d.Limits.DirectoryTTLSeconds)*time.Second)
+	n.lifeMu.Unlock()
 	n.events.Record(event.Event{Kind: event.ConfigAdopted, ConfigVersion: d.Version})
 	n.poller.Wake()
 }
--- a/pkg/instancelist/list.go
+++ b/pkg/instancelist/list.go
@@ -44,6 +44,8 @@
 	// Models and Services name what an upstream is deployed for.
 	Models   []string `json:"models,omitempty"`
 	Services []string `json:"services,omitempty"`
+	// Revision is the revision of the list entry; it rises with each change.
+	Revision int64 `json:"-"`
 }
 
 // Table is a copy of the list that follows the platform. It is safe for concurrent use.
@@ -127,6 +129,7 @@
 		return
 	}
 	i.ID = o.Name
+	i.Revision = o.Revision
 	t.byID[o.Name] = i
 }
 
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -41,6 +41,8 @@
 	News
 	Request string `json:"request"`
 	Attempt int    `json:"attempt"`
+	// From is the name of the entry.
+	From string `json:"from"`
 	// Incarnation is the incarnation of the agent that the attempt is addressed to.
 	Incarnation  string   `json:"incarnation"`
 	Organisation string   `json:"organisation"`
@@ -127,7 +129,8 @@
 type StatusRequest struct {
 	News
 	// From is the name of the asking process.
-	From string `json:"from"`
+	From   string `json:"from"`
+	Listed Listed `json:"listed"`
 }
 
 // Status is the state of an agent and its upstream.
@@ -142,9 +145,13 @@
 	Limit   int `json:"limit"`
 	Running int `json:"running"`
 	Queued  int `json:"queued"`
+	// Yours is the part of Running and Queued that the asking entry sent.
+	Yours int `json:"yours"`
 	// Cold is set while the upstream warms up.
 	Cold    bool `json:"cold"`
 	Leaving bool `json:"leaving"`
+	// ZoneOut is set while the availability zone of the agent is taken out.
+	ZoneOut bool `json:"zone_out,omitempty"`
 	// Reachable is set while the upstream answers its agent.
 	Reachable bool `json:"reachable"`
 	// ServiceMillis is the mean service time of the newest requests.
--- /dev/null
+++ b/pkg/routing/candidate.go
@@ -0,0 +1,68 @@
+package routing
+
+import "time"
+
+// Distance is how far an upstream is from the entry.
+type Distance int8
+
+// Distances, nearest first.
+const (
+	SameZone Distance = iota
+	SameRegion
+	OtherRegion
+)
+
+// Candidate is the state of one upstream as known to an entry.
+type Candidate struct {
+	// Key is a hash of the upstream's ID.
+	Key uint64
+	// Seen is the time of the newest report, on the clock of Request.Now.
+	Seen time.Duration
+	// ServiceMillis is the mean service time in milliseconds, 0 while unknown.
+	ServiceMillis float64
+	// Limit, Running and Queued are those of the newest report.
+	Limit   int32
+	Running int32
+	Queued  int32
+	// Reported is the part of Running and Queued that this entry sent.
+	Reported int32
+	// Own is the number of attempts of this entry in progress at the upstream.
+	Own int32
+	// Cached is the number of leading blocks of the prompt that the upstream is known to hold.
+	Cached   int32
+	Distance Distance
+	// Excluded is set when the upstream must not be chosen. A report older than
+	// ReportLife excludes it as well.
+	Excluded bool
+	// Tried is set when an earlier attempt of the request was sent to the upstream.
+	Tried bool
+
+	// load is the work relative to the limit, filled in by a decision.
+	load float64
+}
+
+// work returns the expected requests at c with one more, seen by one of the entries.
+func (c *Candidate) work(entries int32) float64 {
+	others := max(c.Running+c.Queued-c.Reported, 0)
+	unseen := max(c.Own-c.Reported, 0)
+	return float64(others + c.Own + unseen*(max(entries, 1)-1) + 1)
+}
+
+// left reports whether the candidate may be chosen at all.
+func (c *Candidate) left(now time.Duration) bool {
+	return !c.Excluded && now-c.Seen <= ReportLife
+}
+
+// Request is what a decision depends on besides the candidates.
+type Request struct {
+	// Now is the time since any epoch that is the same for all candidates.
+	Now time.Duration
+	// Entries is the number of entries that choose among the same candidates.
+	Entries int32
+	// Start is the position at which ties are settled.
+	Start int
+	// Prefix is a hash of the beginning of the prompt; 0 means that it has none.
+	Prefix uint64
+	// Blocks is the number of whole blocks of the prompt.
+	Blocks int32
+}
--- a/pkg/routing/choose.go
+++ b/pkg/routing/choose.go
@@ -1,43 +1,172 @@
 package routing
 
-// Candidate is the state of one upstream as known to an entry.
-type Candidate struct {
-	ID      string
-	Zone    string
-	Limit   int
-	Running int
-	Queued  int
-	// Sent is the number of attempts that this entry sent since the report and that have not ended.
-	Sent int
-	// Excluded is set when the upstream must not be chosen.
-	Excluded bool
-}
+import "time"
 
-// load returns the work at c relative to its limit.
-func (c *Candidate) load() float64 {
-	return float64(c.Running+c.Queued+c.Sent+1) / float64(max(c.Limit, 1))
-}
+const (
+	// ReportLife is the age at which a report says no more than the mean of the others.
+	ReportLife = 3 * time.Second
+	// LoadBound is the load relative to the mean up to which a prefix attracts requests.
+	LoadBound = 1.25
+	// blockMillis is the prefill time of one prompt block in milliseconds.
+	blockMillis = 4.0
+	// zoneMillis is the cost of another availability zone of the region in milliseconds.
+	zoneMillis = 3.0
+	// regionMillis is the cost of another region in milliseconds.
+	regionMillis = 50.0
+	// serviceSpread bounds a service time relative to the mean, so that an upstream
+	// that fails fast does not attract requests.
+	serviceSpread = 3.0
+	// defaultServiceMillis stands in while no service time is known.
+	defaultServiceMillis = 100.0
+)
 
 // Choose returns the index of the best candidate, or -1 when none is left. Ties go
-// to the candidate at or after position start, so that entries spread their choices.
-func Choose(zone string, start int, candidates []Candidate) int {
+// to the candidate at or after position r.Start, so that entries spread their choices.
+// Choose uses the unexported field of the candidates as scratch space.
+func Choose(r Request, candidates []Candidate) int {
+	f := survey(&r, candidates)
 	best := -1
-	for n := range candidates {
-		i := (start + n) % len(candidates)
+	bestCost := 0.0
+	bestFull := false
+	i := 0
+	if n := len(candidates); n > 0 {
+		i = r.Start % n
+	}
+	for range candidates {
 		c := &candidates[i]
-		if c.Excluded {
-			continue
+		if c.Distance <= f.reach && !c.Tried && c.left(r.Now) {
+			cost, full := f.cost(&r, c, i == f.home)
+			if best < 0 || full != bestFull && bestFull || full == bestFull && cost < bestCost {
+				best = i
+				bestCost = cost
+				bestFull = full
+			}
 		}
-		if best < 0 || better(zone, c, &candidates[best]) {
-			best = i
+		i++
+		if i == len(candidates) {
+			i = 0
 		}
 	}
 	return best
 }
 
-func better(zone string, a, b *Candidate) bool {
-	if a.load() != b.load() {
-		return a.load() < b.load()
+// field holds what all candidates have in common.
+type field struct {
+	// reach is the largest distance that may be chosen.
+	reach Distance
+	// load and service are the means over the candidates within reach.
+	load    float64
+	service float64
+	// fastest and slowest bound the service times.
+	fastest float64
+	slowest float64
+	// home is the index that rendezvous hashing gives for the prefix, or -1.
+	home int
+}
+
+// survey looks at all candidates once. A region counts as having an upstream left also
+// when the request was tried there, so that load does not spill into other regions.
+func survey(r *Request, candidates []Candidate) field {
+	var near, far total
+	near.home, far.home = -1, -1
+	for i := range candidates {
+		c := &candidates[i]
+		if !c.left(r.Now) {
+			continue
+		}
+		if c.Distance <= SameRegion {
+			near.add(r, i, c)
+			continue
+		}
+		far.add(r, i, c)
+	}
+	if near.count > 0 {
+		return near.field(SameRegion)
+	}
+	return far.field(OtherRegion)
+}
+
+// total sums up candidates.
+type total struct {
+	count    int
+	load     float64
+	service  float64
+	measured int
+	home     int
+	homeRank uint64
+}
+
+func (t *total) add(r *Request, i int, c *Candidate) {
+	t.count++
+	c.load = c.work(r.Entries) / float64(max(c.Limit, 1))
+	t.load += c.load
+	if c.ServiceMillis > 0 {
+		t.service += c.ServiceMillis
+		t.measured++
+	}
+	if r.Prefix == 0 {
+		return
 	}
-	return a.Zone == zone && b.Zone != zone
+	if rank := Rank(r.Prefix, c.Key); t.home < 0 || rank > t.homeRank {
+		t.home = i
+		t.homeRank = rank
+	}
+}
+
+func (t *total) field(reach Distance) field {
+	f := field{reach: reach, home: t.home, service: defaultServiceMillis}
+	if t.count > 0 {
+		f.load = t.load / float64(t.count)
+	}
+	if t.measured > 0 {
+		f.service = t.service / float64(t.measured)
+	}
+	f.fastest = f.service / serviceSpread
+	f.slowest = f.service * serviceSpread
+	return f
+}
+
+// cost returns the expected time to the first token in milliseconds, and whether the
+// candidate has no room left.
+func (f *field) cost(r *Request, c *Candidate, home bool) (float64, bool) {
+	stale := float64(r.Now-c.Seen) * (1 / float64(ReportLife))
+	expected := c.load + stale*(f.load-c.load)
+	cost := f.boundService(c.ServiceMillis)*expected + distanceMillis[c.Distance]
+	known := c.Cached
+	if home && known == 0 {
+		known = 1
+	}
+	if c.load > LoadBound*f.load {
+		// A hot prefix must not pile up on the upstreams that hold it.
+		known = 0
+	}
+	return cost + blockMillis*float64(max(r.Blocks-known, 0)), c.load > 1
+}
+
+// boundService keeps a service time near the mean. Comparisons stand in for the
+// built-in functions, which are slower on floats because of NaN.
+func (f *field) boundService(millis float64) float64 {
+	if millis == 0 {
+		return f.service
+	}
+	if millis < f.fastest {
+		return f.fastest
+	}
+	if millis > f.slowest {
+		return f.slowest
+	}
+	return millis
+}
+
+// distanceMillis are the costs of the distances in milliseconds.
+var distanceMillis = [...]float64{SameZone: 0, SameRegion: zoneMillis, OtherRegion: regionMillis}
+
+// Rank returns the rank of a member for a key in rendezvous hashing.
+func Rank(key, member uint64) uint64 {
+	x := key ^ member*0x9e3779b97f4a7c15
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
 }
--- /dev/null
+++ b/pkg/routing/choose_test.go
@@ -0,0 +1,89 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func upstreams(n int) []Candidate {
+	out := make([]Candidate, n)
+	for i := range out {
+		out[i] = Candidate{Key: Rank(uint64(i), 7), Limit: 32, ServiceMillis: 200, Distance: Distance(i % 2)}
+	}
+	return out
+}
+
+func TestChoose(t *testing.T) {
+	idle := Candidate{Limit: 8, Distance: SameRegion}
+	busy := Candidate{Limit: 8, Running: 7, Distance: SameRegion}
+	far := Candidate{Limit: 8, Distance: OtherRegion}
+	near := Candidate{Limit: 8, Distance: SameZone}
+	excluded := func(c Candidate) Candidate { c.Excluded = true; return c }
+	tried := func(c Candidate) Candidate { c.Tried = true; return c }
+	own := func(c Candidate, own, reported int32) Candidate { c.Own, c.Reported = own, reported; return c }
+	old := func(c Candidate) Candidate { c.Seen = -ReportLife; return c }
+	cached := func(c Candidate, n int32) Candidate { c.Cached = n; return c }
+	cases := []struct {
+		name string
+		req  Request
+		list []Candidate
+		want int
+	}{
+		{"none", Request{}, nil, -1},
+		{"all excluded", Request{}, []Candidate{excluded(idle), excluded(near)}, -1},
+		{"least load", Request{}, []Candidate{busy, idle}, 1},
+		{"own zone at equal load", Request{}, []Candidate{idle, near}, 1},
+		{"own region even when busy", Request{}, []Candidate{far, busy}, 1},
+		{"own region tried before leaves it all the same", Request{}, []Candidate{far, tried(busy)}, -1},
+		{"other region when nothing is left", Request{}, []Candidate{far, excluded(idle)}, 0},
+		{"own attempts count before a report", Request{}, []Candidate{own(idle, 5, 0), own(idle, 3, 3)}, 1},
+		{"an unseen attempt counts for each entry", Request{Entries: 9}, []Candidate{own(idle, 1, 0), own(idle, 5, 5)}, 1},
+		{"too old a report excludes", Request{Now: ReportLife + 1}, []Candidate{near, {Limit: 8, Running: 7, Seen: 1}}, 1},
+		{"an old idle report attracts less", Request{}, []Candidate{old(idle), {Limit: 8, Running: 1}, busy}, 1},
+		{"the cached prefix attracts", Request{Blocks: 20}, []Candidate{near, cached(idle, 20)}, 1},
+		{"a hot prefix spreads", Request{Blocks: 20}, []Candidate{cached(busy, 20), idle, idle}, 1},
+		{"full comes last", Request{Blocks: 90}, []Candidate{cached(Candidate{Limit: 2, Running: 2}, 90), busy}, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is.New(t).Equal(Choose(c.req, c.list), c.want)
+		})
+	}
+}
+
+// Requests of one unknown prefix go to one upstream, and other prefixes to others.
+func TestRendezvousSpreadsPrefixes(t *testing.T) {
+	is := is.New(t)
+	list := upstreams(16)
+	chosen := map[int]int{}
+	for p := range uint64(400) {
+		r := Request{Prefix: Rank(p, 99), Blocks: 10}
+		first := Choose(r, list)
+		r.Start = 5
+		is.Equal(Choose(r, list), first)
+		chosen[first]++
+	}
+	is.True(len(chosen) >= 8) // every upstream of the own zone is the home of some prefix
+}
+
+func TestChooseAllocatesNothing(t *testing.T) {
+	list := upstreams(200)
+	r := Request{Entries: 9, Prefix: 5, Blocks: 10}
+	is.New(t).Equal(testing.AllocsPerRun(100, func() { Choose(r, list) }), 0.0)
+}
+
+func BenchmarkChoose200(b *testing.B) {
+	list := upstreams(200)
+	for i := range list {
+		list[i].Running = int32(i % 20)
+		list[i].Seen = -time.Duration(i) * time.Millisecond
+	}
+	r := Request{Entries: 9, Prefix: 5, Blocks: 10}
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Start++
+		Choose(r, list)
+	}
+}
--- a/pkg/routing/doc.go
+++ b/pkg/routing/doc.go
@@ -1,6 +1,22 @@
 // Package routing chooses the upstream of an attempt.
 //
-// Candidates that hold the target and were not tried before are compared by their
-// load relative to their limit; the own availability zone is preferred at equal load.
+// The candidates of one target are compared by the expected time to the first token:
+//
+//	cost = service time x load + prefill time of the prompt blocks that are not cached
+//	       + distance of the availability zone
+//
+// Load is the work at the upstream relative to its limit. The work is what the newest
+// report shows of the other entries, plus the attempts of this entry in progress, which
+// are known exactly. An attempt that the report does not show yet counts once for each
+// entry, because the others see the same report and send as this one does; without
+// that, all entries together would rush to the upstream that looks idle. A report
+// loses weight with its age, in favour of the mean load of the candidates.
+//
+// Candidates of other regions count only when the own region has none left.
+// Candidates without room for one more request come after all others. Where nobody is known to hold the
+// prefix of the prompt, the upstream that rendezvous hashing gives is preferred, as
+// long as its load is bounded by LoadBound times the mean; the same bound ends the
+// preference for a cached prefix, so that a hot prefix spreads.
+//
 // The package has no clock and no goroutines and allocates nothing for a decision.
 package routing
