--- a/pkg/agent/status.go
+++ b/pkg/agent/status.go
@@ -22,6 +22,7 @@
 		Upstream:      a.settings.Name,
 		Zone:          a.settings.Zone,
 		Incarnation:   a.fence.Incarnation(),
+		WorkAddress:   a.settings.WorkAddress,
 		Models:        a.health.Models,
 		Services:      a.health.Services,
 		Limit:         a.limiter.Limit(a.now()),
--- a/pkg/dispatch/table.go
+++ b/pkg/dispatch/table.go
@@ -148,6 +148,8 @@
 	member      *member
 	// service is the mean service time of the upstream, 0 while unknown.
 	service time.Duration
+	// work is the agent's address for work.
+	work string
 }
 
 // pick chooses an upstream that holds the target and is not in tried. The attempt
@@ -172,6 +174,7 @@
 	m.publishOwn()
 	return picked{
 		id: m.instance.ID, incarnation: m.status.Incarnation, client: m.client, member: m,
+		work:    m.status.WorkAddress,
 		service: time.Duration(m.status.ServiceMillis * float64(time.Millisecond)),
 	}, true
 }
