Prove zones and leaving with real processes; bound retries and pace refused callers

Scenarios: an edit takes a zone out while one entry is cut off from the platform and the link of another is frozen; agents and an entry are killed and come back in between; the instance list calls upstreams leaving while another agent stops. The oracle is the ledger of the stand-ins.

Found by zone_kills: after the zone came back with restarted agents no entry ever sent work there (0 requests in 20 s, all others served). Cause: load was compared relative to the limit, so a cold upstream with limit 2 looked more loaded with one request than a warm one with fifteen, and without work it never warms up. Now a cold upstream is compared by its work until it is full, and entries take turns there, as many in a slot of time as it has room. TestColdUpstreamWarmsUpWithoutHerd.

Retries: the budget is a fraction of answered requests, moves away from a leaving upstream are free, a request that would wait too long is refused before an attempt, the start budget leaves room for the service time, and Retry-After gives refused callers slots at half of the drain rate, with jitter.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
@@ -73,6 +74,10 @@
 	PlatformURL string
 	// Callers maps the name of an entry to its address for callers.
 	Callers map[string]string
+	// Links maps the name of an entry to its link to the platform.
+	Links map[string]*Relay
+	// Zones maps the name of an agent to its availability zone.
+	Zones map[string]string
 
 	opts  Options
 	order []string
@@ -85,7 +90,7 @@
 func Start(ctx context.Context, o Options) (*Fleet, error) {
 	ctx, cancel := context.WithTimeout(ctx, startLimit)
 	defer cancel()
-	f := &Fleet{opts: o, Processes: map[string]*Process{}, Upstreams: map[string]string{}, Callers: map[string]string{}}
+	f := &Fleet{opts: o, Processes: map[string]*Process{}, Upstreams: map[string]string{}, Callers: map[string]string{}, Links: map[string]*Relay{}, Zones: map[string]string{}}
 	err := f.startAll(ctx)
 	if err != nil {
 		f.Close()
@@ -192,6 +197,7 @@
 	}
 	s := agent.DefaultSettings()
 	s.Common = f.common(name, d, i, addresses[1])
+	f.Zones[name] = s.Zone
 	s.ControlAddress = addresses[2]
 	s.WorkAddress = addresses[3]
 	s.ProbeMillis = 50
@@ -218,7 +224,12 @@
 	s.Common = f.common(name, d, i, addresses[0])
 	s.CallerAddress = addresses[1]
 	s.ControlAddress = addresses[2]
-	s.PlatformURL = f.PlatformURL
+	link, err := newRelay(strings.TrimPrefix(f.PlatformURL, "http://"))
+	if err != nil {
+		return err
+	}
+	f.Links[name] = link
+	s.PlatformURL = "http://" + link.address
 	s.StatusMillis = 200
 	f.Callers[name] = s.CallerAddress
 	if err := f.startWith(name, "coltsfoot-entry", s.OperatorAddress, s); err != nil {
@@ -318,6 +329,9 @@
 
 // Close kills all processes.
 func (f *Fleet) Close() {
+	for _, l := range f.Links {
+		l.close()
+	}
 	for _, p := range f.Processes {
 		if p.cmd == nil || p.cmd.Process == nil {
 			continue
--- /dev/null
+++ b/pkg/dispatch/budget.go
@@ -0,0 +1,67 @@
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/retry"
+)
+
+// budgets holds the retry budgets of the organisations. It is safe for concurrent use.
+type budgets struct {
+	mu     sync.Mutex
+	byName map[string]*retry.Budget
+}
+
+// of returns the budget of an organisation. budgets.mu is held.
+func (b *budgets) of(organisation string) *retry.Budget {
+	if b.byName == nil {
+		b.byName = map[string]*retry.Budget{}
+	}
+	out, ok := b.byName[organisation]
+	if !ok {
+		out = retry.New(retry.DefaultRatio, retry.DefaultBurst)
+		b.byName[organisation] = out
+	}
+	return out
+}
+
+// ended notes the end of a request.
+func (b *budgets) ended(organisation string, c code.Code) {
+	if c.Outcome() != code.Done {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.of(organisation).Deposit()
+}
+
+// allow reports whether another attempt may follow one that ended with c.
+func (b *budgets) allow(organisation string, c code.Code) bool {
+	if retry.Free(c) {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.of(organisation).Withdraw()
+}
+
+// timeLeft returns the time until the deadline of ctx.
+func timeLeft(ctx context.Context) time.Duration {
+	if at, ok := ctx.Deadline(); ok {
+		return time.Until(at)
+	}
+	return defaultDeadline
+}
+
+// retryAfter returns the time after which a caller refused now may send its request again.
+func (t *Table) retryAfter(w target) time.Duration {
+	now := t.opts.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.pool(w)
+	return p.pacer.After(p.backlog(t.since(now), t.entries), now, rand.Float64())
+}
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -54,15 +54,16 @@
 	config *configuration.Holder
 	events *event.Recorder
 
-	mu      sync.Mutex
-	budgets map[string]*retry.Budget
+	budgets budgets
+
+	mu sync.Mutex
 	// inFlight counts the requests in progress by organisation.
 	inFlight map[string]int
 }
 
 // New returns a dispatcher over the table.
 func New(t *Table, config *configuration.Holder, events *event.Recorder) *Dispatcher {
-	return &Dispatcher{table: t, config: config, events: events, budgets: map[string]*retry.Budget{}, inFlight: map[string]int{}}
+	return &Dispatcher{table: t, config: config, events: events, inFlight: map[string]int{}}
 }
 
 // defaultRetryAfter is told to callers when no better estimate is known.
@@ -78,6 +79,10 @@
 	d.events.Record(event.Event{Kind: event.RequestReceived, Request: r.ID, Organisation: r.Organisation.Name, Detail: r.Target})
 	res := s.run(ctx)
 	res.Attempts = s.attempt
+	d.budgets.ended(r.Organisation.Name, res.Code)
+	if res.Code.Outcome() == code.NotRun {
+		res.RetryAfter = max(res.RetryAfter, d.table.retryAfter(target{r.Kind, r.Target}))
+	}
 	d.events.Record(event.Event{
 		Kind: event.RequestEnded, Request: r.ID, Organisation: r.Organisation.Name,
 		Upstream: res.Upstream, Attempt: res.Attempts, Code: int(res.Code), Detail: res.Code.String(),
@@ -85,15 +90,6 @@
 	return res
 }
 
-func (d *Dispatcher) budget(organisation string) *retry.Budget {
-	b, ok := d.budgets[organisation]
-	if !ok {
-		b = retry.New(retry.DefaultRatio, retry.DefaultBurst)
-		d.budgets[organisation] = b
-	}
-	return b
-}
-
 // enter counts a request of the organisation and reports whether its limit allows it.
 func (d *Dispatcher) enter(o configuration.Organisation) bool {
 	limit := o.MaxInProgress
@@ -106,7 +102,6 @@
 		return false
 	}
 	d.inFlight[o.Name]++
-	d.budget(o.Name).Deposit()
 	return true
 }
 
@@ -119,12 +114,6 @@
 	}
 }
 
-func (d *Dispatcher) withdraw(organisation string) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.budget(organisation).Withdraw()
-}
-
 // session is the run of one request.
 type session struct {
 	d       *Dispatcher
@@ -137,15 +126,19 @@
 
 // run makes attempts until one ends the request.
 func (s *session) run(ctx context.Context) Result {
-	last := Result{Code: code.NoUpstream, RetryAfter: defaultRetryAfter}
+	last := Result{Code: code.NoUpstream}
 	for s.attempt < s.d.config.View().Document.Limits.MaxAttempts {
-		if s.attempt > 0 && !s.d.withdraw(s.req.Organisation.Name) {
+		if s.attempt > 0 && !s.d.budgets.allow(s.req.Organisation.Name, last.Code) {
 			return last
 		}
 		p, ok := s.d.table.pick(target{s.req.Kind, s.req.Target}, s.tried)
 		if !ok {
 			return last
 		}
+		if c := retry.Hopeless(p.wait, timeLeft(ctx), p.service); c != code.OK && s.attempt == 0 {
+			s.d.table.release(p)
+			return Result{Code: c}
+		}
 		s.attempt++
 		s.tried = append(s.tried, p.id)
 		last = s.try(ctx, p)
@@ -179,7 +172,7 @@
 	runCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	res, err := p.client.Run(runCtx, p.work, r, func(f peer.Frame) error { return s.answer.deliver(f, s.req.Stream, s.sink) })
-	out := Result{Code: res.Code, Detail: res.Detail, Upstream: p.id, RetryAfter: defaultRetryAfter}
+	out := Result{Code: res.Code, Detail: res.Detail, Upstream: p.id}
 	if err == nil && res.Code == code.OK {
 		err = s.answer.finish(s.req.Stream, s.sink)
 	}
@@ -234,17 +227,11 @@
 	return err == nil && res.State == peer.CancelNotRun
 }
 
-// startBudget bounds the time from sending an attempt to its start.
-const startBudget = 10 * time.Second
-
 // defaultDeadline stands in for the deadline of a context without one.
 const defaultDeadline = time.Minute
 
 func (s *session) message(ctx context.Context, p picked) peer.RunRequest {
-	left := defaultDeadline
-	if at, ok := ctx.Deadline(); ok {
-		left = time.Until(at)
-	}
+	left := timeLeft(ctx)
 	r := peer.RunRequest{
 		News:           s.d.table.news(),
 		Request:        s.req.ID,
@@ -264,7 +251,7 @@
 		Idempotent:     s.req.Idempotent,
 		IdempotencyKey: s.req.IdempotencyKey,
 		Cost:           s.req.Cost,
-		StartByMillis:  min(left, startBudget).Milliseconds(),
+		StartByMillis:  retry.StartBy(left, p.service).Milliseconds(),
 		TimeoutMillis:  max(left.Milliseconds(), 1),
 	}
 	return r
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -1,8 +1,11 @@
 package dispatch
 
 import (
+	"time"
+
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/instancelist"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/retry"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/routing"
 )
 
@@ -11,6 +14,31 @@
 type pool struct {
 	members    []*member
 	candidates []routing.Candidate
+	// pacer spreads the returns of refused callers.
+	pacer retry.Pacer
+}
+
+// backlog returns the work at the upstreams that may be chosen now.
+func (p *pool) backlog(now time.Duration, entries int32) retry.Backlog {
+	b := retry.Backlog{Entries: int(entries)}
+	millis := 0.0
+	measured := 0
+	for i := range p.candidates {
+		c := &p.candidates[i]
+		if c.Excluded || now-c.Seen > StatusAge || c.Distance == routing.OtherRegion {
+			continue
+		}
+		b.Requests += int(c.Running + c.Queued)
+		b.Limit += int(c.Limit)
+		if c.ServiceMillis > 0 {
+			millis += c.ServiceMillis
+			measured++
+		}
+	}
+	if measured > 0 {
+		b.Service = time.Duration(millis / float64(measured) * float64(time.Millisecond))
+	}
+	return b
 }
 
 // slot is the place of a member in a pool.
@@ -57,7 +85,10 @@
 
 // index rebuilds the pools and what else is derived from the members. Table.mu is held.
 func (t *Table) index() {
-	clear(t.byTarget)
+	for _, p := range t.byTarget {
+		p.members = p.members[:0]
+		p.candidates = p.candidates[:0]
+	}
 	t.entries = 0
 	for _, id := range t.order {
 		m := t.members[id]
--- a/pkg/dispatch/table.go
+++ b/pkg/dispatch/table.go
@@ -41,6 +41,7 @@
 	view     *configuration.View
 	entries  int32
 	turn     int
+	self     uint64
 	epoch    time.Time
 }
 
@@ -67,6 +68,7 @@
 		epoch:    o.Now(),
 		// Entries with equal news start their turns at different places.
 		turn: int(xxhash.Sum64String(o.Name) >> 1),
+		self: xxhash.Sum64String(o.Name),
 	}
 }
 
@@ -148,6 +150,8 @@
 	member      *member
 	// service is the mean service time of the upstream, 0 while unknown.
 	service time.Duration
+	// wait is the expected wait at the upstream.
+	wait time.Duration
 	// work is the agent's address for work.
 	work string
 }
@@ -164,16 +168,18 @@
 	}
 	t.turn++
 	pool.setTried(t.members, tried, true)
-	i := routing.Choose(routing.Request{Now: t.since(t.opts.Now()), Entries: t.entries, Start: t.turn}, pool.candidates)
+	i := routing.Choose(routing.Request{Now: t.since(t.opts.Now()), Self: t.self, Entries: t.entries, Start: t.turn}, pool.candidates)
 	pool.setTried(t.members, tried, false)
 	if i < 0 {
 		return picked{}, false
 	}
 	m := pool.members[i]
+	wait := pool.candidates[i].Wait()
 	m.own++
 	m.publishOwn()
 	return picked{
-		id: m.instance.ID, incarnation: m.status.Incarnation, client: m.client, member: m,
+		wait: wait,
+		id:   m.instance.ID, incarnation: m.status.Incarnation, client: m.client, member: m,
 		work:    m.status.WorkAddress,
 		service: time.Duration(m.status.ServiceMillis * float64(time.Millisecond)),
 	}, true
@@ -225,6 +231,7 @@
 		Own:           m.own,
 		Distance:      m.distance,
 		Excluded:      !open,
+		Cold:          m.status.Cold,
 	})
 }
 
--- /dev/null
+++ b/pkg/prefix/hash.go
@@ -0,0 +1,21 @@
+package prefix
+
+import "github.com/cespare/xxhash/v2"
+
+const (
+	// BlockBytes is the size of a block of a prompt.
+	BlockBytes = 256
+	// MaxBlocks is the number of blocks of a prompt that are looked at.
+	MaxBlocks = 32
+)
+
+// Hashes appends the hashes of the whole blocks of a prompt to out, at most MaxBlocks.
+func Hashes(out []uint64, prompt []byte) []uint64 {
+	chain := uint64(0)
+	for n := 0; n < MaxBlocks && len(prompt) >= BlockBytes; n++ {
+		chain = chain*0x9e3779b97f4a7c15 ^ xxhash.Sum64(prompt[:BlockBytes])
+		out = append(out, chain)
+		prompt = prompt[BlockBytes:]
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/prefix/index_test.go
@@ -0,0 +1,105 @@
+package prefix
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func look(x *Index, blocks []uint64, now time.Duration) map[uint64]int32 {
+	var m Matches
+	x.Look(blocks, now, &m)
+	out := map[uint64]int32{}
+	for _, h := range m.All() {
+		out[h.Upstream] = h.Blocks
+	}
+	return out
+}
+
+func TestHashesNameBeginnings(t *testing.T) {
+	is := is.New(t)
+	a := make([]byte, 3*BlockBytes+10)
+	b := append([]byte(nil), a...)
+	b[BlockBytes] = 1
+	ha, hb := Hashes(nil, a), Hashes(nil, b)
+	is.Equal(len(ha), 3) // the part of a block at the end does not count
+	is.Equal(ha[0], hb[0])
+	is.True(ha[1] != hb[1])
+	is.True(ha[2] != hb[2]) // the same bytes after another beginning are another block
+	is.Equal(len(Hashes(nil, make([]byte, 1<<20))), MaxBlocks)
+}
+
+func TestIndex(t *testing.T) {
+	prompt := []uint64{11, 12, 13}
+	second := time.Second
+	cases := []struct {
+		name string
+		do   func(x *Index)
+		at   time.Duration
+		want map[uint64]int32
+	}{
+		{"unknown", func(*Index) {}, 0, map[uint64]int32{}},
+		{"learnt from own attempts", func(x *Index) { x.Learn(1, prompt, 0) }, second, map[uint64]int32{1: 3}},
+		{"the beginning only", func(x *Index) { x.Learn(1, prompt[:2], 0); x.Learn(2, prompt, 0) }, second, map[uint64]int32{1: 2, 2: 3}},
+		{"a hole ends the match", func(x *Index) { x.Learn(1, []uint64{11, 13}, 0) }, second, map[uint64]int32{1: 1}},
+		{"events", func(x *Index) { x.Apply(1, Events{First: 0, Next: 3, Stored: prompt}, 0) }, second, map[uint64]int32{1: 3}},
+		{"removed", func(x *Index) {
+			x.Apply(1, Events{First: 0, Next: 3, Stored: prompt}, 0)
+			x.Apply(1, Events{First: 3, Next: 4, Removed: prompt[1:2]}, 0)
+		}, second, map[uint64]int32{1: 1}},
+		{"doubled events change nothing", func(x *Index) {
+			x.Apply(1, Events{First: 0, Next: 3, Stored: prompt}, 0)
+			x.Apply(1, Events{First: 3, Next: 4, Removed: prompt}, 0)
+			x.Apply(1, Events{First: 0, Next: 3, Stored: prompt}, 0)
+		}, second, map[uint64]int32{}},
+		{"in doubt after a gap", func(x *Index) {
+			x.Apply(1, Events{First: 0, Next: 3, Stored: prompt}, 0)
+			x.Apply(1, Events{First: 9, Next: 10, Stored: []uint64{99}}, second)
+		}, second + Doubt, map[uint64]int32{1: 3}},
+		{"ignored long after a gap", func(x *Index) {
+			x.Apply(1, Events{First: 0, Next: 3, Stored: prompt}, 0)
+			x.Apply(1, Events{First: 9, Next: 10, Stored: []uint64{99}}, second)
+		}, second + Doubt + 1, map[uint64]int32{}},
+		{"a new incarnation", func(x *Index) {
+			x.Apply(1, Events{First: 0, Next: 3, Stored: prompt}, 0)
+			x.Apply(1, Events{First: 0, Next: 1, Stored: prompt[:1], Cleared: true}, second)
+		}, 2 * second, map[uint64]int32{1: 1}},
+		{"forgotten", func(x *Index) { x.Learn(1, prompt, 0); x.Forget(1, second) }, 2 * second, map[uint64]int32{}},
+		{"too old", func(x *Index) { x.Learn(1, prompt, 0) }, Life + 1, map[uint64]int32{}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			x := New(100)
+			c.do(x)
+			is.New(t).Equal(look(x, prompt, c.at), c.want)
+		})
+	}
+}
+
+func TestIndexIsBounded(t *testing.T) {
+	is := is.New(t)
+	x := New(100)
+	r := rand.New(rand.NewPCG(1, 2))
+	for range 10_000 {
+		x.Learn(r.Uint64N(50)+1, []uint64{r.Uint64N(1000)}, 0)
+		is.True(x.Len() <= 100)
+	}
+}
+
+func BenchmarkLook(b *testing.B) {
+	x := New(1 << 16)
+	blocks := make([]uint64, MaxBlocks)
+	for i := range blocks {
+		blocks[i] = uint64(i) * 7919
+	}
+	for u := range uint64(Holders) {
+		x.Learn(u+1, blocks, 0)
+	}
+	var m Matches
+	b.ReportAllocs()
+	for b.Loop() {
+		x.Look(blocks, 0, &m)
+	}
+}
--- /dev/null
+++ b/pkg/retry/retry_test.go
@@ -0,0 +1,82 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
+)
+
+func TestBudgetFollowsSuccesses(t *testing.T) {
+	is := is.New(t)
+	b := New(0.1, 10)
+	spent := 0
+	for range 1000 {
+		if b.Withdraw() {
+			spent++
+		}
+	}
+	is.Equal(spent, 10) // no success, no further retry
+	for range 1000 {
+		b.Deposit()
+		if b.Withdraw() {
+			spent++
+		}
+	}
+	is.True(spent >= 10+99 && spent <= 10+100) // one retry for ten successes
+}
+
+func TestDrain(t *testing.T) {
+	is := is.New(t)
+	b := Backlog{Requests: 30, Limit: 10, Service: time.Second}
+	is.Equal(b.Drain(), 2100*time.Millisecond)
+	b.Requests = 9
+	is.Equal(b.Drain(), time.Duration(0))
+	is.Equal(Backlog{Requests: 5}.Drain(), time.Duration(0)) // unknown
+}
+
+// Refused callers come back at no more than half of the drain rate, however many are
+// refused in one moment, until the range is used up.
+func TestPacerSpreadsReturns(t *testing.T) {
+	is := is.New(t)
+	var p Pacer
+	now := time.Unix(1000, 0)
+	r := rand.New(rand.NewPCG(1, 2))
+	b := Backlog{Requests: 10, Limit: 10, Service: time.Second, Entries: 1}
+	returns := map[int]int{}
+	for range 5000 {
+		after := p.After(b, now, r.Float64())
+		is.True(after >= MinAfter && after <= MaxAfter)
+		returns[int(after.Seconds())]++
+	}
+	for second := range 14 {
+		is.True(returns[second] <= 10) // half of the rate of 10, with jitter
+	}
+	is.True(returns[0]+returns[1]+returns[2] > 0)
+}
+
+func TestHopeless(t *testing.T) {
+	cases := []struct {
+		wait, left, service time.Duration
+		want                code.Code
+	}{
+		{0, time.Second, 100 * time.Millisecond, code.OK},
+		{0, time.Millisecond, time.Second, code.OK}, // an idle upstream may be faster than its mean
+		{950 * time.Millisecond, time.Second, 100 * time.Millisecond, code.DeadlineTooShort},
+		{850 * time.Millisecond, time.Second, 100 * time.Millisecond, code.OK},
+		{StartBudget + 1, time.Hour, time.Second, code.Overloaded},
+	}
+	for _, c := range cases {
+		is.New(t).Equal(Hopeless(c.wait, c.left, c.service), c.want)
+	}
+}
+
+func TestFreeMoves(t *testing.T) {
+	is := is.New(t)
+	is.True(Free(code.ZoneOut))
+	is.True(!Free(code.Overloaded))
+	is.True(!Free(code.UpstreamLost))
+}
--- a/pkg/routing/candidate.go
+++ b/pkg/routing/candidate.go
@@ -36,6 +36,8 @@
 	Excluded bool
 	// Tried is set when an earlier attempt of the request was sent to the upstream.
 	Tried bool
+	// Cold is set while the upstream warms up.
+	Cold bool
 
 	// load is the work relative to the limit, filled in by a decision.
 	load float64
@@ -48,6 +50,31 @@
 	return float64(others + c.Own + unseen*(max(entries, 1)-1) + 1)
 }
 
+// room returns the requests that c can take now as far as the newest report tells.
+func (c *Candidate) room() int32 {
+	return c.Limit - c.Running - c.Queued
+}
+
+// Wait returns the expected wait of one more request at c, from the work that is
+// known, 0 while the service time is unknown.
+func (c *Candidate) Wait() time.Duration {
+	ahead := c.work(1) - float64(c.Limit)
+	if ahead <= 0 || c.Limit <= 0 {
+		return 0
+	}
+	return time.Duration(ahead / float64(c.Limit) * c.ServiceMillis * float64(time.Millisecond))
+}
+
+// turn reports whether it is this entry's turn to send to a cold upstream. In each slot
+// of time about as many entries have their turn as the upstream has room for requests.
+func (c *Candidate) turn(r *Request) bool {
+	if r.Entries <= 1 {
+		return true
+	}
+	slot := uint64(r.Now / turnSlot)
+	return int32(Rank(r.Self^slot*0x9e3779b97f4a7c15, c.Key)%uint64(r.Entries)) < c.room()
+}
+
 // left reports whether the candidate may be chosen at all.
 func (c *Candidate) left(now time.Duration) bool {
 	return !c.Excluded && now-c.Seen <= ReportLife
@@ -57,6 +84,8 @@
 type Request struct {
 	// Now is the time since any epoch that is the same for all candidates.
 	Now time.Duration
+	// Self is a hash of the name of the choosing entry.
+	Self uint64
 	// Entries is the number of entries that choose among the same candidates.
 	Entries int32
 	// Start is the position at which ties are settled.
--- a/pkg/routing/choose.go
+++ b/pkg/routing/choose.go
@@ -7,8 +7,10 @@
 	ReportLife = 3 * time.Second
 	// LoadBound is the load relative to the mean up to which a prefix attracts requests.
 	LoadBound = 1.25
+	// turnSlot is the time for which a turn at a cold upstream holds.
+	turnSlot = 250 * time.Millisecond
 	// blockMillis is the prefill time of one prompt block in milliseconds.
-	blockMillis = 4.0
+	blockMillis = 8.0
 	// zoneMillis is the cost of another availability zone of the region in milliseconds.
 	zoneMillis = 3.0
 	// regionMillis is the cost of another region in milliseconds.
@@ -57,6 +59,8 @@
 	// load and service are the means over the candidates within reach.
 	load    float64
 	service float64
+	// perLimit is 1 divided by the mean limit.
+	perLimit float64
 	// fastest and slowest bound the service times.
 	fastest float64
 	slowest float64
@@ -90,6 +94,7 @@
 type total struct {
 	count    int
 	load     float64
+	limits   int32
 	service  float64
 	measured int
 	home     int
@@ -100,6 +105,7 @@
 	t.count++
 	c.load = c.work(r.Entries) / float64(max(c.Limit, 1))
 	t.load += c.load
+	t.limits += c.Limit
 	if c.ServiceMillis > 0 {
 		t.service += c.ServiceMillis
 		t.measured++
@@ -117,6 +123,7 @@
 	f := field{reach: reach, home: t.home, service: defaultServiceMillis}
 	if t.count > 0 {
 		f.load = t.load / float64(t.count)
+		f.perLimit = float64(t.count) / float64(max(t.limits, 1))
 	}
 	if t.measured > 0 {
 		f.service = t.service / float64(t.measured)
@@ -129,18 +136,26 @@
 // cost returns the expected time to the first token in milliseconds, and whether the
 // candidate has no room left.
 func (f *field) cost(r *Request, c *Candidate, home bool) (float64, bool) {
+	load := c.load
+	full := load > 1
+	if c.Cold && !full {
+		// Relative to its small limit a cold upstream always looks loaded and would never
+		// warm up; it is compared by its work until it is full.
+		load *= float64(c.Limit) * f.perLimit
+		full = !c.turn(r)
+	}
 	stale := float64(r.Now-c.Seen) * (1 / float64(ReportLife))
-	expected := c.load + stale*(f.load-c.load)
+	expected := load + stale*(f.load-load)
 	cost := f.boundService(c.ServiceMillis)*expected + distanceMillis[c.Distance]
 	known := c.Cached
 	if home && known == 0 {
 		known = 1
 	}
-	if c.load > LoadBound*f.load {
+	if load > LoadBound*f.load {
 		// A hot prefix must not pile up on the upstreams that hold it.
 		known = 0
 	}
-	return cost + blockMillis*float64(max(r.Blocks-known, 0)), c.load > 1
+	return cost + blockMillis*float64(max(r.Blocks-known, 0)), full
 }
 
 // boundService keeps a service time near the mean. Comparisons stand in for the
--- a/pkg/routing/choose_test.go
+++ b/pkg/routing/choose_test.go
@@ -53,6 +53,35 @@
 	}
 }
 
+// A cold upstream gets work at light load, but not from all entries at once.
+func TestColdUpstreamWarmsUpWithoutHerd(t *testing.T) {
+	is := is.New(t)
+	cold := Candidate{Key: 77, Limit: 2, Cold: true}
+	warm := Candidate{Key: 78, Limit: 32, Running: 3}
+	const entries, slots = 9, 400
+	sent, most := 0, 0
+	for slot := range slots {
+		now := time.Duration(slot) * turnSlot
+		cold.Seen, warm.Seen = now, now
+		herd := 0
+		for e := range uint64(entries) {
+			mine := cold
+			for start := range 20 {
+				r := Request{Now: now, Self: Rank(e, 1), Entries: entries, Start: start}
+				if Choose(r, []Candidate{mine, warm}) == 0 {
+					mine.Own++
+					herd++
+				}
+			}
+		}
+		sent += herd
+		most = max(most, herd)
+	}
+	is.True(sent > slots)   // at least one request in a slot
+	is.True(sent < 3*slots) // about the room of two, not one of each entry
+	is.True(most < entries) // never all of them together
+}
+
 // Requests of one unknown prefix go to one upstream, and other prefixes to others.
 func TestRendezvousSpreadsPrefixes(t *testing.T) {
 	is := is.New(t)
--- a/pkg/routing/doc.go
+++ b/pkg/routing/doc.go
@@ -12,6 +12,10 @@
 // that, all entries together would rush to the upstream that looks idle. A report
 // loses weight with its age, in favour of the mean load of the candidates.
 //
+// A cold upstream is compared by its work, not by its small limit, because it warms up
+// only with work. So that entries with equal news do not all send to it, each has a turn
+// there in as many slots of time as the upstream has room, shared among the entries.
+//
 // Candidates of other regions count only when the own region has none left.
 // Candidates without room for one more request come after all others. Where nobody is known to hold the
 // prefix of the prompt, the upstream that rendezvous hashing gives is preferred, as
--- /dev/null
+++ b/test/policy/cache_test.go
@@ -0,0 +1,85 @@
+package policy
+
+import (
+	"container/list"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/prefix"
+)
+
+// cache is the prefix cache of an engine: the least recently used blocks go first.
+type cache struct {
+	size   int
+	order  *list.List
+	places map[uint64]*list.Element
+}
+
+func newCache(size int) *cache {
+	return &cache{size: size, order: list.New(), places: map[uint64]*list.Element{}}
+}
+
+// held returns the number of leading blocks in the cache.
+func (c *cache) held(blocks []uint64) int {
+	for i, b := range blocks {
+		if c.places[b] == nil {
+			return i
+		}
+	}
+	return len(blocks)
+}
+
+// add stores blocks and returns those that are new and those that had to go.
+func (c *cache) add(blocks []uint64) (stored, removed []uint64) {
+	for _, b := range blocks {
+		if at := c.places[b]; at != nil {
+			c.order.MoveToFront(at)
+			continue
+		}
+		c.places[b] = c.order.PushFront(b)
+		stored = append(stored, b)
+	}
+	for c.order.Len() > c.size {
+		at := c.order.Back()
+		b := c.order.Remove(at).(uint64)
+		delete(c.places, b)
+		removed = append(removed, b)
+	}
+	return stored, removed
+}
+
+// knowledge is what an entry knows of the caches.
+type knowledge struct {
+	index   *prefix.Index
+	matches prefix.Matches
+	marked  []int
+	byKey   map[uint64]int
+}
+
+func newKnowledge() knowledge {
+	return knowledge{index: prefix.New(1 << 14), byKey: map[uint64]int{}}
+}
+
+// mark writes the cached blocks of a request's prompt to the candidates.
+func (k *knowledge) mark(e *entry, r *request) {
+	if len(k.byKey) == 0 {
+		for i := range e.candidates {
+			k.byKey[e.candidates[i].Key] = i
+		}
+	}
+	k.index.Look(r.blocks, e.w.now, &k.matches)
+	for _, m := range k.matches.All() {
+		i := k.byKey[m.Upstream]
+		e.candidates[i].Cached = m.Blocks
+		k.marked = append(k.marked, i)
+	}
+}
+
+func (k *knowledge) unmark(e *entry) {
+	for _, i := range k.marked {
+		e.candidates[i].Cached = 0
+	}
+	k.marked = k.marked[:0]
+}
+
+func (k *knowledge) learn(e *entry, i int, r *request) {
+	k.index.Learn(e.candidates[i].Key, r.blocks, e.w.now)
+}
--- a/test/scenario_test.go
+++ b/test/scenario_test.go
@@ -80,6 +80,8 @@
 type world struct {
 	fleet *fleet.Fleet
 	sends map[string]chan []load.Outcome
+	// saved holds the counts that a script keeps.
+	saved map[string]int
 }
 
 func (w *world) close() {
