--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -60,6 +60,9 @@
 // OperatorToken is the operators' token of all processes of a fleet.
 const OperatorToken = "operator-token"
 
+// ProcessToken is the token that the processes of a fleet present to each other.
+const ProcessToken = "process-token"
+
 // Token returns the bearer token of an organisation.
 func Token(organisation string) string { return "token-" + organisation }
 
@@ -83,6 +86,9 @@
 	order []string
 }
 
+// fleetRate bounds the calls a second with which the provider's machines keep the platform.
+const fleetRate = 10_000
+
 // startLimit bounds the start of a fleet.
 const startLimit = 30 * time.Second
 
@@ -129,7 +135,7 @@
 		return err
 	}
 	f.PlatformURL = "http://" + address
-	f.Platform = platform.New(platform.Options{URL: f.PlatformURL})
+	f.Platform = platform.New(platform.Options{URL: f.PlatformURL, Rate: fleetRate, Burst: fleetRate})
 	f.Store = configstore.New(f.Platform)
 	p := f.newProcess("platform", "coltsfoot-standin", "", "platform", "--address", address)
 	if err := p.start(); err != nil {
@@ -266,6 +272,7 @@
 	c.Zone = d.Zones[i%len(d.Zones)]
 	c.OperatorAddress = operator
 	c.OperatorToken = OperatorToken
+	c.Credentials.Token = ProcessToken
 	return c
 }
 
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -34,6 +34,7 @@
 	client   upstream.Client
 	events   *event.Recorder
 	now      func() time.Time
+	born     time.Time
 	config   configuration.Holder
 	meters   meters
 
@@ -66,14 +67,11 @@
 		events:   o.Recorder,
 		now:      o.Now,
 		meters:   newMeters(o.Registry),
-		fence:    fence.New(uuid.NewString()),
+		fence:    fence.New(fence.Options{Incarnation: uuid.NewString()}),
+		born:     o.Now(),
 		queue:    fairness.New(o.Settings.QueueLimit),
-		limiter: admission.New(admission.Options{
-			Cold: o.Settings.Upstream.ColdLimit,
-			Max:  o.Settings.Upstream.MaxLimit,
-			Idle: o.Settings.Upstream.Idle(),
-		}),
-		tasks: map[string]*task{},
+		limiter:  admission.New(o.Settings.Upstream.admission()),
+		tasks:    map[string]*task{},
 	}
 	a.wake = sync.NewCond(&a.mu)
 	return a
--- a/pkg/agent/task.go
+++ b/pkg/agent/task.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/admission"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/fairness"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/fence"
@@ -17,7 +18,7 @@
 // task is one admitted attempt.
 type task struct {
 	id     string
-	key    fence.Key
+	fenced fence.Message
 	req    peer.RunRequest
 	sender peer.Sender
 	ctx    context.Context
@@ -26,15 +27,19 @@
 	ended chan peer.RunResult
 
 	arrived time.Time
-	offset  int64
-	sum     *xxhash.Digest
+	// startIn is the start budget left when the attempt was admitted.
+	startIn time.Duration
+	// run is set when the task has started.
+	run    *admission.Run
+	offset int64
+	sum    *xxhash.Digest
 }
 
 func (a *Agent) newTask(s peer.Sender, r peer.RunRequest) *task {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(r.TimeoutMillis)*time.Millisecond)
 	return &task{
-		id:      taskID(r.Request, r.Attempt),
-		key:     fence.Key{Request: r.Request, Attempt: r.Attempt},
+		id:      taskID(r.Call, r.Attempt),
+		fenced:  fencedRun(r),
 		req:     r,
 		sender:  s,
 		ctx:     ctx,
@@ -45,8 +50,8 @@
 	}
 }
 
-func taskID(request string, attempt int) string {
-	return request + "/" + strconv.Itoa(attempt)
+func taskID(call string, attempt int) string {
+	return call + "/" + strconv.Itoa(attempt)
 }
 
 func (t *task) item() fairness.Item {
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/samber/oops"
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
@@ -53,6 +56,9 @@
 	table  *Table
 	config *configuration.Holder
 	events *event.Recorder
+	// life identifies this life of the entry and calls counts its requests.
+	life  string
+	calls atomic.Uint64
 
 	budgets budgets
 
@@ -63,7 +69,7 @@
 
 // New returns a dispatcher over the table.
 func New(t *Table, config *configuration.Holder, events *event.Recorder) *Dispatcher {
-	return &Dispatcher{table: t, config: config, events: events, inFlight: map[string]int{}}
+	return &Dispatcher{table: t, config: config, events: events, life: uuid.NewString(), inFlight: map[string]int{}}
 }
 
 // defaultRetryAfter is told to callers when no better estimate is known.
@@ -71,7 +77,7 @@
 
 // Do runs a request until it has a final result. The deadline of ctx is that of the request.
 func (d *Dispatcher) Do(ctx context.Context, r Request, sink Sink) Result {
-	s := &session{d: d, req: r, sink: sink}
+	s := &session{d: d, call: d.nextCall(), req: r, sink: sink}
 	if !d.enter(r.Organisation) {
 		return Result{Code: code.OrganisationLimit, RetryAfter: defaultRetryAfter}
 	}
@@ -90,6 +96,12 @@
 	return res
 }
 
+// nextCall returns an identity that no other request has, at any entry and in any of
+// its lives. The identity that a caller chooses may be used by several requests.
+func (d *Dispatcher) nextCall() string {
+	return d.life + "-" + strconv.FormatUint(d.calls.Add(1), 36)
+}
+
 // enter counts a request of the organisation and reports whether its limit allows it.
 func (d *Dispatcher) enter(o configuration.Organisation) bool {
 	limit := o.MaxInProgress
@@ -116,7 +128,9 @@
 
 // session is the run of one request.
 type session struct {
-	d       *Dispatcher
+	d *Dispatcher
+	// call identifies the request within the system.
+	call    string
 	req     Request
 	sink    Sink
 	attempt int
@@ -222,7 +236,8 @@
 	ctx, stop := context.WithTimeout(context.Background(), cancelCall)
 	defer stop()
 	res, err := peer.Call[peer.CancelResult](ctx, p.client, peer.MethodCancel, peer.CancelRequest{
-		News: s.d.table.news(), Request: r.Request, Attempt: r.Attempt, Incarnation: r.Incarnation,
+		News: s.d.table.news(), Call: r.Call, Request: r.Request, Attempt: r.Attempt,
+		Incarnation: r.Incarnation, IssuedMillis: r.IssuedMillis,
 	})
 	return err == nil && res.State == peer.CancelNotRun
 }
@@ -234,10 +249,12 @@
 	left := timeLeft(ctx)
 	r := peer.RunRequest{
 		News:           s.d.table.news(),
+		Call:           s.call,
 		Request:        s.req.ID,
 		Attempt:        s.attempt,
 		From:           s.d.table.opts.Name,
 		Incarnation:    p.incarnation,
+		IssuedMillis:   p.issued.Milliseconds(),
 		Organisation:   s.req.Organisation.Name,
 		Priority:       s.req.Organisation.Priority,
 		Weight:         s.req.Organisation.Weight,
--- a/pkg/dispatch/table.go
+++ b/pkg/dispatch/table.go
@@ -21,7 +21,9 @@
 	key      uint64
 	distance routing.Distance
 	status   peer.Status
+	// seen is the time before which the status was not made, received that of its arrival.
 	seen     time.Time
+	received time.Time
 	// own counts the attempts of this entry in progress.
 	own int32
 	// lost is set after a failed contact until the next status.
@@ -53,7 +55,9 @@
 	Region string
 	Config *configuration.Holder
 	Events *event.Recorder
-	Now    func() time.Time
+	// Credentials secure the connections to other processes.
+	Credentials peer.Credentials
+	Now         func() time.Time
 }
 
 // StatusAge is the age at which a status no longer counts.
@@ -81,7 +85,7 @@
 	for _, i := range list {
 		m, ok := t.members[i.ID]
 		if !ok || m.instance.Control != i.Control {
-			m = &member{client: peer.NewClient(i.Control), key: xxhash.Sum64String(i.ID)}
+			m = &member{client: peer.NewClient(i.Control, t.opts.Credentials), key: xxhash.Sum64String(i.ID)}
 			t.record(event.UpstreamFound, i)
 		}
 		if i.State == instancelist.Leaving && m.instance.State != instancelist.Leaving {
@@ -129,6 +133,7 @@
 	moved := !slices.Equal(s.Models, m.status.Models) || !slices.Equal(s.Services, m.status.Services)
 	m.status = s
 	m.seen = asked
+	m.received = t.opts.Now()
 	m.lost = false
 	if moved {
 		t.index()
@@ -154,6 +159,8 @@
 	wait time.Duration
 	// work is the agent's address for work.
 	work string
+	// issued is a time not after the pick, on the clock of the incarnation.
+	issued time.Duration
 }
 
 // pick chooses an upstream that holds the target and is not in tried. The attempt
@@ -178,8 +185,8 @@
 	m.own++
 	m.publishOwn()
 	return picked{
-		wait: wait,
-		id:   m.instance.ID, incarnation: m.status.Incarnation, client: m.client, member: m,
+		wait: wait, issued: m.issued(t.opts.Now()),
+		id: m.instance.ID, incarnation: m.status.Incarnation, client: m.client, member: m,
 		work:    m.status.WorkAddress,
 		service: time.Duration(m.status.ServiceMillis * float64(time.Millisecond)),
 	}, true
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"time"
 
@@ -22,16 +21,17 @@
 
 // node is the life cycle of an entry process.
 type node struct {
-	settings Settings
-	platform *platform.Client
-	store    *configstore.Store
-	config   *configuration.Holder
-	table    *dispatch.Table
-	poller   *dispatch.Poller
-	callers  *caller.Server
-	control  *peer.Server
-	operator *operator.Server
-	events   *event.Recorder
+	settings    Settings
+	platform    *platform.Client
+	store       *configstore.Store
+	config      *configuration.Holder
+	table       *dispatch.Table
+	poller      *dispatch.Poller
+	callers     *caller.Server
+	control     *peer.Server
+	credentials peer.Credentials
+	operator    *operator.Server
+	events      *event.Recorder
 
 	lifeMu sync.Mutex
 	life   directory.Life
@@ -43,8 +43,7 @@
 func (n *node) start(ctx context.Context) error {
 	peer.Handle(n.control, peer.MethodStatus, n.answerStatus)
 	peer.Handle(n.control, peer.MethodConfigure, n.configure)
-	var cfg net.ListenConfig
-	l, err := cfg.Listen(ctx, "tcp", n.settings.ControlAddress)
+	l, err := n.credentials.Listen(ctx, n.settings.ControlAddress)
 	if err != nil {
 		return err
 	}
@@ -60,7 +59,7 @@
 		OnRecovered: n.platformRecovered,
 	})
 	n.loops.Go(func() { list.Run(run, n.platform) })
-	n.loops.Go(func() { n.store.Follow(run, n.adopt) })
+	n.loops.Go(func() { n.store.FollowWith(run, n.followOptions()) })
 	n.loops.Go(func() { n.poller.Run(run) })
 	n.loops.Go(func() { n.watchReady(run) })
 	return n.callers.Start(ctx)
@@ -97,13 +96,17 @@
 }
 
 func (n *node) adopt(d *configuration.Document) {
-	if !n.config.Adopt(d) {
-		return
+	if n.config.Adopt(d) {
+		n.adopted(d.Version)
 	}
+}
+
+func (n *node) adopted(version int64) {
+	ttl := n.config.View().Document.Limits.DirectoryTTLSeconds
 	n.lifeMu.Lock()
-	n.life.Set(time.Now(), time.Duration(d.Limits.DirectoryTTLSeconds)*time.Second)
+	n.life.Set(time.Now(), time.Duration(ttl)*time.Second)
 	n.lifeMu.Unlock()
-	n.events.Record(event.Event{Kind: event.ConfigAdopted, ConfigVersion: d.Version})
+	n.events.Record(event.Event{Kind: event.ConfigAdopted, ConfigVersion: version})
 	n.poller.Wake()
 }
 
@@ -147,8 +150,9 @@
 
 func (n *node) configure(_ context.Context, _ *jsonrpc2.Conn, r peer.ConfigureRequest) (peer.ConfigureResult, error) {
 	n.events.Clock().Observe(r.Stamp)
-	if r.Document != nil {
-		n.adopt(r.Document)
+	// An update that builds on another document is answered with the version in force here.
+	if took, _ := n.config.Take(r.Update); took {
+		n.adopted(r.Update.Version)
 	}
 	return peer.ConfigureResult{News: n.news()}, nil
 }
--- a/test/policy/agent_test.go
+++ b/test/policy/agent_test.go
@@ -56,6 +56,7 @@
 	e     *entry
 	r     *request
 	began time.Duration
+	run   *admission.Run
 	endBy time.Duration
 }
 
@@ -110,9 +111,18 @@
 }
 
 func (a *agent) startAll() {
-	for a.queue.Len() > 0 && a.limiter.Start(a.w.clock()) {
-		i, _ := a.queue.Pop()
+	for {
+		i, ok := a.queue.Peek()
+		if !ok {
+			return
+		}
+		run, ok := a.limiter.Start(a.w.clock(), i.Cost, false)
+		if !ok {
+			return
+		}
+		a.queue.Pop()
 		v := a.waiting[i.ID]
+		v.run = run
 		delete(a.waiting, i.ID)
 		a.running[v] = true
 		a.start(v)
@@ -134,6 +144,8 @@
 	}
 	fill := time.Duration(float64(len(v.r.blocks)-held) * float64(prefillTime) * crowd)
 	step := time.Duration(float64(tokenTime) * crowd)
+	a.w.after(fill+step, func() { a.part(v) })
+	a.w.after(fill+2*step, func() { a.part(v) })
 	a.w.after(fill+step, func() {
 		if a.running[v] && v.r.sending == 0 {
 			first := a.w.now + oneWay - v.r.arrived
@@ -147,6 +159,14 @@
 	a.w.after(v.endBy-a.w.now, func() { a.abort(v) })
 }
 
+// part tells the limiter of a token.
+func (a *agent) part(v *work) {
+	if a.running[v] {
+		a.limiter.Part(v.run, a.w.clock())
+		a.startAll()
+	}
+}
+
 func (a *agent) finish(v *work) {
 	if !a.running[v] {
 		return
@@ -172,7 +192,7 @@
 func (a *agent) drop(v *work, whole bool) {
 	delete(a.running, v)
 	a.byEntry[v.e.number]--
-	a.limiter.End(a.w.clock(), whole)
+	a.limiter.End(v.run, a.w.clock(), whole)
 	took := float64((a.w.now - v.began).Milliseconds())
 	a.service += serviceGain * (took - a.service)
 }
