--- a/pkg/dispatch/budget.go
+++ b/pkg/dispatch/budget.go
@@ -14,13 +14,19 @@
 type budgets struct {
 	mu     sync.Mutex
 	byName map[string]*retry.Budget
+	// resumes is shared by all organisations.
+	resumes *retry.Budget
+}
+
+func newBudgets() budgets {
+	return budgets{
+		byName:  map[string]*retry.Budget{},
+		resumes: retry.New(retry.DefaultRatio, retry.ResumeBurst),
+	}
 }
 
 // of returns the budget of an organisation. budgets.mu is held.
 func (b *budgets) of(organisation string) *retry.Budget {
-	if b.byName == nil {
-		b.byName = map[string]*retry.Budget{}
-	}
 	out, ok := b.byName[organisation]
 	if !ok {
 		out = retry.New(retry.DefaultRatio, retry.DefaultBurst)
@@ -37,15 +43,20 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.of(organisation).Deposit()
+	b.resumes.Deposit()
 }
 
-// allow reports whether another attempt may follow one that ended with c.
-func (b *budgets) allow(organisation string, c code.Code) bool {
+// allow reports whether another attempt may follow one that ended with c. The rest of
+// a stream that the caller has begun to receive has a budget of its own.
+func (b *budgets) allow(organisation string, c code.Code, begun bool) bool {
 	if retry.Free(c) {
 		return true
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if begun {
+		return b.resumes.Withdraw()
+	}
 	return b.of(organisation).Withdraw()
 }
 
--- /dev/null
+++ b/pkg/dispatch/budget_test.go
@@ -0,0 +1,35 @@
+package dispatch
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/retry"
+)
+
+// When nothing succeeds, retries and resumes end once their saved bursts are spent, and
+// one organisation does not spend the retries of another.
+func TestBudgetsAreBoundedWithoutSuccess(t *testing.T) {
+	is := is.New(t)
+	b := newBudgets()
+	count := func(organisation string, c code.Code, begun bool) int {
+		n := 0
+		for range 1000 {
+			if b.allow(organisation, c, begun) {
+				n++
+			}
+		}
+		return n
+	}
+	is.Equal(count("dominant", code.UpstreamLost, false), retry.DefaultBurst)
+	is.Equal(count("small", code.UpstreamLost, false), retry.DefaultBurst)
+	is.Equal(count("dominant", code.UpstreamLost, true), retry.ResumeBurst)
+	is.Equal(count("dominant", code.ZoneOut, false), 1000) // moves are free
+	for range 100 {
+		b.ended("small", code.OK)
+	}
+	is.True(count("small", code.UpstreamLost, false) >= 9)
+	is.Equal(count("dominant", code.UpstreamLost, false), 0)
+}
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -75,6 +75,7 @@
 		events:   events,
 		life:     uuid.NewString(),
 		claims:   newClaimer(t, store),
+		budgets:  newBudgets(),
 		inFlight: map[string]int{},
 	}
 }
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -15,6 +15,9 @@
 	DefaultRatio = 0.1
 	// DefaultBurst is the largest number of retries saved up.
 	DefaultBurst = 10
+	// ResumeBurst is the largest number of resumed streams saved up: those that an entry
+	// has in progress at the upstreams of a rack.
+	ResumeBurst = 64
 )
 
 // New returns a full budget.
