--- a/internal/load/mix.go
+++ b/internal/load/mix.go
@@ -37,6 +37,8 @@
 	Err    error
 	// Right is set when the answer is whole and the one that was asked for.
 	Right bool
+	// Took is the time until the end of the answer.
+	Took time.Duration
 }
 
 // Run sends the requests and returns their ends in order of their numbers.
@@ -47,7 +49,9 @@
 	for range m.Parallel {
 		senders.Go(func() {
 			for n := range numbers {
+				began := time.Now()
 				out[n] = m.send(ctx, n)
+				out[n].Took = time.Since(began)
 				time.Sleep(m.Between)
 			}
 		})
