Let an entry route by the prompts it has sent and count its decisions

Each entry learns from its own attempts which upstream holds the beginning of a prompt (pkg/prefix); the marks of a decision are cleared after it. Metrics entry_* and routing_*. Cache events of engines do not arrive here yet.

--- a/pkg/caller/request.go
+++ b/pkg/caller/request.go
@@ -16,6 +16,7 @@
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/configuration"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/dispatch"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/prefix"
 )
 
 // fault is a refusal of a request that was not dispatched.
@@ -134,9 +135,23 @@
 		Idempotent:     true,
 		IdempotencyKey: h.key,
 		Cost:           m.MaxTokens + int64(len(body)/bytesPerToken),
+		Prefix:         promptBlocks(m),
 	}, nil
 }
 
+// promptBlocks returns the hashes of the leading blocks of a prompt: the model and the
+// messages in their order.
+func promptBlocks(m completion) []uint64 {
+	prompt := []byte(m.Model)
+	for _, text := range m.Messages {
+		prompt = append(prompt, text...)
+		if len(prompt) >= prefix.BlockBytes*prefix.MaxBlocks {
+			break
+		}
+	}
+	return prefix.Hashes(nil, prompt)
+}
+
 // serviceRequest reads a call of a plain service.
 func (s *Server) serviceRequest(c *gin.Context, h head) (dispatch.Request, *fault) {
 	var r dispatch.Request
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -31,6 +31,8 @@
 	// IdempotencyKey is the caller's key, empty when there is none.
 	IdempotencyKey string
 	Cost           int64
+	// Prefix holds the hashes of the leading blocks of a prompt; see package prefix.
+	Prefix []uint64
 }
 
 // Sink receives the answer of a request.
@@ -93,6 +95,7 @@
 	d.events.Record(event.Event{Kind: event.RequestReceived, Request: r.ID, Organisation: r.Organisation.Name, Detail: r.Target})
 	res := s.do(ctx)
 	res.Attempts = s.attempt
+	d.table.meters.ended(res.Code)
 	d.budgets.ended(r.Organisation.Name, res.Code)
 	if res.Code.Outcome() == code.NotRun {
 		res.RetryAfter = max(res.RetryAfter, d.table.retryAfter(target{r.Kind, r.Target}))
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -5,6 +5,7 @@
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/instancelist"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/prefix"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/retry"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/routing"
 )
@@ -69,6 +70,25 @@
 	}
 }
 
+// setCached writes the matches of a prompt to the candidates, or clears them.
+func (p *pool) setCached(byKey map[uint64]*member, matches *prefix.Matches, value bool) {
+	for _, found := range matches.All() {
+		m := byKey[found.Upstream]
+		if m == nil {
+			continue
+		}
+		for _, s := range m.slots {
+			if s.pool != p {
+				continue
+			}
+			p.candidates[s.at].Cached = 0
+			if value {
+				p.candidates[s.at].Cached = found.Blocks
+			}
+		}
+	}
+}
+
 // publish writes the candidate to each place of m.
 func (m *member) publish(c routing.Candidate) {
 	for _, s := range m.slots {
@@ -89,10 +109,12 @@
 		p.members = p.members[:0]
 		p.candidates = p.candidates[:0]
 	}
+	clear(t.byKey)
 	t.entries = 0
 	for _, id := range t.order {
 		m := t.members[id]
 		m.slots = m.slots[:0]
+		t.byKey[m.key] = m
 		if m.instance.Role == instancelist.Entry && m.instance.Region == t.opts.Region {
 			t.entries++
 		}
--- a/pkg/dispatch/session.go
+++ b/pkg/dispatch/session.go
@@ -48,17 +48,22 @@
 	last := Result{Code: code.NoUpstream}
 	for s.attempt < s.d.config.View().Document.Limits.MaxAttempts {
 		if s.attempt > 0 && !s.d.budgets.allow(s.req.Organisation.Name, last.Code, s.answer.transcript.Sent()) {
+			s.d.table.meters.withheld.Inc(1)
 			return last
 		}
-		p, ok := s.d.table.pick(target{s.req.Kind, s.req.Target}, s.tried)
+		p, ok := s.d.table.pick(target{s.req.Kind, s.req.Target}, s.req.Prefix, s.tried)
 		if !ok {
 			return last
 		}
 		if c := retry.Hopeless(p.wait, timeLeft(ctx), p.service); c != code.OK && s.attempt == 0 {
 			s.d.table.release(p)
+			s.d.table.meters.hopeless.Inc(1)
 			return Result{Code: c}
 		}
 		s.attempt++
+		if s.attempt > 1 {
+			s.d.table.meters.retries.Inc(1)
+		}
 		s.tried = append(s.tried, p.id)
 		last = s.try(ctx, p)
 		s.d.table.release(p)
--- a/pkg/dispatch/table.go
+++ b/pkg/dispatch/table.go
@@ -6,11 +6,13 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/configuration"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/instancelist"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/prefix"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/routing"
 )
 
@@ -34,19 +36,27 @@
 
 // Table holds the upstreams and the other entries. It is safe for concurrent use.
 type Table struct {
-	opts TableOptions
+	opts   TableOptions
+	meters meters
 
 	mu       sync.Mutex
 	members  map[string]*member
 	order    []string
 	byTarget map[target]*pool
+	byKey    map[uint64]*member
 	view     *configuration.View
 	entries  int32
 	turn     int
 	self     uint64
 	epoch    time.Time
+	// prefixes tells which upstreams hold the beginning of a prompt.
+	prefixes *prefix.Index
+	matches  prefix.Matches
 }
 
+// prefixBlocks is the number of prompt blocks that an entry keeps in mind.
+const prefixBlocks = 1 << 15
+
 // TableOptions configure a table.
 type TableOptions struct {
 	// Name, Zone and Region are those of the entry.
@@ -57,7 +67,9 @@
 	Events *event.Recorder
 	// Credentials secure the connections to other processes.
 	Credentials peer.Credentials
-	Now         func() time.Time
+	// Registry receives the metrics; nil means a private registry.
+	Registry metrics.Registry
+	Now      func() time.Time
 }
 
 // StatusAge is the age at which a status no longer counts.
@@ -67,8 +79,11 @@
 func NewTable(o TableOptions) *Table {
 	return &Table{
 		opts:     o,
+		meters:   newMeters(o.Registry),
+		prefixes: prefix.New(prefixBlocks),
 		members:  map[string]*member{},
 		byTarget: map[target]*pool{},
+		byKey:    map[uint64]*member{},
 		epoch:    o.Now(),
 		// Entries with equal news start their turns at different places.
 		turn: int(xxhash.Sum64String(o.Name) >> 1),
@@ -130,6 +145,10 @@
 	if m == nil || s.Incarnation == m.status.Incarnation && s.Stamp.Before(m.status.Stamp) {
 		return
 	}
+	if s.Incarnation != m.status.Incarnation {
+		// A new agent stands beside a new upstream, whose cache is empty.
+		t.prefixes.Forget(m.key, t.since(t.opts.Now()))
+	}
 	moved := !slices.Equal(s.Models, m.status.Models) || !slices.Equal(s.Services, m.status.Services)
 	m.status = s
 	m.seen = asked
@@ -165,22 +184,32 @@
 
 // pick chooses an upstream that holds the target and is not in tried. The attempt
 // counts at the upstream until it is released.
-func (t *Table) pick(w target, tried []string) (picked, bool) {
+func (t *Table) pick(w target, blocks []uint64, tried []string) (picked, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.follow()
 	pool := t.byTarget[w]
 	if pool == nil {
+		t.meters.noUpstream.Inc(1)
 		return picked{}, false
 	}
 	t.turn++
+	now := t.since(t.opts.Now())
+	t.prefixes.Look(blocks, now, &t.matches)
+	pool.setCached(t.byKey, &t.matches, true)
 	pool.setTried(t.members, tried, true)
-	i := routing.Choose(routing.Request{Now: t.since(t.opts.Now()), Self: t.self, Entries: t.entries, Start: t.turn}, pool.candidates)
+	i := routing.Choose(t.request(now, blocks), pool.candidates)
 	pool.setTried(t.members, tried, false)
+	if i >= 0 {
+		t.meters.chose(&pool.candidates[i], len(blocks))
+	}
+	pool.setCached(t.byKey, &t.matches, false)
 	if i < 0 {
+		t.meters.noUpstream.Inc(1)
 		return picked{}, false
 	}
 	m := pool.members[i]
+	t.prefixes.Learn(m.key, blocks, now)
 	wait := pool.candidates[i].Wait()
 	m.own++
 	m.publishOwn()
@@ -192,6 +221,15 @@
 	}, true
 }
 
+// request describes a decision for a prompt with the block hashes.
+func (t *Table) request(now time.Duration, blocks []uint64) routing.Request {
+	r := routing.Request{Now: now, Self: t.self, Entries: t.entries, Start: t.turn, Blocks: int32(len(blocks))}
+	if len(blocks) > 0 {
+		r.Prefix = blocks[0]
+	}
+	return r
+}
+
 func (t *Table) since(at time.Time) time.Duration { return at.Sub(t.epoch) }
 
 // release ends the count of a picked attempt.
--- a/pkg/dispatch/table_test.go
+++ b/pkg/dispatch/table_test.go
@@ -106,7 +106,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			b := newBench(2)
 			c.bring(b)
-			p, _ := b.pick(work, nil)
+			p, _ := b.pick(work, nil, nil)
 			is.New(t).Equal(p.id, c.expect)
 		})
 	}
@@ -119,13 +119,13 @@
 	b.add(instancelist.Instance{ID: "far", Role: instancelist.Upstream, Zone: "c", Region: "s", State: instancelist.Live})
 	b.report()
 	for range 100 {
-		p, ok := b.pick(work, nil)
+		p, ok := b.pick(work, nil, nil)
 		is.True(ok && p.id != "far")
 	}
-	_, ok := b.pick(work, []string{"up-0", "up-1"})
+	_, ok := b.pick(work, nil, []string{"up-0", "up-1"})
 	is.True(!ok) // a refusal is no reason to load another region
 	b.zones(2, configuration.ZoneOut, configuration.ZoneOut, configuration.ZoneIn)
-	p, _ := b.pick(work, nil)
+	p, _ := b.pick(work, nil, nil)
 	is.Equal(p.id, "far")
 }
 
@@ -135,7 +135,7 @@
 	b := newBench(2)
 	var mine []picked
 	for range 8 {
-		p, _ := b.pick(work, nil)
+		p, _ := b.pick(work, nil, nil)
 		mine = append(mine, p)
 		b.report()
 	}
@@ -158,15 +158,36 @@
 	b := newBench(1)
 	b.status("up-0", func(s *peer.Status) { s.Stamp = event.Stamp{Wall: 20}; s.Leaving = true })
 	b.status("up-0", func(s *peer.Status) { s.Stamp = event.Stamp{Wall: 10} })
-	_, ok := b.pick(work, nil)
+	_, ok := b.pick(work, nil, nil)
 	is.True(!ok)
 }
 
+// Requests with the same beginning follow each other while the upstream has room.
+func TestPickFollowsThePrefix(t *testing.T) {
+	is := is.New(t)
+	b := newBench(16)
+	prompt := []uint64{1, 2, 3, 4, 5, 6, 7, 8}
+	first, _ := b.pick(work, prompt, nil)
+	b.release(first)
+	for range 5 {
+		p, _ := b.pick(work, prompt, nil)
+		b.release(p)
+		is.Equal(p.id, first.id)
+	}
+	b.status(first.id, func(s *peer.Status) { s.Running = 8 })
+	p, _ := b.pick(work, prompt, nil)
+	is.True(p.id != first.id) // a full upstream is no better for its cache
+	for _, c := range b.byTarget[work].candidates {
+		is.Equal(c.Cached, int32(0)) // marks of a decision do not stay
+	}
+}
+
 func TestPickAllocatesNothing(t *testing.T) {
 	b := newBench(200)
 	tried := []string{"up-3"}
+	prompt := []uint64{1, 2, 3}
 	is.New(t).Equal(testing.AllocsPerRun(100, func() {
-		p, _ := b.pick(work, tried)
+		p, _ := b.pick(work, prompt, tried)
 		b.release(p)
 	}), 0.0)
 }
@@ -176,9 +197,13 @@
 	for _, n := range []int{16, 50, 200} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			t := newBench(n)
+			prompt := make([]uint64, 16)
+			for i := range prompt {
+				prompt[i] = uint64(i + 1)
+			}
 			b.ReportAllocs()
 			for b.Loop() {
-				p, _ := t.pick(work, nil)
+				p, _ := t.pick(work, prompt, nil)
 				t.release(p)
 			}
 		})
--- a/pkg/entry/module.go
+++ b/pkg/entry/module.go
@@ -44,8 +44,8 @@
 	return h, h.Register(reg)
 }
 
-func newTable(s Settings, h *configuration.Holder, rec *event.Recorder, c peer.Credentials) *dispatch.Table {
-	return dispatch.NewTable(dispatch.TableOptions{Name: s.Name, Zone: s.Zone, Region: s.Region, Config: h, Events: rec, Credentials: c, Now: time.Now})
+func newTable(s Settings, h *configuration.Holder, rec *event.Recorder, c peer.Credentials, reg metrics.Registry) *dispatch.Table {
+	return dispatch.NewTable(dispatch.TableOptions{Name: s.Name, Zone: s.Zone, Region: s.Region, Config: h, Events: rec, Credentials: c, Registry: reg, Now: time.Now})
 }
 
 func newPoller(s Settings, t *dispatch.Table) *dispatch.Poller {
