Find the cached part of a prompt by halving; learn outside the decision

The engine uses the blocks of a prefix together, so that the last block held implies those before it.

--- a/pkg/dispatch/session.go
+++ b/pkg/dispatch/session.go
@@ -65,6 +65,7 @@
 			s.d.table.meters.retries.Inc(1)
 		}
 		s.tried = append(s.tried, p.id)
+		s.d.table.learn(p, s.req.Prefix)
 		last = s.try(ctx, p)
 		s.d.table.release(p)
 		if last.Code.Outcome() == code.Unknown && s.unknown == 0 {
--- a/pkg/dispatch/table.go
+++ b/pkg/dispatch/table.go
@@ -209,7 +209,6 @@
 		return picked{}, false
 	}
 	m := pool.members[i]
-	t.prefixes.Learn(m.key, blocks, now)
 	wait := pool.candidates[i].Wait()
 	m.own++
 	m.publishOwn()
@@ -232,6 +231,16 @@
 
 func (t *Table) since(at time.Time) time.Duration { return at.Sub(t.epoch) }
 
+// learn notes that the picked upstream will hold the beginning of a prompt.
+func (t *Table) learn(p picked, blocks []uint64) {
+	if len(blocks) == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.prefixes.Learn(p.member.key, blocks, t.since(t.opts.Now()))
+}
+
 // release ends the count of a picked attempt.
 func (t *Table) release(p picked) {
 	t.mu.Lock()
--- a/pkg/dispatch/table_test.go
+++ b/pkg/dispatch/table_test.go
@@ -168,6 +168,7 @@
 	b := newBench(16)
 	prompt := []uint64{1, 2, 3, 4, 5, 6, 7, 8}
 	first, _ := b.pick(work, prompt, nil)
+	b.learn(first, prompt)
 	b.release(first)
 	for range 5 {
 		p, _ := b.pick(work, prompt, nil)
@@ -201,6 +202,9 @@
 			for i := range prompt {
 				prompt[i] = uint64(i + 1)
 			}
+			p, _ := t.pick(work, prompt, nil)
+			t.learn(p, prompt)
+			t.release(p)
 			b.ReportAllocs()
 			for b.Loop() {
 				p, _ := t.pick(work, prompt, nil)
--- a/pkg/prefix/index.go
+++ b/pkg/prefix/index.go
@@ -43,7 +43,7 @@
 
 // Index is a bounded map of blocks to upstreams. It is not safe for concurrent use.
 type Index struct {
-	blocks  map[uint64][Holders]holder
+	blocks  map[uint64]*[Holders]holder
 	ring    []uint64
 	next    int
 	sources map[uint64]*source
@@ -52,7 +52,7 @@
 // New returns an empty index of at most size blocks.
 func New(size int) *Index {
 	return &Index{
-		blocks:  make(map[uint64][Holders]holder, size),
+		blocks:  make(map[uint64]*[Holders]holder, size),
 		ring:    make([]uint64, 0, size),
 		sources: map[uint64]*source{},
 	}
@@ -108,9 +108,11 @@
 
 // store puts the holder in front of the others of its block.
 func (x *Index) store(block uint64, h holder) {
-	list, ok := x.blocks[block]
-	if !ok {
+	list := x.blocks[block]
+	if list == nil {
 		x.makeRoom(block)
+		list = &[Holders]holder{}
+		x.blocks[block] = list
 	}
 	at := 0
 	for at < Holders-1 && list[at].source != h.source {
@@ -118,7 +120,6 @@
 	}
 	copy(list[1:at+1], list[:at])
 	list[0] = h
-	x.blocks[block] = list
 }
 
 // makeRoom enters a new block in the ring and drops the oldest one from a full index.
@@ -133,8 +134,8 @@
 }
 
 func (x *Index) remove(block uint64, s *source) {
-	list, ok := x.blocks[block]
-	if !ok {
+	list := x.blocks[block]
+	if list == nil {
 		return
 	}
 	for i := range list {
@@ -142,7 +143,6 @@
 			list[i] = holder{}
 		}
 	}
-	x.blocks[block] = list
 }
 
 // counts reports whether a record still says something.
--- a/pkg/prefix/match.go
+++ b/pkg/prefix/match.go
@@ -20,44 +20,49 @@
 // All returns the matches; they are valid until the next look-up.
 func (m *Matches) All() []Match { return m.list[:m.n] }
 
-// extend notes that the upstream holds block number i. It reports whether the
-// upstream holds all blocks before as well.
-func (m *Matches) extend(upstream uint64, i int32) bool {
+// reach notes that the upstream holds the first n blocks at least.
+func (m *Matches) reach(upstream uint64, n int32) {
 	for k := range m.n {
-		if m.list[k].Upstream != upstream {
-			continue
-		}
-		if m.list[k].Blocks != i {
-			return false
+		if m.list[k].Upstream == upstream {
+			m.list[k].Blocks = max(m.list[k].Blocks, n)
+			return
 		}
-		m.list[k].Blocks = i + 1
-		return true
 	}
-	if i > 0 || m.n == maxMatches {
-		return false
+	if m.n < maxMatches {
+		m.list[m.n] = Match{upstream, n}
+		m.n++
 	}
-	m.list[m.n] = Match{upstream, 1}
-	m.n++
-	return true
 }
 
-// Look fills m with the upstreams that hold the first blocks of a prompt.
+// Look fills m with upstreams that hold the first blocks of a prompt. An engine that
+// holds a block holds those before it, as it uses them with it. The last block that
+// anybody holds is therefore found by halving; upstreams that hold fewer blocks count
+// as far as the search came across them.
 func (x *Index) Look(blocks []uint64, now time.Duration, m *Matches) {
 	m.n = 0
-	for i, b := range blocks {
-		list, ok := x.blocks[b]
-		if !ok {
-			return
-		}
-		grown := false
-		for k := range list {
-			h := &list[k]
-			if h.counts(now) && m.extend(h.source.upstream, int32(i)) {
-				grown = true
-			}
+	low, high := 0, len(blocks)
+	for low < high {
+		middle := int(uint(low+high) / 2)
+		if x.probe(blocks[middle], int32(middle+1), now, m) {
+			low = middle + 1
+			continue
 		}
-		if !grown {
-			return
+		high = middle
+	}
+}
+
+// probe notes the holders of a block and reports whether there are any.
+func (x *Index) probe(block uint64, n int32, now time.Duration, m *Matches) bool {
+	list := x.blocks[block]
+	if list == nil {
+		return false
+	}
+	found := false
+	for k := range list {
+		if h := &list[k]; h.counts(now) {
+			m.reach(h.source.upstream, n)
+			found = true
 		}
 	}
+	return found
 }
