--- a/pkg/agent/status.go
+++ b/pkg/agent/status.go
@@ -35,6 +35,7 @@
 		ZoneOut:       view != nil && view.ZoneOut(a.settings.Zone),
 		Reachable:     a.up,
 		ServiceMillis: a.service,
+		Verdicts:      a.verdicts.News(a.now()),
 	}
 }
 
