--- a/pkg/dispatch/keyed.go
+++ b/pkg/dispatch/keyed.go
@@ -9,6 +9,7 @@
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/idempotency"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/retry"
 )
 
 // HeaderCode is the header field with the numbered result code of an answer.
@@ -42,16 +43,13 @@
 }
 
 func (s *session) ask(ctx context.Context) idempotency.Op {
-	left := defaultDeadline
-	if at, ok := ctx.Deadline(); ok {
-		left = time.Until(at)
-	}
+	left := timeLeft(ctx)
 	return idempotency.Op{
 		Kind:        idempotency.Ask,
 		Key:         s.key(),
 		ID:          s.call,
 		Fingerprint: idempotency.Fingerprint([]byte(s.req.Target), []byte(s.req.Method), []byte(s.req.Path), s.req.Body),
-		Timeout:     max(left, 0) + startBudget,
+		Timeout:     max(left, 0) + retry.StartBudget,
 		TTL:         time.Duration(s.d.config.View().Document.Limits.IdempotencyKeyTTLSeconds) * time.Second,
 	}
 }
--- a/pkg/dispatch/quarantine.go
+++ b/pkg/dispatch/quarantine.go
@@ -72,12 +72,12 @@
 // Take takes in verdicts.
 func (q *Quarantine) Take(list []poison.Verdict) {
 	for _, v := range list {
-		q.table.events.Clock().Observe(v.Stamp)
+		q.table.opts.Events.Clock().Observe(v.Stamp)
 		q.mu.Lock()
-		changed := q.verdicts.Take(v, q.table.now())
+		changed := q.verdicts.Take(v, q.table.opts.Now())
 		q.mu.Unlock()
 		if changed {
-			q.table.events.Record(event.Event{Kind: event.Verdict, Detail: string(v.State) + " " + string(v.Fingerprint)})
+			q.table.opts.Events.Record(event.Event{Kind: event.Verdict, Detail: string(v.State) + " " + string(v.Fingerprint)})
 		}
 	}
 }
@@ -86,18 +86,18 @@
 func (q *Quarantine) News() []poison.Verdict {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.verdicts.News(q.table.now())
+	return q.verdicts.News(q.table.opts.Now())
 }
 
 func (q *Quarantine) check(f poison.Fingerprint) poison.State {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.verdicts.Check(f, q.table.now())
+	return q.verdicts.Check(f, q.table.opts.Now())
 }
 
 // verdict returns a verdict seen now.
 func (q *Quarantine) verdict(f poison.Fingerprint, s poison.State) poison.Verdict {
-	return poison.Verdict{Fingerprint: f, State: s, Stamp: q.table.events.Clock().Now()}
+	return poison.Verdict{Fingerprint: f, State: s, Stamp: q.table.opts.Events.Clock().Now()}
 }
 
 // spread tells all other processes what is known of a fingerprint, and returns when
--- a/pkg/dispatch/session_test.go
+++ b/pkg/dispatch/session_test.go
@@ -44,7 +44,7 @@
 	holder := &configuration.Holder{}
 	holder.Adopt(doc)
 	rec := event.NewRecorder("entry", event.NewClock(nil), nil)
-	table := NewTable("entry", "z", holder, rec, peer.Credentials{}, time.Now)
+	table := NewTable(TableOptions{Name: "entry", Zone: "z", Region: "r", Config: holder, Events: rec, Now: time.Now})
 	var list []instancelist.Instance
 	for _, id := range []string{"a", "b"} {
 		work := listen(t)
@@ -63,7 +63,7 @@
 	}
 	table.SetInstances(list)
 	for id := range table.peers() {
-		table.observe(id, statusOf(is, table, id))
+		table.observe(id, statusOf(is, table, id), time.Now())
 	}
 	registry := metrics.NewRegistry()
 	return New(table, holder, rec, nil, NewQuarantine(table, nil, registry), registry)
--- a/pkg/dispatch/suspect.go
+++ b/pkg/dispatch/suspect.go
@@ -49,9 +49,9 @@
 // that was tried before when there is no other.
 func (s *session) pickNext() (picked, bool) {
 	w := target{s.req.Kind, s.req.Target}
-	p, ok := s.d.table.pick(w, s.tried)
+	p, ok := s.d.table.pick(w, s.req.Prefix, s.tried)
 	if !ok && s.permit.trial != nil {
-		return s.d.table.pick(w, nil)
+		return s.d.table.pick(w, s.req.Prefix, nil)
 	}
 	return p, ok
 }
