Test keyed calls at the dispatcher

Repeat, run that outlives its caller, answer too large to keep, released and unsettled claims, platform down and an answer of it lost, against the stand-in of the platform.

--- a/pkg/dispatch/session_test.go
+++ b/pkg/dispatch/session_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/jsonrpc2"
@@ -22,17 +23,40 @@
 // the list. It implements peer.Runner.
 type agentStub struct {
 	codes chan code.Code
+	// body is the answer of a run that ends with OK.
+	body []byte
+	// running is closed at the first run, which then waits for goOn; nil for no wait.
+	running, goOn chan struct{}
+	runs          int
 }
 
-func (a *agentStub) Run(_ context.Context, _ peer.Sender, r peer.RunRequest) peer.RunResult {
-	const emptyChecksum = 0xef46db3751d8e999 // xxHash64 of no bytes
-	return peer.RunResult{Code: <-a.codes, Call: r.Call, Attempt: r.Attempt, Incarnation: r.Incarnation, Checksum: emptyChecksum}
+func (a *agentStub) Run(_ context.Context, s peer.Sender, r peer.RunRequest) peer.RunResult {
+	res := peer.RunResult{Code: <-a.codes, Call: r.Call, Attempt: r.Attempt, Incarnation: r.Incarnation, Checksum: xxhash.Sum64(nil)}
+	if res.Code != code.OK {
+		return res
+	}
+	a.runs++
+	if a.running != nil {
+		close(a.running)
+		<-a.goOn
+	}
+	if s.Send(peer.Frame{Status: http.StatusOK, Data: a.body}) != nil {
+		res.Code = code.UpstreamLost
+	}
+	res.Length = int64(len(a.body))
+	res.Checksum = xxhash.Sum64(a.body)
+	return res
 }
 
 // newStubs returns a dispatcher before two agents that answer with the codes in turn.
 func newStubs(t *testing.T, codes ...code.Code) *Dispatcher {
+	return newDispatcher(t, &agentStub{}, codes...)
+}
+
+// newDispatcher returns a dispatcher before two agents that the stub plays.
+func newDispatcher(t *testing.T, stub *agentStub, codes ...code.Code) *Dispatcher {
 	is := is.New(t)
-	stub := &agentStub{codes: make(chan code.Code, len(codes))}
+	stub.codes = make(chan code.Code, len(codes))
 	for _, c := range codes {
 		stub.codes <- c
 	}
