Spread the trials of suspects over idle upstreams; crash engines under load

Cause: a trial went where any request goes; behind long streams its start budget ran out. Change: it goes to one of the half with the least work, by fingerprint, and may wait as long as its request has time.

--- a/pkg/agent/doc.go
+++ b/pkg/agent/doc.go
@@ -6,7 +6,10 @@
 // frame. The agent refuses new work while its availability zone is out, while it or
 // its upstream leaves, and before it knows a configuration.
 //
-// A pool of workers shares the tables (fence, queue, limiter, tasks). One mutex
+// When the upstream crashes, the requests that were cut off become suspects. A suspect
+// starts only alone, and a convicted request not at all (package poison).
+//
+// A pool of workers shares the tables (fence, queue, limiter, tasks, verdicts). One mutex
 // guards them all. Lock order: Agent.mu, then the mutex of the event recorder. No
 // I/O is done while Agent.mu is held.
 package agent
--- a/pkg/dispatch/doc.go
+++ b/pkg/dispatch/doc.go
@@ -7,6 +7,8 @@
 // the request is idempotent; a stream is then resumed at the exact offset. Before a
 // lost attempt counts as unknown, the agent is asked for a tombstone.
 //
-// Lock order: Table.mu, then the mutex of the event recorder. Neither is held
-// during I/O.
+// The Quarantine keeps requests that may crash upstreams from running beside others.
+//
+// Lock order: Table.mu or Quarantine.mu, never both, then the mutex of the event
+// recorder. None is held during I/O.
 package dispatch
--- a/pkg/dispatch/session.go
+++ b/pkg/dispatch/session.go
@@ -181,7 +181,7 @@
 		Fingerprint:    s.fingerprint,
 		Alone:          s.permit.trial != nil,
 		Cost:           s.req.Cost,
-		StartByMillis:  min(left, startBudget).Milliseconds(),
+		StartByMillis:  s.startBudget(left).Milliseconds(),
 		TimeoutMillis:  max(left.Milliseconds(), 1),
 	}
 	return r
--- a/pkg/dispatch/suspect.go
+++ b/pkg/dispatch/suspect.go
@@ -1,9 +1,15 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/poison"
 )
 
@@ -45,13 +51,64 @@
 	}
 }
 
-// pickNext chooses the upstream of the next attempt. A trial may go to an upstream
-// that was tried before when there is no other.
+// pickNext chooses the upstream of the next attempt. A trial goes to one that has
+// little to do, also when it was tried before: it must first be without other work.
 func (s *session) pickNext() (picked, bool) {
 	w := target{s.req.Kind, s.req.Target}
-	p, ok := s.d.table.pick(w, s.tried)
-	if !ok && s.permit.trial != nil {
-		return s.d.table.pick(w, nil)
+	if s.permit.trial == nil {
+		return s.d.table.pick(w, s.tried)
+	}
+	if p, ok := s.d.table.pick(w, s.d.table.allBut(w, string(s.fingerprint))); ok {
+		return p, true
+	}
+	return s.d.table.pick(w, nil)
+}
+
+// allBut returns the IDs of all upstreams but one. That one is chosen by the key among
+// the half with the least work, so that the trials of several suspects spread.
+func (t *Table) allBut(w target, key string) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []*member
+	for _, m := range t.members {
+		if m.holds(w) && m.status.Reachable && !m.status.Leaving {
+			list = append(list, m)
+		}
+	}
+	slices.SortFunc(list, func(a, b *member) int {
+		return cmp.Or(cmp.Compare(a.work(), b.work()), cmp.Compare(a.instance.ID, b.instance.ID))
+	})
+	list = list[:(len(list)+1)/2]
+	if len(list) == 0 {
+		return nil
+	}
+	best := slices.MaxFunc(list, func(a, b *member) int { return cmp.Compare(a.rank(key), b.rank(key)) })
+	var out []string
+	for id := range t.members {
+		if id != best.instance.ID {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+func (m *member) holds(w target) bool {
+	if w.kind == peer.ServiceWork {
+		return slices.Contains(m.status.Services, w.name)
+	}
+	return slices.Contains(m.status.Models, w.name)
+}
+
+func (m *member) work() int { return m.status.Running + m.status.Queued }
+
+// rank is the rendezvous hash of the upstream for a key.
+func (m *member) rank(key string) uint64 { return xxhash.Sum64String(key + "/" + m.instance.ID) }
+
+// startBudget bounds the time to the start of an attempt. A trial may wait for as long
+// as the request has time, because other trials may come before it.
+func (s *session) startBudget(left time.Duration) time.Duration {
+	if s.permit.trial != nil {
+		return left
 	}
-	return p, ok
+	return min(left, startBudget)
 }
--- a/test/poison_test.go
+++ b/test/poison_test.go
@@ -19,6 +19,7 @@
 func init() {
 	commands["poison"] = sendPoison
 	commands["crashes"] = crashes
+	commands["fall"] = fall
 }
 
 // sendPoison: poison together|in-turn TIMES sends a request that crashes its engine to
@@ -84,3 +85,12 @@
 		ts.Fatalf("%d engines received more than they bear", overshoots)
 	}
 }
+
+// fall: fall UPSTREAM... crashes engines.
+func fall(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		resp, err := http.Post(worldOf(ts).fleet.Upstreams[name]+"/crash", "", nil)
+		ts.Check(err)
+		resp.Body.Close()
+	}
+}
