--- a/test/poison_test.go
+++ b/test/poison_test.go
@@ -19,10 +19,11 @@
 func init() {
 	commands["poison"] = sendPoison
 	commands["crashes"] = crashes
+	commands["fall"] = fall
 }
 
-// sendPoison: poison together|in-turn TIMES sends a request that crashes its engine to
-// every entry, TIMES at each, at the same moment or one after the other. No answer may
+// sendPoison: poison together|in-turn TIMES TEXT sends a request that crashes its engine
+// to every entry, TIMES at each, at the same moment or one after the other. No answer may
 // be whole.
 func sendPoison(ts *testscript.TestScript, _ bool, args []string) {
 	w := worldOf(ts)
@@ -31,7 +32,7 @@
 		names = append(names, name)
 	}
 	sort.Strings(names)
-	call := client.Chat("intake-llm", "please "+model.PoisonText, 20, true)
+	call := client.Chat("intake-llm", args[2]+" "+model.PoisonText, 20, true)
 	c := client.New(fleet.Token(organisations[0]), nil)
 	var mu sync.Mutex
 	codes := map[code.Code]int{}
@@ -84,3 +85,12 @@
 		ts.Fatalf("%d engines received more than they bear", overshoots)
 	}
 }
+
+// fall: fall UPSTREAM... crashes engines.
+func fall(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		resp, err := http.Post(worldOf(ts).fleet.Upstreams[name]+"/crash", "", nil)
+		ts.Check(err)
+		resp.Body.Close()
+	}
+}
