--- a/pkg/configuration/holder.go
+++ b/pkg/configuration/holder.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"slices"
+	"sync"
 	"sync/atomic"
 )
 
@@ -90,25 +91,124 @@
 	return slices.Contains(s.IdempotentMethods, method)
 }
 
+// recentLength is the number of replaced documents that a holder keeps to build updates from.
+const recentLength = 8
+
 // Holder keeps the newest adopted document. It is safe for concurrent use.
 type Holder struct {
 	view atomic.Pointer[View]
+
+	mu sync.Mutex
+	// recent holds replaced documents, oldest first.
+	recent []*Document
+	// updates holds updates to the document in force by the version that they build on.
+	updates map[int64]Update
 }
 
 // View returns the document in force, or nil when none was adopted yet.
 func (h *Holder) View() *View { return h.view.Load() }
 
-// Adopt puts d in force when its version is higher than the one in force.
-// It reports whether it did.
+// Document returns the document in force, or nil when none was adopted yet.
+func (h *Holder) Document() *Document {
+	if v := h.View(); v != nil {
+		return v.Document
+	}
+	return nil
+}
+
+// Adopt puts d in force when its version is higher than the one in force and its trail
+// does not name another edit for the version in force. It reports whether it did.
 func (h *Holder) Adopt(d *Document) bool {
+	if !d.Follows(h.Document()) {
+		return false
+	}
 	next := NewView(d)
-	for {
-		old := h.view.Load()
-		if old != nil && d.Version <= old.Version() {
-			return false
-		}
-		if h.view.CompareAndSwap(old, next) {
-			return true
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	old := h.view.Load()
+	if old != nil && !d.Follows(old.Document) {
+		return false
+	}
+	if old != nil {
+		h.recent = append(h.recent, old.Document)
+		h.recent = h.recent[max(0, len(h.recent)-recentLength):]
+	}
+	h.view.Store(next)
+	h.updates = map[int64]Update{}
+	return true
+}
+
+// UpdateFrom returns an update from a version to the document in force. It holds whole
+// sections when the version is no longer known here. It reports false when the
+// version is not lower than the one in force.
+func (h *Holder) UpdateFrom(version int64) (Update, bool, error) {
+	d := h.Document()
+	if d == nil || version >= d.Version {
+		return Update{}, false, nil
+	}
+	old := h.earlier(version)
+	from := old.version()
+	if u, ok := h.cached(from, d); ok {
+		return u, true, nil
+	}
+	u, err := Diff(old, d)
+	if err == nil {
+		h.cache(u)
+	}
+	return u, err == nil, err
+}
+
+// cached returns the update from a version to d that was made or taken before.
+func (h *Holder) cached(from int64, d *Document) (Update, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	u, ok := h.updates[from]
+	return u, ok && u.Version == d.Version
+}
+
+// cache keeps an update for other processes that are as far behind. Updates with all
+// sections are not kept, because of their size.
+func (h *Holder) cache(u Update) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if u.From != 0 && u.Version == h.View().Version() {
+		h.updates[u.From] = u
+	}
+}
+
+// version returns the version of d; a nil document has version 0.
+func (d *Document) version() int64 {
+	if d == nil {
+		return 0
+	}
+	return d.Version
+}
+
+func (h *Holder) earlier(version int64) *Document {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, d := range h.recent {
+		if d.Version == version {
+			return d
 		}
 	}
+	return nil
+}
+
+// Take adopts the document that u leads to when it is newer than the one in force. It
+// reports whether it did, and returns ErrOtherBase when u builds on another document.
+func (h *Holder) Take(u Update) (bool, error) {
+	old := h.Document()
+	if old != nil && u.Version <= old.Version {
+		return false, nil
+	}
+	d, err := Apply(old, u)
+	if err != nil {
+		return false, err
+	}
+	if !h.Adopt(d) {
+		return false, nil
+	}
+	h.cache(u)
+	return true, nil
 }
--- a/pkg/dispatch/table.go
+++ b/pkg/dispatch/table.go
@@ -99,6 +99,8 @@
 	client      *peer.Client
 	// work is the agent's address for work.
 	work string
+	// issued is a time not after the pick, on the clock of the incarnation.
+	issued time.Duration
 }
 
 // pick chooses an upstream that holds the target and is not in tried.
@@ -126,7 +128,7 @@
 	}
 	m := t.members[list[i].ID]
 	m.sent++
-	return picked{id: m.instance.ID, incarnation: m.status.Incarnation, client: m.client, work: m.status.WorkAddress}, true
+	return picked{id: m.instance.ID, incarnation: m.status.Incarnation, client: m.client, work: m.status.WorkAddress, issued: m.issued(t.now())}, true
 }
 
 // usable reports whether m may receive new work for w. Table.mu is held.
@@ -213,12 +215,8 @@
 
 // inform hands the configuration in force to a process with an older one.
 func (t *Table) inform(ctx context.Context, c *peer.Client, version int64) {
-	view := t.config.View()
-	if view.Version() <= version {
-		return
-	}
 	// A failed call is made good by the next status call.
-	_, _ = peer.Call[peer.ConfigureResult](ctx, c, peer.MethodConfigure, peer.ConfigureRequest{News: t.news(), Document: view.Document})
+	_, _ = peer.Inform(ctx, c, t.news(), t.config, version)
 }
 
 func (t *Table) news() peer.News {
--- a/pkg/expertmap/leader.go
+++ b/pkg/expertmap/leader.go
@@ -56,8 +56,10 @@
 		l.phase = idle
 		return nil
 	}
+	former := l.step.Term
 	l.step.Term = term
-	if l.phase == idle || !slices.Equal(m.Ranks, l.running.Ranks) {
+	// The term is part of the step's name, so a step in hand ends when it changes.
+	if l.phase == idle || former != term || !slices.Equal(m.Ranks, l.running.Ranks) {
 		l.stop()
 		return l.begin()
 	}
