Own rank groups by controllers, in separate processes

Cause: the protocol of expert maps had no processes. Controllers own groups by lease, plan from the loads of the leading rank and order maps over JSON-RPC; a rank stand-in runs the steps and records the map of each. A new owner goes on from the map in force, so that a takeover moves no replica.

The rank's part runs in the stand-in, not yet in coltsfoot-agent.

--- a/cmd/coltsfoot-standin/main.go
+++ b/cmd/coltsfoot-standin/main.go
@@ -38,6 +38,7 @@
 			{Name: "platform", Usage: "object API and instance list", Flags: []cli.Flag{address}, Action: runPlatform},
 			{Name: "model-engine", Usage: "model engine", Flags: append(engineFlags(), address), Action: runEngine},
 			{Name: "plain-service", Usage: "plain service", Flags: append(serviceFlags(), address), Action: runService},
+			{Name: "rank", Usage: "rank of a rank group with its engine", Flags: append(rankFlags(), address), Action: runRank},
 		},
 	}
 }
--- /dev/null
+++ b/internal/fleet/ranks.go
@@ -0,0 +1,88 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/controller"
+)
+
+// GroupName is the name of the rank group of StartRanks.
+const GroupName = "intake"
+
+// controllers is the number of controllers of StartRanks.
+const controllers = 2
+
+// StartRanks starts a platform, a rank group and two controllers. Upstreams maps the
+// name of each rank to the base URL of its record.
+func StartRanks(ctx context.Context, o Options, ranks int) (*Fleet, error) {
+	ctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	f := &Fleet{opts: o, Processes: map[string]*Process{}, Upstreams: map[string]string{}, Callers: map[string]string{}}
+	if err := f.startRanks(ctx, ranks); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) startRanks(ctx context.Context, ranks int) error {
+	if err := f.startPlatform(ctx); err != nil {
+		return err
+	}
+	peers, err := freeAddresses(ranks)
+	if err != nil {
+		return err
+	}
+	for i := range ranks {
+		if err := f.startRank(ctx, i, peers); err != nil {
+			return err
+		}
+	}
+	for i := range controllers {
+		if err := f.startGroupController(ctx, i, peers); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startRank(ctx context.Context, index int, peers []string) error {
+	address, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	args := []string{
+		"rank", "--group", GroupName, "--index", strconv.Itoa(index), "--platform", f.PlatformURL,
+		"--token", ProcessToken, "--address", address,
+	}
+	for _, p := range peers {
+		args = append(args, "--peer", p)
+	}
+	name := fmt.Sprintf("rank-%d", index)
+	f.Upstreams[name] = "http://" + address
+	if err := f.newProcess(name, "coltsfoot-standin", "", append(args, f.opts.EngineArgs...)...).start(); err != nil {
+		return err
+	}
+	return waitHTTP(ctx, f.Upstreams[name]+"/steps")
+}
+
+func (f *Fleet) startGroupController(ctx context.Context, index int, peers []string) error {
+	address, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	s := controller.DefaultSettings()
+	s.Common = f.common(fmt.Sprintf("controller-%d", index), Deployment{Region: "trondelag", Zones: []string{"gate-north"}}, 0, address)
+	s.PlatformURL = f.PlatformURL
+	s.LeaseMillis = 1_000
+	s.TickMillis = 50
+	s.PlanMillis = 200
+	s.LostMillis = 3_000
+	s.Groups = []controller.GroupSettings{{Name: GroupName, Ranks: peers, SpareSlots: 1}}
+	if err := f.startWith(s.Name, "coltsfoot-controller", address, s); err != nil {
+		return err
+	}
+	return waitHTTP(ctx, "http://"+address+"/readyz")
+}
--- a/pkg/controller/module.go
+++ b/pkg/controller/module.go
@@ -11,6 +11,7 @@
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/lease"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/operator"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/platform"
 )
 
@@ -33,18 +34,23 @@
 	lease    *lease.Lease
 	events   *event.Recorder
 	operator *operator.Server
+	groups   []*group
 
 	cancel context.CancelFunc
 	loops  sync.WaitGroup
 }
 
-func newNode(s Settings, p *platform.Client, rec *event.Recorder, op *operator.Server) *node {
-	return &node{
+func newNode(s Settings, p *platform.Client, c peer.Credentials, rec *event.Recorder, reg metrics.Registry, op *operator.Server) *node {
+	n := &node{
 		settings: s,
 		lease:    lease.New(p, "fleet", s.Name, s.Lease()),
 		events:   rec,
 		operator: op,
 	}
+	for _, g := range s.Groups {
+		n.groups = append(n.groups, newGroup(s, g, p, c, rec, reg))
+	}
+	return n
 }
 
 func register(lc fx.Lifecycle, n *node) {
@@ -55,6 +61,9 @@
 	run, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	n.loops.Go(func() { n.hold(run) })
+	for _, g := range n.groups {
+		n.loops.Go(func() { g.run(run) })
+	}
 	n.operator.SetReady(true)
 	return nil
 }
--- a/pkg/controller/settings.go
+++ b/pkg/controller/settings.go
@@ -6,6 +6,16 @@
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/process"
 )
 
+// GroupSettings describe a rank group that controllers own.
+type GroupSettings struct {
+	Name string `yaml:"name" validate:"required"`
+	// Ranks are the control addresses (host:port) of the ranks' agents, by number.
+	Ranks []string `yaml:"ranks" validate:"min=1,dive,tcp_addr"`
+	// SpareSlots is the number of replicas of each layer that a rank holds beyond an
+	// equal part of the experts.
+	SpareSlots int `yaml:"spare_slots" validate:"min=0"`
+}
+
 // Settings are the settings of coltsfoot-controller.
 type Settings struct {
 	process.Common `yaml:",inline"`
@@ -13,12 +23,32 @@
 	PlatformURL string `yaml:"platform_url" validate:"required,url"`
 	// LeaseMillis is the duration of a lease; it is renewed three times in each duration.
 	LeaseMillis int64 `yaml:"lease_ms" validate:"min=100"`
+	// Groups lists the rank groups; it may be empty.
+	Groups []GroupSettings `yaml:"groups,omitempty" validate:"unique=Name,dive"`
+	// TickMillis is the interval in which orders are repeated.
+	TickMillis int64 `yaml:"tick_ms" validate:"min=10"`
+	// PlanMillis is the interval in which placements are planned.
+	PlanMillis int64 `yaml:"plan_ms" validate:"min=10"`
+	// LostMillis is the time without an answer after which a rank counts as lost.
+	LostMillis int64 `yaml:"lost_ms" validate:"min=100"`
 }
 
 // DefaultSettings returns the settings before the file is read.
 func DefaultSettings() Settings {
-	return Settings{Common: process.DefaultCommon(), LeaseMillis: 15_000}
+	return Settings{
+		Common: process.DefaultCommon(), LeaseMillis: 15_000,
+		TickMillis: 200, PlanMillis: 10_000, LostMillis: 10_000,
+	}
 }
 
 // Lease returns the duration of a lease.
 func (s Settings) Lease() time.Duration { return time.Duration(s.LeaseMillis) * time.Millisecond }
+
+// Tick returns the interval in which orders are repeated.
+func (s Settings) Tick() time.Duration { return time.Duration(s.TickMillis) * time.Millisecond }
+
+// Plan returns the interval in which placements are planned.
+func (s Settings) Plan() time.Duration { return time.Duration(s.PlanMillis) * time.Millisecond }
+
+// Lost returns the time without an answer after which a rank counts as lost.
+func (s Settings) Lost() time.Duration { return time.Duration(s.LostMillis) * time.Millisecond }
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -37,6 +37,11 @@
 	ClaimReplayed     Kind = "claim-replayed"
 	StreamResumed     Kind = "stream-resumed"
 	StreamCompleted   Kind = "stream-completed"
+	GroupOwned        Kind = "group-owned"
+	GroupReleased     Kind = "group-released"
+	GroupShort        Kind = "group-short"
+	MapDecided        Kind = "map-decided"
+	RankLost          Kind = "rank-lost"
 	PlatformLost      Kind = "platform-lost"
 	PlatformRecovered Kind = "platform-recovered"
 )
--- /dev/null
+++ b/pkg/rankgroup/member.go
@@ -0,0 +1,233 @@
+package rankgroup
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/expertmap"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/platform"
+)
+
+// Engine is the engine of one rank.
+type Engine interface {
+	// Load loads the weights of a map and returns when they are in place.
+	Load(ctx context.Context, m *expertmap.Map) error
+	// Drop frees the weights that only this map needs.
+	Drop(r expertmap.Ref)
+	// Compute notes that the rank computes a step. It must not block.
+	Compute(s expertmap.StepID, r expertmap.Ref)
+	// Loads returns the loads of the experts in the newest interval.
+	Loads() Loads
+}
+
+// Options configure a member.
+type Options struct {
+	Group string
+	Index int
+	// Incarnation tells the lives of the rank's process apart.
+	Incarnation uint64
+	// Peers are the clients of all ranks, by number, with the own one.
+	Peers    []*peer.Client
+	Platform *platform.Client
+	Engine   Engine
+	// StepTime is the time that a step takes.
+	StepTime time.Duration
+	// Tick is the interval in which lost messages are repeated.
+	Tick time.Duration
+}
+
+// queueSize bounds the messages that wait for one rank.
+const queueSize = 64
+
+// callLimit bounds a message between ranks.
+const callLimit = time.Second
+
+// Member is one rank of a group. It is safe for concurrent use.
+type Member struct {
+	options Options
+	ctx     context.Context
+	cancel  context.CancelFunc
+	loops   sync.WaitGroup
+	queues  []chan expertmap.Message
+
+	mu      sync.Mutex
+	node    *expertmap.Node
+	loading map[expertmap.Ref]bool
+	reading bool
+}
+
+// New returns a member that takes no part yet.
+func New(o Options) *Member {
+	m := &Member{options: o, loading: map[expertmap.Ref]bool{}}
+	m.ctx, m.cancel = context.WithCancel(context.Background())
+	m.node = expertmap.NewNode(o.Index, o.Incarnation, (*port)(m), (*port)(m))
+	for range o.Peers {
+		m.queues = append(m.queues, make(chan expertmap.Message, queueSize))
+	}
+	return m
+}
+
+// Start starts to send and to repeat messages.
+func (m *Member) Start() {
+	for i := range m.queues {
+		m.loops.Go(func() { m.send(i) })
+	}
+	m.loops.Go(m.tick)
+}
+
+// Stop ends all activity.
+func (m *Member) Stop() {
+	m.cancel()
+	m.loops.Wait()
+}
+
+// Handle registers the methods of the protocol.
+func (m *Member) Handle(s *peer.Server) {
+	peer.Handle(s, MethodOrder, m.order)
+	peer.Handle(s, MethodStep, m.step)
+	peer.Handle(s, MethodLoads, m.loads)
+}
+
+func (m *Member) order(_ context.Context, _ *jsonrpc2.Conn, o Order) (expertmap.Report, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r, out := m.node.Order(o.message())
+	m.post(out)
+	return r, nil
+}
+
+func (m *Member) step(ctx context.Context, _ *jsonrpc2.Conn, s Step) (StepResult, error) {
+	m.mu.Lock()
+	a, out := m.node.Step(s.message())
+	m.post(out)
+	m.mu.Unlock()
+	if a != nil && a.Kind == expertmap.Done {
+		pause(ctx, m.options.StepTime)
+	}
+	return StepResult{Answer: a}, nil
+}
+
+func (m *Member) loads(context.Context, *jsonrpc2.Conn, LoadsRequest) (Loads, error) {
+	return m.options.Engine.Loads(), nil
+}
+
+// post queues messages to ranks. Member.mu is held.
+func (m *Member) post(out []expertmap.Envelope) {
+	for _, e := range out {
+		select {
+		case m.queues[e.To] <- e.Message:
+		default:
+			// The protocol repeats it at a later tick.
+		}
+	}
+}
+
+// send calls one rank with the messages for it, one after another.
+func (m *Member) send(to int) {
+	for {
+		select {
+		case <-m.ctx.Done():
+			return
+		case msg := <-m.queues[to]:
+			m.call(to, msg)
+		}
+	}
+}
+
+func (m *Member) call(to int, msg expertmap.Message) {
+	ctx, cancel := context.WithTimeout(m.ctx, callLimit)
+	defer cancel()
+	r, err := peer.Call[StepResult](ctx, m.options.Peers[to], MethodStep, newStep(msg))
+	if err != nil || r.Answer == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, out := m.node.Step(*r.Answer)
+	m.post(out)
+}
+
+func (m *Member) tick() {
+	t := time.NewTicker(m.options.Tick)
+	defer t.Stop()
+	for {
+		select {
+		case <-m.ctx.Done():
+			return
+		case <-t.C:
+			m.mu.Lock()
+			m.post(m.node.Tick())
+			m.mu.Unlock()
+		}
+	}
+}
+
+// port is what the state machines ask of the member. All methods are called with
+// Member.mu held.
+type port Member
+
+// Load implements expertmap.Engine.
+func (p *port) Load(e *expertmap.Map) {
+	m := (*Member)(p)
+	if m.loading[e.Ref] || !e.Whole() {
+		return
+	}
+	m.loading[e.Ref] = true
+	m.loops.Go(func() { m.load(e) })
+}
+
+// Drop implements expertmap.Engine.
+func (p *port) Drop(r expertmap.Ref) { p.options.Engine.Drop(r) }
+
+// Compute implements expertmap.Engine.
+func (p *port) Compute(s expertmap.StepID, r expertmap.Ref) { p.options.Engine.Compute(s, r) }
+
+// ReadFence implements expertmap.Platform.
+func (p *port) ReadFence() {
+	m := (*Member)(p)
+	if m.reading {
+		return
+	}
+	m.reading = true
+	m.loops.Go(m.readFence)
+}
+
+func (m *Member) load(e *expertmap.Map) {
+	err := m.options.Engine.Load(m.ctx, e)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.loading, e.Ref)
+	if err == nil {
+		m.node.Rank.Loaded(e)
+	}
+}
+
+func (m *Member) readFence() {
+	o, err := m.options.Platform.Get(m.ctx, Kind, m.options.Group)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reading = false
+	var r expertmap.Record
+	if err == nil {
+		err = json.Unmarshal(o.Value, &r)
+	}
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return
+	}
+	m.post(m.node.Fenced(r))
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/pkg/standin/ranks/engine.go
@@ -0,0 +1,99 @@
+package ranks
+
+import (
+	"context"
+	"math"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/expertmap"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/rankgroup"
+)
+
+// Computed is one step that the rank computed.
+type Computed struct {
+	Step expertmap.StepID `json:"step"`
+	Ref  expertmap.Ref    `json:"ref"`
+	// Held is set when the weights of the map were loaded.
+	Held bool `json:"held"`
+}
+
+// Options configure an engine.
+type Options struct {
+	Layers  int
+	Experts int
+	// LoadTime is the time that the load of a map takes.
+	LoadTime time.Duration
+	// DriftTime is the time after which the popularity of the experts moves on.
+	DriftTime time.Duration
+}
+
+// Engine is the stand-in. It is safe for concurrent use.
+type Engine struct {
+	options Options
+
+	mu    sync.Mutex
+	held  map[expertmap.Ref]bool
+	steps []Computed
+}
+
+// New returns an engine without weights.
+func New(o Options) *Engine { return &Engine{options: o, held: map[expertmap.Ref]bool{}} }
+
+// Load implements rankgroup.Engine.
+func (e *Engine) Load(ctx context.Context, m *expertmap.Map) error {
+	t := time.NewTimer(e.options.LoadTime)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.held[m.Ref] = true
+	return nil
+}
+
+// Drop implements rankgroup.Engine.
+func (e *Engine) Drop(r expertmap.Ref) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.held, r)
+}
+
+// Compute implements rankgroup.Engine.
+func (e *Engine) Compute(s expertmap.StepID, r expertmap.Ref) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.steps = append(e.steps, Computed{Step: s, Ref: r, Held: e.held[r]})
+}
+
+// Loads implements rankgroup.Engine. The popularity follows a Zipf law of exponent 0.8
+// over the experts in an order that moves on by one each DriftTime.
+func (e *Engine) Loads() rankgroup.Loads {
+	shift := int(time.Now().UnixNano() / int64(e.options.DriftTime))
+	out := rankgroup.Loads{Layers: make([][]float64, e.options.Layers)}
+	for l := range out.Layers {
+		for x := range e.options.Experts {
+			place := (x + shift + l) % e.options.Experts
+			out.Layers[l] = append(out.Layers[l], math.Pow(float64(place+1), -0.8))
+		}
+	}
+	return out
+}
+
+// Handler returns the HTTP handler of the record.
+func (e *Engine) Handler() http.Handler {
+	gin.SetMode(gin.ReleaseMode)
+	g := gin.New()
+	g.GET("/steps", func(c *gin.Context) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		c.JSON(http.StatusOK, e.steps)
+	})
+	return g
+}
