--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := bin
 GATE := $(BIN)/coltsfoot-gate KNOWN-RED.txt
 
-.PHONY: build demo test bench lint skew slopes
+.PHONY: build demo test bench lint slopes skew
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -18,14 +18,14 @@
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
 
-# skew prints the measurement of rebalancing under drift and draws it.
-skew: build
-	$(BIN)/coltsfoot-skew --plot docs/design/skew.svg
-
 # Measures what each further peer, change or organisation costs; docs/CAPACITY.md quotes a run.
 slopes: build
 	$(GO) run ./internal/slopes --bin $(BIN)
 
+# Prints the measurement of rebalancing under drift and draws it.
+skew: build
+	$(BIN)/coltsfoot-skew --plot docs/design/skew.svg
+
 lint:
 	@test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
 	$(GO) vet ./...
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -9,11 +9,13 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/admission"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/configuration"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/fairness"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/fence"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/poison"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/upstream"
 )
 
@@ -42,12 +44,16 @@
 	fence   *fence.Fence
 	queue   *fairness.Queue
 	limiter *admission.Limiter
+	// verdicts are the requests known to crash upstreams.
+	verdicts *poison.Table
 	// cold is the state of the limiter that was last recorded.
 	cold    bool
 	tasks   map[string]*task
 	health  upstream.Health
 	up      bool
 	leaving bool
+	listed  peer.Listed
+	zoneOut bool
 	closed  bool
 	service float64
 
@@ -71,6 +77,7 @@
 		queue:    fairness.New(o.Settings.queue()),
 		limiter:  admission.New(o.Settings.Upstream.admission()),
 		tasks:    map[string]*task{},
+		verdicts: poison.New(poison.Options{}),
 	}
 	a.wake = sync.NewCond(&a.mu)
 	return a
@@ -93,7 +100,7 @@
 func (a *Agent) Leave(ctx context.Context) {
 	a.mu.Lock()
 	a.leaving = true
-	a.refuseWaiting()
+	a.refuseWaiting(code.UpstreamLeaving)
 	a.mu.Unlock()
 	for ctx.Err() == nil && a.busy() {
 		pause(ctx, leavePoll)
--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -44,7 +44,7 @@
 
 // closedTo returns the reason why the agent takes no new work of this kind, or OK.
 func (a *Agent) closedTo(r peer.RunRequest) code.Code {
-	if a.leaving || a.closed {
+	if a.leaving || a.listed.Leaving || a.closed {
 		return code.UpstreamLeaving
 	}
 	view := a.config.View()
@@ -117,8 +117,8 @@
 	return waiting
 }
 
-// refuseWaiting ends all waiting tasks. Agent.mu is held.
-func (a *Agent) refuseWaiting() {
+// refuseWaiting ends all waiting tasks with the code. Agent.mu is held.
+func (a *Agent) refuseWaiting(c code.Code) {
 	for {
 		i, ok := a.queue.Pop()
 		if !ok {
@@ -126,7 +126,8 @@
 		}
 		t := a.tasks[i.ID]
 		a.drop(t)
-		t.finish(code.UpstreamLeaving, "", 0)
+		a.refused(t, c)
+		t.finish(c, "", 0)
 	}
 }
 
@@ -159,7 +160,7 @@
 	r.Call = t.req.Call
 	r.Request = t.req.Request
 	r.Attempt = t.req.Attempt
-	r.Load = a.Status()
+	r.Load = a.Status(t.req.From)
 	r.Incarnation = r.Load.Incarnation
 	return r
 }
--- a/pkg/dispatch/issue.go
+++ b/pkg/dispatch/issue.go
@@ -6,5 +6,5 @@
 // clock of its newest status and the time passed here since that status arrived.
 func (m *member) issued(now time.Time) time.Duration {
 	clock := time.Duration(m.status.ClockMillis) * time.Millisecond
-	return clock + max(now.Sub(m.seen), 0)
+	return clock + max(now.Sub(m.received), 0)
 }
--- a/pkg/dispatch/session.go
+++ b/pkg/dispatch/session.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/poison"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/resume"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/retry"
 )
 
 // session is the run of one request.
@@ -19,6 +23,9 @@
 	attempt int
 	tried   []string
 	answer  answer
+	// fingerprint identifies what the request asks for; permit says how it may run.
+	fingerprint poison.Fingerprint
+	permit      permit
 	// unknown is the first code of an attempt that may have run.
 	unknown code.Code
 }
@@ -34,6 +41,7 @@
 // run makes attempts until one ends the request. The request is called "not run" only
 // when that is true of every attempt.
 func (s *session) run(ctx context.Context) Result {
+	defer s.endTrial()
 	res := s.attempts(ctx)
 	if res.Code.Outcome() == code.NotRun && s.unknown != 0 {
 		res.Code = s.unknown
@@ -43,40 +51,89 @@
 
 // attempts makes attempts until one ends the request.
 func (s *session) attempts(ctx context.Context) Result {
-	last := Result{Code: code.NoUpstream, RetryAfter: defaultRetryAfter}
+	last := Result{Code: code.NoUpstream}
 	for s.attempt < s.d.config.View().Document.Limits.MaxAttempts {
-		if s.attempt > 0 && !s.d.withdraw(s.req.Organisation.Name) {
+		if res, refused := s.permitted(ctx); refused {
+			return res
+		}
+		// The one trial of a suspect needs no budget.
+		if s.attempt > 0 && s.permit.trial == nil && !s.d.budgets.allow(s.req.Organisation.Name, last.Code, s.answer.transcript.Sent()) {
+			s.d.table.meters.withheld.Inc(1)
 			return last
 		}
-		p, ok := s.d.table.pick(target{s.req.Kind, s.req.Target}, s.tried)
+		p, ok := s.pickNext()
 		if !ok {
 			return last
 		}
+		if c := retry.Hopeless(p.wait, timeLeft(ctx), p.service); c != code.OK && s.attempt == 0 {
+			s.d.table.release(p)
+			s.d.table.meters.hopeless.Inc(1)
+			return Result{Code: c}
+		}
 		s.attempt++
+		if s.attempt > 1 {
+			s.d.table.meters.retries.Inc(1)
+		}
 		s.tried = append(s.tried, p.id)
+		s.d.table.learn(p, s.req.Prefix)
 		last = s.try(ctx, p)
+		s.d.table.release(p)
 		if last.Code.Outcome() == code.Unknown && s.unknown == 0 {
 			s.unknown = last.Code
 		}
-		if !s.again(ctx, last.Code) {
+		s.learn(last.Code)
+		var on bool
+		if last, on = s.goOn(ctx, last); !on {
 			return last
 		}
 	}
 	return last
 }
 
-// again reports whether another attempt may follow one that ended with c.
-func (s *session) again(ctx context.Context, c code.Code) bool {
+// goOn decides how the request goes on after an attempt, and reports whether another
+// attempt may follow. It completes a stream of which only the end is missing.
+func (s *session) goOn(ctx context.Context, last Result) (Result, bool) {
 	if ctx.Err() != nil {
-		return false
+		return last, false
 	}
-	switch c.Outcome() {
+	switch last.Code.Outcome() {
 	case code.NotRun:
-		return true
+		return last, true
 	case code.Unknown:
-		return s.req.Idempotent && s.answer.resumable(s.req)
+		return s.afterLoss(last)
+	}
+	return last, false
+}
+
+// afterLoss goes on after an attempt that may have run.
+func (s *session) afterLoss(last Result) (Result, bool) {
+	if !s.req.Idempotent {
+		return last, false
+	}
+	p := s.answer.plan(s.req)
+	switch p.Way {
+	case resume.Repeat:
+		return last, true
+	case resume.Resume:
+		s.d.meters.resumed.Inc(1)
+		s.streamEvent(event.StreamResumed, last)
+		return last, true
+	case resume.Complete:
+		s.d.meters.completed.Inc(1)
+		s.streamEvent(event.StreamCompleted, last)
+		if s.answer.complete(p.Events, s.sink) != nil {
+			return Result{Code: code.CallerGone}, false
+		}
+		return Result{Code: code.OK, Upstream: last.Upstream}, false
 	}
-	return false
+	return last, false
+}
+
+func (s *session) streamEvent(k event.Kind, last Result) {
+	s.d.events.Record(event.Event{
+		Kind: k, Request: s.req.ID, Attempt: s.attempt, Organisation: s.req.Organisation.Name,
+		Upstream: last.Upstream, Code: int(last.Code), Detail: last.Code.String(),
+	})
 }
 
 // try makes one attempt at the picked upstream.
@@ -87,15 +144,22 @@
 	runCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	res, err := p.client.Run(runCtx, p.work, r, func(f peer.Frame) error { return s.answer.deliver(f, s.req.Stream, s.sink) })
-	out := Result{Code: res.Code, Detail: res.Detail, Upstream: p.id, RetryAfter: defaultRetryAfter}
+	out := Result{Code: res.Code, Detail: res.Detail, Upstream: p.id}
 	if err == nil && res.Code == code.OK {
-		err = s.answer.finish(s.req.Stream, s.sink)
+		err = s.answer.finish(s.sink)
 	}
 	if err == nil {
-		s.d.table.observe(p.id, res.Load)
+		s.d.table.observe(p.id, res.Load, s.d.table.opts.Now())
 		s.informLater(p, res.ConfigVersion)
 	} else {
+		if errors.Is(err, peer.ErrNotWhole) {
+			s.d.meters.notWhole.Inc(1)
+			s.record(event.FrameDropped, p, code.AnswerNotWhole)
+		}
 		out.Code, out.Detail = s.settle(ctx, p, r, err), err.Error()
+		if out.Code == code.UpstreamUnreachable || out.Code == code.AgentLost {
+			s.d.table.lose(p.member)
+		}
 	}
 	if res.RetryAfterMillis > 0 {
 		out.RetryAfter = time.Duration(res.RetryAfterMillis) * time.Millisecond
@@ -104,22 +168,17 @@
 	return out
 }
 
-// startBudget bounds the time from sending an attempt to its start.
-const startBudget = 10 * time.Second
-
 // defaultDeadline stands in for the deadline of a context without one.
 const defaultDeadline = time.Minute
 
 func (s *session) message(ctx context.Context, p picked) peer.RunRequest {
-	left := defaultDeadline
-	if at, ok := ctx.Deadline(); ok {
-		left = time.Until(at)
-	}
+	left := timeLeft(ctx)
 	r := peer.RunRequest{
 		News:           s.d.table.news(),
 		Call:           s.call,
 		Request:        s.req.ID,
 		Attempt:        s.attempt,
+		From:           s.d.table.opts.Name,
 		Incarnation:    p.incarnation,
 		IssuedMillis:   p.issued.Milliseconds(),
 		Organisation:   s.req.Organisation.Name,
@@ -130,12 +189,14 @@
 		Method:         s.req.Method,
 		Path:           s.req.Path,
 		Headers:        s.req.Headers,
-		Body:           s.answer.resumeBody(s.req),
+		Body:           s.answer.next(s.req),
 		Stream:         s.req.Stream,
 		Idempotent:     s.req.Idempotent,
 		IdempotencyKey: s.req.IdempotencyKey,
+		Fingerprint:    s.fingerprint,
+		Alone:          s.permit.trial != nil,
 		Cost:           s.req.Cost,
-		StartByMillis:  min(left, startBudget).Milliseconds(),
+		StartByMillis:  retry.StartBy(left, p.service).Milliseconds(),
 		TimeoutMillis:  max(left.Milliseconds(), 1),
 	}
 	return r
--- a/pkg/dispatch/table.go
+++ b/pkg/dispatch/table.go
@@ -1,16 +1,19 @@
 package dispatch
 
 import (
-	"context"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/configuration"
-	"github.com/coltsfootpitch/coltsfootpitch/pkg/directory"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/instancelist"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/poison"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/prefix"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/routing"
 )
 
@@ -18,33 +21,78 @@
 type member struct {
 	instance instancelist.Instance
 	client   *peer.Client
+	key      uint64
+	distance routing.Distance
 	status   peer.Status
+	// seen is the time before which the status was not made, received that of its arrival.
 	seen     time.Time
-	// sent counts the attempts in progress that the newest status does not show yet.
-	sent int
+	received time.Time
+	// own counts the attempts of this entry in progress.
+	own int32
+	// lost is set after a failed contact until the next status.
+	lost bool
+	// slots are the places of the upstream among the candidates of its targets.
+	slots []slot
 }
 
 // Table holds the upstreams and the other entries. It is safe for concurrent use.
 type Table struct {
-	name        string
-	zone        string
-	config      *configuration.Holder
-	events      *event.Recorder
-	credentials peer.Credentials
-	now         func() time.Time
+	opts   TableOptions
+	meters decisionMeters
+
+	// onVerdicts receives the verdicts that come with a status; nil before it is set.
+	onVerdicts func([]poison.Verdict)
 
-	mu      sync.Mutex
-	members map[string]*member
-	order   []string
-	turn    int
+	mu       sync.Mutex
+	members  map[string]*member
+	order    []string
+	byTarget map[target]*pool
+	byKey    map[uint64]*member
+	view     *configuration.View
+	entries  int32
+	turn     int
+	self     uint64
+	epoch    time.Time
+	// prefixes tells which upstreams hold the beginning of a prompt.
+	prefixes *prefix.Index
+	matches  prefix.Matches
+}
+
+// prefixBlocks is the number of prompt blocks that an entry keeps in mind.
+const prefixBlocks = 1 << 15
+
+// TableOptions configure a table.
+type TableOptions struct {
+	// Name, Zone and Region are those of the entry.
+	Name   string
+	Zone   string
+	Region string
+	Config *configuration.Holder
+	Events *event.Recorder
+	// Credentials secure the connections to other processes.
+	Credentials peer.Credentials
+	// Registry receives the metrics; nil means a private registry.
+	Registry metrics.Registry
+	Now      func() time.Time
 }
 
 // StatusAge is the age at which a status no longer counts.
-const StatusAge = 3 * time.Second
+const StatusAge = routing.ReportLife
 
-// NewTable returns an empty table for the entry with the name in the zone.
-func NewTable(name, zone string, config *configuration.Holder, events *event.Recorder, c peer.Credentials, now func() time.Time) *Table {
-	return &Table{name: name, zone: zone, config: config, events: events, credentials: c, now: now, members: map[string]*member{}}
+// NewTable returns an empty table.
+func NewTable(o TableOptions) *Table {
+	return &Table{
+		opts:     o,
+		meters:   newDecisionMeters(o.Registry),
+		prefixes: prefix.New(prefixBlocks),
+		members:  map[string]*member{},
+		byTarget: map[target]*pool{},
+		byKey:    map[uint64]*member{},
+		epoch:    o.Now(),
+		// Entries with equal news start their turns at different places.
+		turn: int(xxhash.Sum64String(o.Name) >> 1),
+		self: xxhash.Sum64String(o.Name),
+	}
 }
 
 // SetInstances replaces the instance list and keeps what is known of the instances that stay.
@@ -56,34 +104,67 @@
 	for _, i := range list {
 		m, ok := t.members[i.ID]
 		if !ok || m.instance.Control != i.Control {
-			m = &member{client: peer.NewClient(i.Control, t.credentials)}
-			t.events.Record(event.Event{Kind: event.UpstreamFound, Upstream: i.ID, Zone: i.Zone})
+			m = &member{client: peer.NewClient(i.Control, t.opts.Credentials), key: xxhash.Sum64String(i.ID)}
+			t.record(event.UpstreamFound, i)
+		}
+		if i.State == instancelist.Leaving && m.instance.State != instancelist.Leaving {
+			t.record(event.InstanceLeaving, i)
 		}
 		m.instance = i
+		m.distance = t.distance(i)
 		next[i.ID] = m
 		t.order = append(t.order, i.ID)
 	}
 	for id, m := range t.members {
 		if next[id] == nil {
-			t.events.Record(event.Event{Kind: event.UpstreamGone, Upstream: id, Zone: m.instance.Zone})
+			t.record(event.UpstreamGone, m.instance)
 			// Attempts in progress end by themselves; the connection closes with the process.
 		}
 	}
 	t.members = next
+	t.index()
 }
 
-// observe takes in the status of a member.
-func (t *Table) observe(id string, s peer.Status) {
-	t.events.Clock().Observe(s.Stamp)
+func (t *Table) record(k event.Kind, i instancelist.Instance) {
+	t.opts.Events.Record(event.Event{Kind: k, Upstream: i.ID, Zone: i.Zone})
+}
+
+func (t *Table) distance(i instancelist.Instance) routing.Distance {
+	switch {
+	case i.Zone == t.opts.Zone:
+		return routing.SameZone
+	case i.Region == t.opts.Region:
+		return routing.SameRegion
+	}
+	return routing.OtherRegion
+}
+
+// observe takes in the status of a member that was asked for at a time. An answer that is older
+// than the one held is dropped.
+func (t *Table) observe(id string, s peer.Status, asked time.Time) {
+	t.opts.Events.Clock().Observe(s.Stamp)
+	if t.onVerdicts != nil && len(s.Verdicts) > 0 {
+		t.onVerdicts(s.Verdicts)
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m := t.members[id]
-	if m == nil {
+	if m == nil || s.Incarnation == m.status.Incarnation && s.Stamp.Before(m.status.Stamp) {
 		return
 	}
+	if s.Incarnation != m.status.Incarnation {
+		// A new agent stands beside a new upstream, whose cache is empty.
+		t.prefixes.Forget(m.key, t.since(t.opts.Now()))
+	}
+	moved := !slices.Equal(s.Models, m.status.Models) || !slices.Equal(s.Services, m.status.Services)
 	m.status = s
-	m.seen = t.now()
-	m.sent = 0
+	m.seen = asked
+	m.received = t.opts.Now()
+	m.lost = false
+	if moved {
+		t.index()
+	}
+	t.judge(m)
 }
 
 // target identifies what an upstream must hold.
@@ -97,128 +178,136 @@
 	id          string
 	incarnation string
 	client      *peer.Client
+	member      *member
+	// service is the mean service time of the upstream, 0 while unknown.
+	service time.Duration
+	// wait is the expected wait at the upstream.
+	wait time.Duration
 	// work is the agent's address for work.
 	work string
 	// issued is a time not after the pick, on the clock of the incarnation.
 	issued time.Duration
 }
 
-// pick chooses an upstream that holds the target and is not in tried.
-func (t *Table) pick(w target, tried []string) (picked, bool) {
-	view := t.config.View()
+// pick chooses an upstream that holds the target and is not in tried. The attempt
+// counts at the upstream until it is released.
+func (t *Table) pick(w target, blocks []uint64, tried []string) (picked, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	list := make([]routing.Candidate, 0, len(t.order))
-	for _, id := range t.order {
-		m := t.members[id]
-		list = append(list, routing.Candidate{
-			ID:       id,
-			Zone:     m.instance.Zone,
-			Limit:    m.status.Limit,
-			Running:  m.status.Running,
-			Queued:   m.status.Queued,
-			Sent:     m.sent,
-			Excluded: !t.usable(m, w, view) || slices.Contains(tried, id),
-		})
+	t.follow()
+	pool := t.byTarget[w]
+	if pool == nil {
+		t.meters.noUpstream.Inc(1)
+		return picked{}, false
 	}
 	t.turn++
-	i := routing.Choose(t.zone, t.turn, list)
+	now := t.since(t.opts.Now())
+	t.prefixes.Look(blocks, now, &t.matches)
+	pool.setCached(t.byKey, &t.matches, true)
+	pool.setTried(t.members, tried, true)
+	i := routing.Choose(t.request(now, blocks), pool.candidates)
+	pool.setTried(t.members, tried, false)
+	if i >= 0 {
+		t.meters.chose(&pool.candidates[i], len(blocks))
+	}
+	pool.setCached(t.byKey, &t.matches, false)
 	if i < 0 {
+		t.meters.noUpstream.Inc(1)
 		return picked{}, false
 	}
-	m := t.members[list[i].ID]
-	m.sent++
-	return picked{id: m.instance.ID, incarnation: m.status.Incarnation, client: m.client, work: m.status.WorkAddress, issued: m.issued(t.now())}, true
+	m := pool.members[i]
+	wait := pool.candidates[i].Wait()
+	m.own++
+	m.publishOwn()
+	return picked{
+		wait: wait, issued: m.issued(t.opts.Now()),
+		id: m.instance.ID, incarnation: m.status.Incarnation, client: m.client, member: m,
+		work:    m.status.WorkAddress,
+		service: time.Duration(m.status.ServiceMillis * float64(time.Millisecond)),
+	}, true
 }
 
-// usable reports whether m may receive new work for w. Table.mu is held.
-func (t *Table) usable(m *member, w target, view *configuration.View) bool {
-	if m.instance.Role != instancelist.Upstream || m.instance.State != instancelist.Live {
-		return false
-	}
-	if view.ZoneOut(m.instance.Zone) || t.now().Sub(m.seen) > StatusAge {
-		return false
-	}
-	if m.status.Leaving || !m.status.Reachable {
-		return false
-	}
-	if w.kind == peer.ServiceWork {
-		return slices.Contains(m.status.Services, w.name)
+// request describes a decision for a prompt with the block hashes.
+func (t *Table) request(now time.Duration, blocks []uint64) routing.Request {
+	r := routing.Request{Now: now, Self: t.self, Entries: t.entries, Start: t.turn, Blocks: int32(len(blocks))}
+	if len(blocks) > 0 {
+		r.Prefix = blocks[0]
 	}
-	return slices.Contains(m.status.Models, w.name)
+	return r
 }
 
-// Entries returns the entries as known here.
-func (t *Table) Entries(selfUsable bool) []directory.Entry {
-	view := t.config.View()
+func (t *Table) since(at time.Time) time.Duration { return at.Sub(t.epoch) }
+
+// learn notes that the picked upstream will hold the beginning of a prompt.
+func (t *Table) learn(p picked, blocks []uint64) {
+	if len(blocks) == 0 {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var out []directory.Entry
-	for _, id := range t.order {
-		m := t.members[id]
-		if m.instance.Role != instancelist.Entry {
-			continue
-		}
-		fresh := t.now().Sub(m.seen) <= StatusAge && !m.status.Leaving
-		if id == t.name {
-			fresh = selfUsable
-		}
-		usable := fresh && m.instance.State == instancelist.Live && !view.ZoneOut(m.instance.Zone)
-		out = append(out, directory.Entry{Address: m.instance.Address, Usable: usable})
-	}
-	return out
+	t.prefixes.Learn(p.member.key, blocks, t.since(t.opts.Now()))
 }
 
-// Ready reports whether at least one upstream can take work.
-func (t *Table) Ready() bool {
-	view := t.config.View()
-	if view == nil {
-		return false
-	}
+// release ends the count of a picked attempt.
+func (t *Table) release(p picked) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, m := range t.members {
-		if m.status.Reachable && t.now().Sub(m.seen) <= StatusAge {
-			return true
-		}
-	}
-	return false
+	p.member.own--
+	p.member.publishOwn()
 }
 
-// peers returns the IDs and clients of all other processes.
-func (t *Table) peers() map[string]*peer.Client {
+// lose keeps new work away from a member that could not be reached until its next status.
+func (t *Table) lose(m *member) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := make(map[string]*peer.Client, len(t.members))
-	for id, m := range t.members {
-		if id != t.name && m.instance.Control != "" {
-			out[id] = m.client
-		}
-	}
-	return out
+	m.lost = true
+	t.judge(m)
 }
 
-// statusCall bounds a status call.
-const statusCall = time.Second
-
-// refresh asks one process for its status and hands it the configuration when it is behind.
-func (t *Table) refresh(ctx context.Context, id string, c *peer.Client) {
-	ctx, cancel := context.WithTimeout(ctx, statusCall)
-	defer cancel()
-	s, err := peer.Call[peer.Status](ctx, c, peer.MethodStatus, peer.StatusRequest{News: t.news(), From: t.name})
-	if err != nil {
+// follow takes in a configuration that was adopted since the last call. Table.mu is held.
+func (t *Table) follow() {
+	view := t.opts.Config.View()
+	if view == t.view {
 		return
 	}
-	t.observe(id, s)
-	t.inform(ctx, c, s.ConfigVersion)
+	t.view = view
+	for _, m := range t.members {
+		t.judge(m)
+	}
 }
 
-// inform hands the configuration in force to a process with an older one.
-func (t *Table) inform(ctx context.Context, c *peer.Client, version int64) {
-	// A failed call is made good by the next status call.
-	_, _ = peer.Inform(ctx, c, t.news(), t.config, version)
+// judge works out whether m is open to new work and publishes its state. Table.mu is held.
+func (t *Table) judge(m *member) {
+	live := m.instance.Role == instancelist.Upstream && m.instance.State == instancelist.Live
+	willing := m.status.Reachable && !m.status.Leaving && !m.status.ZoneOut && !m.lost
+	open := live && willing && t.view != nil && !t.view.ZoneOut(m.instance.Zone)
+	m.publish(routing.Candidate{
+		Key:           m.key,
+		Seen:          t.since(m.seen),
+		ServiceMillis: m.status.ServiceMillis,
+		Limit:         int32(m.status.Limit),
+		Running:       int32(m.status.Running),
+		Queued:        int32(m.status.Queued),
+		Reported:      int32(m.status.Yours),
+		Own:           m.own,
+		Distance:      m.distance,
+		Excluded:      !open,
+		Cold:          m.status.Cold,
+	})
 }
 
-func (t *Table) news() peer.News {
-	return peer.News{Stamp: t.events.Clock().Now(), ConfigVersion: t.config.View().Version()}
+// Ready reports whether at least one upstream can take work.
+func (t *Table) Ready() bool {
+	if t.opts.Config.View() == nil {
+		return false
+	}
+	now := t.opts.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, m := range t.members {
+		if m.status.Reachable && now.Sub(m.seen) <= StatusAge {
+			return true
+		}
+	}
+	return false
 }
--- a/pkg/entry/module.go
+++ b/pkg/entry/module.go
@@ -14,6 +14,7 @@
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/operator"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/platform"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/poisonstore"
 )
 
 // Module returns the parts of an entry process.
@@ -27,11 +28,13 @@
 			newTable,
 			newPoller,
 			newClaimStore,
+			newPoisonStore,
+			dispatch.NewQuarantine,
 			dispatch.New,
 			newCaller,
 			newNode,
 		),
-		fx.Invoke(registerClaims, register),
+		fx.Invoke(registerClaims, registerVerdicts, register),
 	)
 }
 
@@ -39,13 +42,15 @@
 	return platform.New(platform.Options{URL: s.PlatformURL, Registry: reg})
 }
 
+func newPoisonStore(p *platform.Client) *poisonstore.Store { return poisonstore.New(p, nil) }
+
 func newHolder(reg metrics.Registry) (*configuration.Holder, error) {
 	h := &configuration.Holder{}
 	return h, h.Register(reg)
 }
 
-func newTable(s Settings, h *configuration.Holder, rec *event.Recorder, c peer.Credentials) *dispatch.Table {
-	return dispatch.NewTable(s.Name, s.Zone, h, rec, c, time.Now)
+func newTable(s Settings, h *configuration.Holder, rec *event.Recorder, c peer.Credentials, reg metrics.Registry) *dispatch.Table {
+	return dispatch.NewTable(dispatch.TableOptions{Name: s.Name, Zone: s.Zone, Region: s.Region, Config: h, Events: rec, Credentials: c, Registry: reg, Now: time.Now})
 }
 
 func newPoller(s Settings, t *dispatch.Table) *dispatch.Poller {
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/poison"
 )
 
 // Methods of the protocol.
@@ -41,6 +42,8 @@
 	Call    string `json:"call"`
 	Request string `json:"request"`
 	Attempt int    `json:"attempt"`
+	// From is the name of the entry.
+	From string `json:"from"`
 	// Incarnation is the incarnation of the agent that the attempt is addressed to.
 	Incarnation string `json:"incarnation"`
 	// IssuedMillis is a time not after the sending, on the clock of the incarnation.
@@ -62,6 +65,10 @@
 	Idempotent bool `json:"idempotent"`
 	// IdempotencyKey is the caller's key, empty when there is none.
 	IdempotencyKey string `json:"idempotency_key,omitempty"`
+	// Fingerprint identifies what the caller asks for, whoever sends it again.
+	Fingerprint poison.Fingerprint `json:"fingerprint,omitempty"`
+	// Alone is set when nothing else may run beside the attempt.
+	Alone bool `json:"alone,omitempty"`
 	// Cost is the expected cost in tokens; a service call costs 1.
 	Cost int64 `json:"cost"`
 	// StartByMillis is the time from the issue within which the attempt may start.
@@ -134,7 +141,8 @@
 type StatusRequest struct {
 	News
 	// From is the name of the asking process.
-	From string `json:"from"`
+	From   string `json:"from"`
+	Listed Listed `json:"listed"`
 }
 
 // Status is the state of an agent and its upstream.
@@ -153,11 +161,17 @@
 	Limit   int `json:"limit"`
 	Running int `json:"running"`
 	Queued  int `json:"queued"`
+	// Yours is the part of Running and Queued that the asking entry sent.
+	Yours int `json:"yours"`
 	// Cold is set while the upstream warms up.
 	Cold    bool `json:"cold"`
 	Leaving bool `json:"leaving"`
+	// ZoneOut is set while the availability zone of the agent is taken out.
+	ZoneOut bool `json:"zone_out,omitempty"`
 	// Reachable is set while the upstream answers its agent.
 	Reachable bool `json:"reachable"`
 	// ServiceMillis is the mean service time of the newest requests.
 	ServiceMillis float64 `json:"service_ms"`
+	// Verdicts are the newest verdicts on requests that crash upstreams.
+	Verdicts []poison.Verdict `json:"verdicts,omitempty"`
 }
