Spread news between entries and watch their neighbours

Cause: an entry that restarted while the platform was down had the configuration but no instance list, and took no work; deaths showed only as old statuses at each poller. An entry probes its neighbours in the trees of its zone, for a relay the relays of other zones, and its share of the agents. Probes carry versions; who is behind is handed the configuration, and the instance list when the platform does not answer there.

--- a/pkg/agent/module.go
+++ b/pkg/agent/module.go
@@ -38,6 +38,7 @@
 	peer.Handle(s, peer.MethodCancel, a.Cancel)
 	peer.Handle(s, peer.MethodStatus, a.AnswerStatus)
 	peer.Handle(s, peer.MethodConfigure, a.Configure)
+	peer.Handle(s, peer.MethodProbe, a.AnswerProbe)
 	return s
 }
 
--- /dev/null
+++ b/pkg/agent/probe.go
@@ -0,0 +1,14 @@
+package agent
+
+import (
+	"context"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+)
+
+// AnswerProbe serves peer.MethodProbe.
+func (a *Agent) AnswerProbe(context.Context, *jsonrpc2.Conn, peer.ProbeRequest) (peer.ProbeResult, error) {
+	return peer.ProbeResult{Config: a.config.View().Version(), Incarnation: a.fence.Incarnation()}, nil
+}
--- a/pkg/entry/module.go
+++ b/pkg/entry/module.go
@@ -61,6 +61,6 @@
 	lc.Append(fx.Hook{OnStart: n.start, OnStop: n.stop})
 }
 
-func newNode(s Settings, p *platform.Client, st *configstore.Store, h *configuration.Holder, t *dispatch.Table, po *dispatch.Poller, c *caller.Server, rec *event.Recorder, cr peer.Credentials) *node {
-	return &node{settings: s, platform: p, store: st, config: h, table: t, poller: po, callers: c, events: rec, control: peer.NewServer(cr), credentials: cr}
+func newNode(s Settings, p *platform.Client, st *configstore.Store, h *configuration.Holder, t *dispatch.Table, po *dispatch.Poller, c *caller.Server, rec *event.Recorder, cr peer.Credentials, reg metrics.Registry) *node {
+	return &node{settings: s, platform: p, store: st, config: h, table: t, poller: po, callers: c, events: rec, control: peer.NewServer(cr), credentials: cr, registry: reg}
 }
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/caller"
@@ -13,6 +14,7 @@
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/dispatch"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/instancelist"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/news"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/operator"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/platform"
@@ -31,6 +33,9 @@
 	credentials peer.Credentials
 	operator    *operator.Server
 	events      *event.Recorder
+	list        *instancelist.Table
+	watch       *news.Watch
+	registry    metrics.Registry
 
 	cancel context.CancelFunc
 	loops  sync.WaitGroup
@@ -39,6 +44,7 @@
 func (n *node) start(ctx context.Context) error {
 	peer.Handle(n.control, peer.MethodStatus, n.answerStatus)
 	peer.Handle(n.control, peer.MethodConfigure, n.configure)
+	n.startNews()
 	l, err := n.credentials.Listen(ctx, n.settings.ControlAddress)
 	if err != nil {
 		return err
@@ -49,12 +55,8 @@
 	}()
 	run, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
-	list := instancelist.New(instancelist.Options{
-		OnChange:    n.instancesChanged,
-		OnLost:      n.platformLost,
-		OnRecovered: n.platformRecovered,
-	})
-	n.loops.Go(func() { list.Run(run, n.platform) })
+	n.loops.Go(func() { n.list.Run(run, n.platform) })
+	n.loops.Go(func() { n.watch.Run(run) })
 	n.loops.Go(func() { n.store.FollowWith(run, n.followOptions()) })
 	n.loops.Go(func() { n.poller.Run(run) })
 	n.loops.Go(func() { n.watchReady(run) })
@@ -94,6 +96,7 @@
 
 func (n *node) instancesChanged(list []instancelist.Instance) {
 	n.table.SetInstances(list)
+	n.watch.SetInstances(list)
 	n.poller.Wake()
 }
 
--- a/pkg/instancelist/list.go
+++ b/pkg/instancelist/list.go
@@ -52,8 +52,13 @@
 	onLost   func(error)
 	onBack   func()
 
-	mu   sync.Mutex
-	byID map[string]Instance
+	mu        sync.Mutex
+	byID      map[string]Instance
+	revisions map[string]int64
+	// revision is that of the platform up to which changes are known.
+	revision int64
+	// following is cleared while the platform does not answer.
+	following bool
 }
 
 // Options configure a table. Nil functions are not called.
@@ -67,7 +72,7 @@
 
 // New returns an empty table.
 func New(o Options) *Table {
-	return &Table{onChange: o.OnChange, onLost: o.OnLost, onBack: o.OnRecovered, byID: map[string]Instance{}}
+	return &Table{onChange: o.OnChange, onLost: o.OnLost, onBack: o.OnRecovered, byID: map[string]Instance{}, revisions: map[string]int64{}}
 }
 
 // Run follows the list until ctx ends.
@@ -90,12 +95,18 @@
 // Replace implements platform.Follower.
 func (t *Table) Replace(items []platform.Object) {
 	t.mu.Lock()
+	t.replace(items)
+	t.mu.Unlock()
+	t.changed()
+}
+
+// replace replaces all instances. Table.mu is held.
+func (t *Table) replace(items []platform.Object) {
 	t.byID = make(map[string]Instance, len(items))
+	t.revisions = make(map[string]int64, len(items))
 	for _, o := range items {
 		t.put(o)
 	}
-	t.mu.Unlock()
-	t.changed()
 }
 
 // Change implements platform.Follower.
@@ -108,6 +119,9 @@
 
 // Lost implements platform.Follower.
 func (t *Table) Lost(err error) {
+	t.mu.Lock()
+	t.following = false
+	t.mu.Unlock()
 	if t.onLost != nil {
 		t.onLost(err)
 	}
@@ -124,8 +138,10 @@
 	var i Instance
 	if o.Deleted || json.Unmarshal(o.Value, &i) != nil {
 		delete(t.byID, o.Name)
+		delete(t.revisions, o.Name)
 		return
 	}
+	t.revisions[o.Name] = o.Revision
 	i.ID = o.Name
 	t.byID[o.Name] = i
 }
--- /dev/null
+++ b/pkg/news/choose.go
@@ -0,0 +1,80 @@
+package news
+
+import (
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/instancelist"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/membership"
+)
+
+// chosen is a process to watch.
+type chosen struct {
+	control string
+	// others are its other watchers.
+	others []string
+}
+
+// choose returns the processes that an entry watches: its neighbours in the trees of its
+// zone, for a relay the relays of the other zones, and its share of the agents.
+func choose(o Options, list []instancelist.Instance) map[string]chosen {
+	entries, agents, control := split(list)
+	out := map[string]chosen{}
+	tree := membership.NewTree(o.Zone, entries)
+	near := append(tree.Parents(o.Name), tree.Children(o.Name)...)
+	if tree.Relay(o.Name) {
+		near = append(near, relaysOf(entries, o.Zone)...)
+	}
+	for _, id := range near {
+		others := append(tree.Parents(id), tree.Children(id)...)
+		out[id] = chosen{control[id], without(others, o.Name)}
+	}
+	self := membership.Member{ID: o.Name, Zone: o.Zone, Region: o.Region}
+	for _, a := range membership.Watched(self, entries, agents) {
+		var others []string
+		for _, w := range membership.Watchers(a, entries) {
+			others = append(others, w.ID)
+		}
+		out[a.ID] = chosen{control[a.ID], without(others, o.Name)}
+	}
+	delete(out, o.Name)
+	return out
+}
+
+// split separates entries and agents that can be reached.
+func split(list []instancelist.Instance) (entries, agents []membership.Member, control map[string]string) {
+	control = make(map[string]string, len(list))
+	for _, i := range list {
+		if i.Control == "" {
+			continue
+		}
+		control[i.ID] = i.Control
+		m := membership.Member{ID: i.ID, Zone: i.Zone, Region: i.Region}
+		if i.Role == instancelist.Entry {
+			entries = append(entries, m)
+		} else {
+			agents = append(agents, m)
+		}
+	}
+	return entries, agents, control
+}
+
+// relaysOf returns the relays of all zones but one.
+func relaysOf(entries []membership.Member, but string) []string {
+	var out []string
+	seen := map[string]bool{but: true}
+	for _, e := range entries {
+		if !seen[e.Zone] {
+			seen[e.Zone] = true
+			out = append(out, membership.NewTree(e.Zone, entries).Relays()...)
+		}
+	}
+	return out
+}
+
+func without(list []string, id string) []string {
+	var out []string
+	for _, s := range list {
+		if s != id {
+			out = append(out, s)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/news/watch_test.go
@@ -0,0 +1,164 @@
+package news_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/configuration"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/instancelist"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/membership"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/news"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/platform"
+)
+
+// process is an entry with a watch.
+type process struct {
+	id       string
+	config   *configuration.Holder
+	list     *instancelist.Table
+	events   *event.Recorder
+	listener net.Listener
+	server   *peer.Server
+	watch    *news.Watch
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
+}
+
+func start(is *is.I, id, zone, address string) *process {
+	cr, err := peer.NewCredentials(peer.CredentialSettings{})
+	is.NoErr(err)
+	p := &process{id: id, config: &configuration.Holder{}, events: event.NewRecorder(id, event.NewClock(nil), nil), server: peer.NewServer(cr)}
+	p.list = instancelist.New(instancelist.Options{OnChange: func(l []instancelist.Instance) { p.watch.SetInstances(l) }})
+	p.watch = news.New(news.Options{
+		Name: id, Zone: zone, Region: "r", Config: p.config, List: p.list, Events: p.events, Credentials: cr,
+		Membership: membership.Options{Interval: 100 * time.Millisecond, Timeout: 2 * time.Second, Suspicion: 4 * time.Second, Confirmers: 2},
+	})
+	p.watch.Register(p.server)
+	peer.Handle(p.server, peer.MethodConfigure, p.configure)
+	var lc net.ListenConfig
+	p.listener, err = lc.Listen(context.Background(), "tcp", address)
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	p.done.Go(func() { _ = p.server.Serve(p.listener) })
+	p.done.Go(func() { p.watch.Run(ctx) })
+	return p
+}
+
+func (p *process) configure(_ context.Context, _ *jsonrpc2.Conn, r peer.ConfigureRequest) (peer.ConfigureResult, error) {
+	// An update that builds on another document is answered with the version in force.
+	_, _ = p.config.Take(r.Update)
+	return peer.ConfigureResult{News: peer.News{ConfigVersion: p.config.View().Version()}}, nil
+}
+
+func (p *process) stop() {
+	p.cancel()
+	p.server.Close()
+	p.done.Wait()
+}
+
+func (p *process) address() string { return p.listener.Addr().String() }
+
+// feed gives the process the list as the platform would.
+func (p *process) feed(is *is.I, revision int64, all ...*process) {
+	var items []platform.Object
+	for i, o := range all {
+		value, err := json.Marshal(instancelist.Instance{
+			Role: instancelist.Entry, Zone: fmt.Sprintf("zone-%d", i%2), Region: "r", State: instancelist.Live, Control: o.address(),
+		})
+		is.NoErr(err)
+		items = append(items, platform.Object{Kind: instancelist.Kind, Name: o.id, Revision: int64(i + 1), Value: value})
+	}
+	p.list.Replace(items)
+	p.list.At(revision)
+}
+
+// patience bounds the waits of these tests; they end as soon as what they wait for holds.
+const patience = 30 * time.Second
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !holds(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s: not so after %s", what, patience)
+		}
+	}
+}
+
+func (p *process) saw(kind event.Kind, id string) bool {
+	for _, e := range p.events.Events() {
+		if e.Kind == kind && (id == "" || e.Upstream == id) {
+			return true
+		}
+	}
+	return false
+}
+
+// An entry that starts while the platform is down has the list and the configuration of its
+// peers; an entry that ends is known as dead, and as back when it starts again.
+func TestNewsBetweenEntries(t *testing.T) {
+	is := is.New(t)
+	var all []*process
+	for i := range 4 {
+		all = append(all, start(is, fmt.Sprintf("entry-%d", i), fmt.Sprintf("zone-%d", i%2), "127.0.0.1:0"))
+	}
+	defer func() {
+		for _, p := range all {
+			p.stop()
+		}
+	}()
+	for _, p := range all[:3] {
+		p.feed(is, 50, all...)
+	}
+	all[0].config.Adopt(&configuration.Document{Version: 7, Edit: "e", Limits: configuration.DefaultLimits()})
+	for _, p := range all {
+		eventually(t, p.id+" has version 7", func() bool { return p.config.View().Version() == 7 })
+	}
+	eventually(t, "entry-3 has the list", func() bool { return len(all[3].list.All()) == 4 })
+	is.True(all[3].saw(event.InstancesTaken, ""))
+
+	address := all[1].address()
+	all[1].stop()
+	watchers := func(kind event.Kind) int {
+		n := 0
+		for _, p := range []*process{all[0], all[2], all[3]} {
+			if p.saw(kind, "entry-1") {
+				n++
+			}
+		}
+		return n
+	}
+	eventually(t, "entry-1 is known as dead", func() bool { return watchers(event.ProcessDead) > 0 })
+	all[1] = start(is, "entry-1", "zone-1", address)
+	eventually(t, "entry-1 is known as back", func() bool { return watchers(event.ProcessBack) > 0 })
+	eventually(t, "entry-1 has version 7 again", func() bool { return all[1].config.View().Version() == 7 })
+	for _, p := range all {
+		is.True(!p.saw(event.ProcessDead, "entry-0"))
+	}
+}
+
+// A list of a peer never replaces what the platform says, and never goes back.
+func TestListOfAPeerIsTakenOnlyWithoutThePlatform(t *testing.T) {
+	is := is.New(t)
+	table := instancelist.New(instancelist.Options{})
+	older := platform.List{Revision: 10, Items: []platform.Object{{Name: "a", Value: []byte(`{"zone":"z"}`)}}}
+	newer := platform.List{Revision: 20, Items: []platform.Object{{Name: "b", Value: []byte(`{"zone":"z"}`)}}}
+	is.True(table.Take(newer))
+	is.True(!table.Take(older))
+	table.Replace(older.Items)
+	table.At(15)
+	is.True(!table.Take(newer))
+	table.Lost(nil)
+	is.True(table.Take(newer))
+	is.Equal(table.All()[0].ID, "b")
+}
--- a/pkg/peer/probe.go
+++ b/pkg/peer/probe.go
@@ -15,6 +15,8 @@
 type ProbeResult struct {
 	Config int64 `json:"c"`
 	List   int64 `json:"l"`
+	// Cut is set while the process cannot reach the platform.
+	Cut bool `json:"x,omitempty"`
 	// Incarnation tells whether the process was restarted.
 	Incarnation string `json:"i"`
 }
--- a/pkg/platform/follow.go
+++ b/pkg/platform/follow.go
@@ -20,6 +20,13 @@
 	Recovered()
 }
 
+// Positioned is a Follower that wants to know how far it has followed.
+type Positioned interface {
+	// At receives the revision up to which all changes were handed over. It is called
+	// after each answer of the platform.
+	At(revision int64)
+}
+
 // WatchWait is the time that a watch waits at the platform.
 const WatchWait = 10 * time.Second
 
@@ -61,6 +68,9 @@
 		lost = false
 		pause.Reset()
 		revision = next
+		if p, ok := f.(Positioned); ok {
+			p.At(revision)
+		}
 	}
 }
 
--- a/test/state_test.go
+++ b/test/state_test.go
@@ -105,7 +105,8 @@
 func inForce(ts *testscript.TestScript, _ bool, args []string) {
 	f := worldOf(ts).fleet
 	want := "coltsfoot_configuration_version " + args[0] + "\n"
-	end := time.Now().Add(inForceLimit)
+	start := time.Now()
+	end := start.Add(inForceLimit)
 	for _, a := range f.Operators() {
 		for !metricsHold(a, want) {
 			if time.Now().After(end) {
@@ -114,6 +115,7 @@
 			time.Sleep(20 * time.Millisecond)
 		}
 	}
+	ts.Logf("version %s is in force everywhere after %s", args[0], time.Since(start).Round(time.Millisecond))
 }
 
 // metricsHold reports whether the metrics of a process hold a line. A process that has
@@ -131,22 +133,35 @@
 	return strings.Contains(text.String(), line) || !strings.Contains(text.String(), "coltsfoot_configuration_version")
 }
 
-// findEvent: findevent KIND DETAIL VARIABLE sets VARIABLE to the request of the first event of
-// the kind whose detail or code name contains DETAIL.
+// findEvent: findevent KIND DETAIL VARIABLE waits, within the limit, for an event of the kind
+// whose line contains DETAIL, and sets VARIABLE to its request.
 func findEvent(ts *testscript.TestScript, _ bool, args []string) {
+	end := time.Now().Add(inForceLimit)
+	for {
+		if e, ok := lookFor(ts, event.Kind(args[0]), args[1]); ok {
+			ts.Setenv(args[2], e.Request)
+			return
+		}
+		if time.Now().After(end) {
+			ts.Fatalf("no event %s with %s after %s", args[0], args[1], inForceLimit)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func lookFor(ts *testscript.TestScript, kind event.Kind, text string) (event.Event, bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), scenarioLimit)
 	defer cancel()
 	for _, a := range worldOf(ts).fleet.Operators() {
 		list, err := ctl.Events(ctx, a, fleet.OperatorToken)
 		ts.Check(err)
 		for _, e := range list {
-			if e.Kind == event.Kind(args[0]) && strings.Contains(ctl.Line(e), args[1]) {
-				ts.Setenv(args[2], e.Request)
-				return
+			if e.Kind == kind && strings.Contains(ctl.Line(e), text) {
+				return e, true
 			}
 		}
 	}
-	ts.Fatalf("no event %s with %s", args[0], args[1])
+	return event.Event{}, false
 }
 
 // ready: ready PROCESS waits until the process takes work, within the limit.
