--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -36,6 +36,7 @@
 	list        *instancelist.Table
 	watch       *news.Watch
 	registry    metrics.Registry
+	quarantine  *dispatch.Quarantine
 
 	cancel context.CancelFunc
 	loops  sync.WaitGroup
@@ -146,6 +147,7 @@
 		Upstream: n.settings.Name,
 		Zone:     n.settings.Zone,
 		Leaving:  n.callers.Leaving(),
+		Verdicts: n.quarantine.News(),
 	}, nil
 }
 
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -32,6 +32,7 @@
 	UpstreamFound     Kind = "upstream-found"
 	UpstreamGone      Kind = "upstream-gone"
 	UpstreamCold      Kind = "upstream-cold"
+	Verdict           Kind = "verdict"
 	UpstreamWarm      Kind = "upstream-warm"
 	LeaseAcquired     Kind = "lease-acquired"
 	LeaseLost         Kind = "lease-lost"
