Take nobody for dead across a partition between zones

Cause: a relay watches the relays of other zones, which have no other watchers here; when zones lost each other all of them were taken for dead after two seconds. Processes of other zones become unreachable instead. Seen failing: without the distinction.

--- a/pkg/configstore/edit_test.go
+++ b/pkg/configstore/edit_test.go
@@ -410,3 +410,40 @@
 		})
 	}
 }
+
+// All processes restart at once, with the platform up or while it is down: nobody holds the
+// document any more, and all have it within the limit once the platform answers.
+func TestRestartOfAll(t *testing.T) {
+	for _, down := range []time.Duration{0, time.Minute} {
+		m := &model{results: map[string]int{}, asked: map[string]asked{}}
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			m.cloud = newCloud(1)
+			head := grow(is, configstore.New(m.cloud.direct()), 5)
+			for i := range 18 {
+				m.nodes = append(m.nodes, &node{model: m, name: fmt.Sprintf("node-%d", i), follows: i < 9})
+			}
+			for _, n := range m.nodes {
+				n.start()
+			}
+			time.Sleep(inForceLimit)
+			m.cloud.weather.set(func(w *weather) { w.down = down > 0 })
+			before := m.cloud.server.Counts()
+			for _, n := range m.nodes {
+				n.stop()
+				n.start()
+			}
+			time.Sleep(down)
+			m.cloud.weather.set(func(w *weather) { w.down = false })
+			time.Sleep(inForceLimit)
+			after := m.cloud.server.Counts()
+			for _, n := range m.nodes {
+				is.Equal(n.current().View().Version(), head.Version)
+				n.stop()
+			}
+			t.Logf("platform down for %s: %d reads by nine followers that restart at once", down, after.Reads-before.Reads)
+			is.True(after.Reads-before.Reads < 200)
+			time.Sleep(time.Minute)
+		})
+	}
+}
--- a/pkg/membership/detector.go
+++ b/pkg/membership/detector.go
@@ -60,7 +60,9 @@
 
 // target is a watched process.
 type target struct {
-	id          string
+	id string
+	// far is set for a process of another zone.
+	far         bool
 	others      []string
 	incarnation string
 	state       State
@@ -98,6 +100,14 @@
 	d.order = append(d.order, id)
 }
 
+// WatchFar starts to watch a process of another zone. A silence of it may be that of the way
+// between the zones, so that it becomes unreachable and never dead, unless its connection
+// is refused.
+func (d *Detector) WatchFar(now time.Time, id string) {
+	d.Watch(now, id, nil)
+	d.targets[id].far = true
+}
+
 // Forget stops to watch a process.
 func (d *Detector) Forget(id string) {
 	delete(d.targets, id)
@@ -182,11 +192,13 @@
 	switch {
 	case t.state == Alive && missed && !isolated:
 		d.suspect(now, t, a)
+	case t.state == Suspect && t.far && d.lost(now, t):
+		a.change(t, Unreachable)
 	case t.state == Suspect && isolated:
 		t.suspected = now
 	case t.state == Suspect && d.lost(now, t):
 		a.change(t, Dead)
-	case t.state == Unreachable && missed && !isolated:
+	case t.state == Unreachable && missed && !isolated && !t.far:
 		d.suspect(now, t, a)
 	}
 }
@@ -212,12 +224,12 @@
 	return now.Sub(t.suspected) >= d.opts.Suspicion
 }
 
-// isolated reports whether more than half of the watched processes miss their probe at
+// isolated reports whether more than half of the watched processes of the zone miss their probe at
 // once, so that the fault is likely on this side.
 func (d *Detector) isolated(now time.Time) bool {
 	missing, living := 0, 0
 	for _, t := range d.targets {
-		if t.state == Dead {
+		if t.state == Dead || t.far {
 			continue
 		}
 		living++
--- a/pkg/membership/detector_test.go
+++ b/pkg/membership/detector_test.go
@@ -271,3 +271,39 @@
 	d.Confirmed("a", true)
 	is.Equal(d.State("a"), membership.Unreachable)
 }
+
+// Zones lose each other for an hour: the processes of the other zone become unreachable and
+// none is taken for dead, while a death in the own zone is still known.
+func TestPartitionBetweenZones(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	d := membership.NewDetector(membership.DefaultOptions())
+	near := []string{"near-0", "near-1", "near-2", "near-3"}
+	for i, id := range near {
+		d.Watch(now, id, near[:i])
+	}
+	for i := range 16 {
+		d.WatchFar(now, fmt.Sprintf("far-%d", i))
+	}
+	dead := map[string]bool{}
+	take := func(a membership.Actions) {
+		for _, c := range a.Changes {
+			if c.To == membership.Dead {
+				dead[c.ID] = true
+			}
+		}
+	}
+	for end := now.Add(time.Hour); now.Before(end); now = now.Add(step) {
+		a := d.Tick(now)
+		take(a)
+		for _, p := range a.Probes {
+			if slices.Contains(near[1:], p.ID) {
+				take(d.Answered(now, p.ID, "1"))
+			}
+		}
+	}
+	is.Equal(dead, map[string]bool{"near-0": true})
+	is.Equal(d.State("far-3"), membership.Unreachable)
+	take(d.Answered(now, "far-3", "1"))
+	is.Equal(d.State("far-3"), membership.Alive)
+}
--- a/pkg/news/choose.go
+++ b/pkg/news/choose.go
@@ -8,6 +8,8 @@
 // chosen is a process to watch.
 type chosen struct {
 	control string
+	// far is set for a process of another zone.
+	far bool
 	// others are its other watchers.
 	others []string
 }
@@ -18,13 +20,14 @@
 	entries, agents, control := split(list)
 	out := map[string]chosen{}
 	tree := membership.NewTree(o.Zone, entries)
-	near := append(tree.Parents(o.Name), tree.Children(o.Name)...)
-	if tree.Relay(o.Name) {
-		near = append(near, relaysOf(entries, o.Zone)...)
-	}
-	for _, id := range near {
+	for _, id := range append(tree.Parents(o.Name), tree.Children(o.Name)...) {
 		others := append(tree.Parents(id), tree.Children(id)...)
-		out[id] = chosen{control[id], without(others, o.Name)}
+		out[id] = chosen{control: control[id], others: without(others, o.Name)}
+	}
+	if tree.Relay(o.Name) {
+		for _, id := range relaysOf(entries, o.Zone) {
+			out[id] = chosen{control: control[id], far: true}
+		}
 	}
 	self := membership.Member{ID: o.Name, Zone: o.Zone, Region: o.Region}
 	for _, a := range membership.Watched(self, entries, agents) {
@@ -32,7 +35,7 @@
 		for _, w := range membership.Watchers(a, entries) {
 			others = append(others, w.ID)
 		}
-		out[a.ID] = chosen{control[a.ID], without(others, o.Name)}
+		out[a.ID] = chosen{control: control[a.ID], far: a.Zone != o.Zone, others: without(others, o.Name)}
 	}
 	delete(out, o.Name)
 	return out
--- a/pkg/news/watch.go
+++ b/pkg/news/watch.go
@@ -148,7 +148,11 @@
 		if w.clients[id] == nil {
 			w.clients[id] = peer.NewClient(t.control, w.opts.Credentials)
 		}
-		w.detector.Watch(now, id, t.others)
+		if t.far {
+			w.detector.WatchFar(now, id)
+		} else {
+			w.detector.Watch(now, id, t.others)
+		}
 	}
 }
 
