--- a/pkg/dispatch/keyed.go
+++ b/pkg/dispatch/keyed.go
@@ -9,6 +9,7 @@
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/idempotency"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/retry"
 )
 
 // HeaderCode is the header field with the numbered result code of an answer.
@@ -32,24 +33,23 @@
 	case code.OK:
 		return s.claimed(ctx)
 	case code.Duplicate:
+		s.d.meters.replayed.Inc(1)
 		s.claimEvent(event.ClaimReplayed, dec.Code)
 		return s.replay(dec.Answer)
 	}
+	s.d.meters.refused.Inc(1)
 	s.claimEvent(event.ClaimRefused, dec.Code)
 	return Result{Code: dec.Code, RetryAfter: defaultRetryAfter}
 }
 
 func (s *session) ask(ctx context.Context) idempotency.Op {
-	left := defaultDeadline
-	if at, ok := ctx.Deadline(); ok {
-		left = time.Until(at)
-	}
+	left := timeLeft(ctx)
 	return idempotency.Op{
 		Kind:        idempotency.Ask,
 		Key:         s.key(),
 		ID:          s.call,
 		Fingerprint: idempotency.Fingerprint([]byte(s.req.Target), []byte(s.req.Method), []byte(s.req.Path), s.req.Body),
-		Timeout:     max(left, 0) + startBudget,
+		Timeout:     max(left, 0) + retry.StartBudget,
 		TTL:         time.Duration(s.d.config.View().Document.Limits.IdempotencyKeyTTLSeconds) * time.Second,
 	}
 }
