--- a/internal/slopes/main.go
+++ b/internal/slopes/main.go
@@ -30,6 +30,7 @@
 		measureConfiguration,
 		measureSubsets,
 		func(ctx context.Context, r *rates) error { return measureFleets(ctx, c.String("bin"), r) },
+		func(ctx context.Context, r *rates) error { return measureStreams(ctx, c.String("bin"), r) },
 	} {
 		if err := measure(ctx, &r); err != nil {
 			return err
--- a/internal/slopes/report.go
+++ b/internal/slopes/report.go
@@ -16,8 +16,9 @@
 	fullGroups   = 750
 	fullReplaced = 1300 + 150
 	day          = 86_400.0
-	// fullRate is in requests a second over all entries.
-	fullRate = 74_000
+	// fullRate is in requests and fullTokens in tokens a second over all entries.
+	fullRate   = 74_000
+	fullTokens = 27_000_000
 )
 
 // What the mechanisms are set to.
@@ -53,6 +54,8 @@
 	entryCPU, entryBytes, entryRSS line
 	agentCPU, agentBytes, agentRSS line
 	controller                     cost
+	// Streams over tokens, in cores times seconds.
+	entryStream, agentStream line
 }
 
 // report prints the slopes and what they come to at the size aimed for.
@@ -73,6 +76,8 @@
 	p("agent today, by entries             %6.3f%% + %.4f%% of a core, %.0f + %.0f B/s, %.1f MB + %.0f KB",
 		100*r.agentCPU.base, 100*r.agentCPU.slope, r.agentBytes.base, r.agentBytes.slope, r.agentRSS.base/1e6, r.agentRSS.slope/1e3)
 	p("controller today                    %6.3f%% of a core, %.0f B/s, %.1f MB", 100*r.controller.cpu, r.controller.bytes, r.controller.resident/1e6)
+	p("stream at an entry, by tokens       %6.0f us + %.1f us each", 1e6*r.entryStream.base, 1e6*r.entryStream.slope)
+	p("stream at an agent, by tokens       %6.0f us + %.1f us each", 1e6*r.agentStream.base, 1e6*r.agentStream.slope)
 	r.reportFull(p)
 	r.reportPlatform(p)
 }
@@ -105,6 +110,9 @@
 		watchers/probeInterval*r.probe.bytes+edits*r.update*watchers, 100*(watchers/probeInterval*r.probe.cpu.Seconds()/2+edits*take))
 	load := fullRate / float64(fullNodes)
 	p("load of agents on results  %.1f /s %8.0f B/s (a status of %.0f bytes with each result)", load, load*r.status.bytes/2, r.status.bytes/2)
+	length := fullTokens / float64(fullRate)
+	p("requests of %.0f tokens: %.2f cores at an entry with %.1f/s, %.3f cores at an agent with %.1f/s", length,
+		load*r.entryStream.at(length), load, fullRate/float64(fullWorkers)*r.agentStream.at(length), fullRate/float64(fullWorkers))
 	p("today's way at that size: an entry would poll %d processes every %.1f s: %.0f KB/s and %.0f%% of a core",
 		fullNodes+fullWorkers, statusToday, r.status.bytes*(fullNodes+fullWorkers)/statusToday/1e3, 100*r.status.cpu.Seconds()/2*(fullNodes+fullWorkers)/statusToday)
 }
