--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := bin
 GATE := $(BIN)/coltsfoot-gate KNOWN-RED.txt
 
-.PHONY: build demo test bench lint slopes
+.PHONY: build demo test bench lint slopes skew
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -22,6 +22,10 @@
 slopes: build
 	$(GO) run ./internal/slopes --bin $(BIN)
 
+# Prints the measurement of rebalancing under drift and draws it.
+skew: build
+	$(BIN)/coltsfoot-skew --plot docs/design/skew.svg
+
 lint:
 	@test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
 	$(GO) vet ./...
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -8,12 +8,14 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/claimstore"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/configuration"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/poison"
 )
 
 // Request is one request of a caller.
@@ -60,8 +62,10 @@
 	life  string
 	calls atomic.Uint64
 
-	claims  *claimer
-	budgets budgets
+	claims     *claimer
+	quarantine *Quarantine
+	meters     meters
+	budgets    budgets
 
 	mu sync.Mutex
 	// inFlight counts the requests in progress by organisation.
@@ -70,15 +74,17 @@
 
 // New returns a dispatcher over the table. The store commits the claims of keyed
 // requests whose home is this entry.
-func New(t *Table, config *configuration.Holder, events *event.Recorder, store *claimstore.Store) *Dispatcher {
+func New(t *Table, config *configuration.Holder, events *event.Recorder, store *claimstore.Store, q *Quarantine, reg metrics.Registry) *Dispatcher {
 	return &Dispatcher{
-		table:    t,
-		config:   config,
-		events:   events,
-		life:     uuid.NewString(),
-		claims:   newClaimer(t, store),
-		budgets:  newBudgets(),
-		inFlight: map[string]int{},
+		table:      t,
+		config:     config,
+		events:     events,
+		life:       uuid.NewString(),
+		claims:     newClaimer(t, store),
+		quarantine: q,
+		meters:     newMeters(reg),
+		budgets:    newBudgets(),
+		inFlight:   map[string]int{},
 	}
 }
 
@@ -88,6 +94,7 @@
 // Do runs a request until it has a final result. The deadline of ctx is that of the request.
 func (d *Dispatcher) Do(ctx context.Context, r Request, sink Sink) Result {
 	s := &session{d: d, call: d.nextCall(), req: r, sink: sink}
+	s.fingerprint = poison.Of(r.Organisation.Name, r.Target, r.Method, r.Path, r.Body)
 	if !d.enter(r.Organisation) {
 		return Result{Code: code.OrganisationLimit, RetryAfter: defaultRetryAfter}
 	}
--- a/pkg/dispatch/refresh.go
+++ b/pkg/dispatch/refresh.go
@@ -35,6 +35,15 @@
 	return out
 }
 
+// peers returns the IDs and clients of all other processes.
+func (t *Table) peers() map[string]*peer.Client {
+	out := map[string]*peer.Client{}
+	for _, p := range t.probes(nil) {
+		out[p.id] = p.client
+	}
+	return out
+}
+
 // refresh asks one process for its status and hands it the configuration when it is behind.
 func (t *Table) refresh(ctx context.Context, p probe) {
 	ctx, cancel := context.WithTimeout(ctx, statusCall)
--- a/pkg/dispatch/session.go
+++ b/pkg/dispatch/session.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/poison"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/resume"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/retry"
 )
@@ -21,6 +23,9 @@
 	attempt int
 	tried   []string
 	answer  answer
+	// fingerprint identifies what the request asks for; permit says how it may run.
+	fingerprint poison.Fingerprint
+	permit      permit
 	// unknown is the first code of an attempt that may have run.
 	unknown code.Code
 }
@@ -36,6 +41,7 @@
 // run makes attempts until one ends the request. The request is called "not run" only
 // when that is true of every attempt.
 func (s *session) run(ctx context.Context) Result {
+	defer s.endTrial()
 	res := s.attempts(ctx)
 	if res.Code.Outcome() == code.NotRun && s.unknown != 0 {
 		res.Code = s.unknown
@@ -47,11 +53,15 @@
 func (s *session) attempts(ctx context.Context) Result {
 	last := Result{Code: code.NoUpstream}
 	for s.attempt < s.d.config.View().Document.Limits.MaxAttempts {
-		if s.attempt > 0 && !s.d.budgets.allow(s.req.Organisation.Name, last.Code, s.answer.transcript.Sent()) {
+		if res, refused := s.permitted(ctx); refused {
+			return res
+		}
+		// The one trial of a suspect needs no budget.
+		if s.attempt > 0 && s.permit.trial == nil && !s.d.budgets.allow(s.req.Organisation.Name, last.Code, s.answer.transcript.Sent()) {
 			s.d.table.meters.withheld.Inc(1)
 			return last
 		}
-		p, ok := s.d.table.pick(target{s.req.Kind, s.req.Target}, s.req.Prefix, s.tried)
+		p, ok := s.pickNext()
 		if !ok {
 			return last
 		}
@@ -71,6 +81,7 @@
 		if last.Code.Outcome() == code.Unknown && s.unknown == 0 {
 			s.unknown = last.Code
 		}
+		s.learn(last.Code)
 		var on bool
 		if last, on = s.goOn(ctx, last); !on {
 			return last
@@ -104,9 +115,11 @@
 	case resume.Repeat:
 		return last, true
 	case resume.Resume:
+		s.d.meters.resumed.Inc(1)
 		s.streamEvent(event.StreamResumed, last)
 		return last, true
 	case resume.Complete:
+		s.d.meters.completed.Inc(1)
 		s.streamEvent(event.StreamCompleted, last)
 		if s.answer.complete(p.Events, s.sink) != nil {
 			return Result{Code: code.CallerGone}, false
@@ -139,6 +152,10 @@
 		s.d.table.observe(p.id, res.Load, s.d.table.opts.Now())
 		s.informLater(p, res.ConfigVersion)
 	} else {
+		if errors.Is(err, peer.ErrNotWhole) {
+			s.d.meters.notWhole.Inc(1)
+			s.record(event.FrameDropped, p, code.AnswerNotWhole)
+		}
 		out.Code, out.Detail = s.settle(ctx, p, r, err), err.Error()
 		if out.Code == code.UpstreamUnreachable || out.Code == code.AgentLost {
 			s.d.table.lose(p.member)
@@ -176,6 +193,8 @@
 		Stream:         s.req.Stream,
 		Idempotent:     s.req.Idempotent,
 		IdempotencyKey: s.req.IdempotencyKey,
+		Fingerprint:    s.fingerprint,
+		Alone:          s.permit.trial != nil,
 		Cost:           s.req.Cost,
 		StartByMillis:  retry.StartBy(left, p.service).Milliseconds(),
 		TimeoutMillis:  max(left.Milliseconds(), 1),
--- a/pkg/dispatch/table.go
+++ b/pkg/dispatch/table.go
@@ -12,6 +12,7 @@
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/instancelist"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/poison"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/prefix"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/routing"
 )
@@ -37,7 +38,10 @@
 // Table holds the upstreams and the other entries. It is safe for concurrent use.
 type Table struct {
 	opts   TableOptions
-	meters meters
+	meters decisionMeters
+
+	// onVerdicts receives the verdicts that come with a status; nil before it is set.
+	onVerdicts func([]poison.Verdict)
 
 	mu       sync.Mutex
 	members  map[string]*member
@@ -79,7 +83,7 @@
 func NewTable(o TableOptions) *Table {
 	return &Table{
 		opts:     o,
-		meters:   newMeters(o.Registry),
+		meters:   newDecisionMeters(o.Registry),
 		prefixes: prefix.New(prefixBlocks),
 		members:  map[string]*member{},
 		byTarget: map[target]*pool{},
@@ -139,6 +143,9 @@
 // than the one held is dropped.
 func (t *Table) observe(id string, s peer.Status, asked time.Time) {
 	t.opts.Events.Clock().Observe(s.Stamp)
+	if t.onVerdicts != nil && len(s.Verdicts) > 0 {
+		t.onVerdicts(s.Verdicts)
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m := t.members[id]
--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -32,6 +32,7 @@
 	credentials peer.Credentials
 	operator    *operator.Server
 	events      *event.Recorder
+	quarantine  *dispatch.Quarantine
 
 	lifeMu sync.Mutex
 	life   directory.Life
@@ -145,6 +146,7 @@
 		Upstream: n.settings.Name,
 		Zone:     n.settings.Zone,
 		Leaving:  n.callers.Leaving(),
+		Verdicts: n.quarantine.News(),
 	}, nil
 }
 
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -32,6 +32,7 @@
 	ZoneLeft          Kind = "zone-left"
 	ZoneReturned      Kind = "zone-returned"
 	UpstreamCold      Kind = "upstream-cold"
+	Verdict           Kind = "verdict"
 	UpstreamWarm      Kind = "upstream-warm"
 	LeaseAcquired     Kind = "lease-acquired"
 	LeaseLost         Kind = "lease-lost"
