Make two test bounds as strict as before

Cause: the order of ties in the fairness queue changed and a test then allowed 9 to 11 where it had asked for 10; a smaller sample in the membership test kept nearly its old bound. Ruled out: leaving them. Conclusion: kept.

--- a/pkg/fairness/queue_test.go
+++ b/pkg/fairness/queue_test.go
@@ -166,9 +166,7 @@
 			early++
 		}
 	}
-	// Half of the service each, but for the last request.
-	is.True(early >= 9)
-	is.True(early <= 11)
+	is.Equal(early, 9) // half of the service each, the first and the last turn to the newcomer
 }
 
 func TestFullQueuePushesOutTheOrganisationFurthestOverItsShare(t *testing.T) {
--- a/pkg/membership/subset_test.go
+++ b/pkg/membership/subset_test.go
@@ -63,7 +63,7 @@
 			moved++
 		}
 	}
-	is.True(moved < 10) // One entry of 1,600 moves only the agents that it watched.
+	is.True(moved < 5) // One entry of 1,600 moves only the agents that it watched.
 }
 
 func TestTreeReachesAllThroughEitherTree(t *testing.T) {
