--- a/pkg/agent/agent_test.go
+++ b/pkg/agent/agent_test.go
@@ -22,6 +22,7 @@
 type fakeUpstream struct {
 	mu      sync.Mutex
 	life    int
+	down    bool
 	crash   chan struct{}
 	started chan string
 	ends    chan struct{}
@@ -34,6 +35,9 @@
 func (f *fakeUpstream) Health(context.Context) (upstream.Health, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.down {
+		return upstream.Health{}, upstream.ErrLost
+	}
 	return upstream.Health{Incarnation: fmt.Sprint(f.life), Models: []string{"m"}}, nil
 }
 
@@ -83,7 +87,7 @@
 	a := New(Options{Settings: s, Client: f, Recorder: event.NewRecorder("a", event.NewClock(nil), nil)})
 	a.config.Adopt(&configuration.Document{Version: 1, Zones: []configuration.Zone{{Name: "z", State: configuration.ZoneIn}}})
 	h, _ := f.Health(context.Background())
-	a.observe(h, true)
+	a.observe(h, true, 0)
 	a.Start()
 	t.Cleanup(a.Stop)
 	return rig{a, f}
@@ -116,7 +120,7 @@
 	r.up.fall()
 	is.Equal((<-a).Code, code.UpstreamLost)
 	is.Equal((<-b).Code, code.UpstreamLost)
-	is.Equal(len(r.Status().Verdicts), 2)
+	is.Equal(len(r.Status("").Verdicts), 2)
 	is.Equal((<-r.run("3", "o", "fa", false)).Code, code.SuspectNotAlone)
 
 	// Alone it may run; the end clears it.
@@ -143,10 +147,10 @@
 	is.Equal((<-a).Code, code.OK)
 	is.Equal(<-r.up.started, "2")
 	b := r.run("3", "o", "fb", false)
-	for r.Status().Queued == 0 {
+	for r.Status("").Queued == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	is.Equal(r.Status().Running, 1)
+	is.Equal(r.Status("").Running, 1)
 	r.up.ends <- struct{}{}
 	is.Equal((<-trial).Code, code.OK)
 	is.Equal(<-r.up.started, "3")
@@ -177,7 +181,7 @@
 		waiting = append(waiting, r.run(fmt.Sprint(n), "dominant", poison.Fingerprint(fmt.Sprint(n)), false))
 	}
 	overloaded(is, waiting, 5)
-	is.Equal(r.Status().Queued, 8)
+	is.Equal(r.Status("").Queued, 8)
 
 	// A small organisation takes a place of the dominant one and is next.
 	small := r.run("small", "small", "fs", false)
@@ -212,12 +216,12 @@
 	first := []<-chan peer.RunResult{r.start("a", "a", false), r.start("b", "b", false), r.start("c", "c", false)}
 	r.up.ends <- struct{}{}
 	first = append(first, r.start("d", "d", false), r.start("e", "e", false))
-	is.Equal(r.Status().Limit, 4)
+	is.Equal(r.Status("").Limit, 4)
 	var waiting []<-chan peer.RunResult
 	for n := range 16 {
 		waiting = append(waiting, r.run(fmt.Sprint(n), "o", poison.Fingerprint(fmt.Sprint(n)), false))
 	}
-	for r.Status().Queued < 16 {
+	for r.Status("").Queued < 16 {
 		time.Sleep(time.Millisecond)
 	}
 	r.up.fall()
@@ -232,7 +236,7 @@
 	for range 3 {
 		<-r.up.started
 	}
-	status := r.Status()
+	status := r.Status("")
 	is.Equal(status.Limit, 3)
 	is.Equal(status.Running, 3)
 	is.Equal(status.Queued, 9)
@@ -247,11 +251,66 @@
 		r.Leave(context.Background())
 		close(left)
 	}()
-	for !r.Status().Leaving {
+	for !r.Status("").Leaving {
 		time.Sleep(time.Millisecond)
 	}
 	r.up.fall()
 	is.Equal((<-trial).Code, code.UpstreamLost)
 	<-left
-	is.Equal(r.Status().Verdicts[0].State, poison.Suspect)
+	is.Equal(r.Status("").Verdicts[0].State, poison.Suspect)
+}
+
+func TestNothingStartsOnAnUpstreamThatIsDown(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 2, 8, 8)
+	a := r.start("1", "fa", false)
+	r.up.mu.Lock()
+	r.up.down = true
+	r.up.mu.Unlock()
+	r.up.fall()
+	is.Equal((<-a).Code, code.UpstreamLost)
+	is.Equal((<-r.run("2", "o", "fa", true)).Code, code.UpstreamUnreachable)
+	r.up.mu.Lock()
+	r.up.down = false
+	r.up.mu.Unlock()
+	for !r.Status("").Reachable {
+		time.Sleep(time.Millisecond)
+	}
+	b := r.start("3", "fa", true)
+	r.up.ends <- struct{}{}
+	is.Equal((<-b).Code, code.OK)
+}
+
+func TestHealthAskedBeforeALossSaysNothing(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 2, 8, 8)
+	asked := r.asks()
+	h, _ := r.up.Health(context.Background())
+	r.up.mu.Lock()
+	r.up.down = true
+	r.up.mu.Unlock()
+	newest := r.doubt()
+	r.observe(upstream.Health{}, false, newest)
+	r.observe(h, true, asked)
+	is.True(!r.Status("").Reachable)
+	r.settle()
+}
+
+func TestWorkWaitsWhileTheUpstreamIsAskedHowItIs(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 2, 8, 8)
+	asked := r.doubt()
+	a := r.run("1", "o", "fa", false)
+	for r.Status("").Queued == 0 {
+		select {
+		case <-r.up.started:
+			t.Fatal("work started on an upstream that may be down")
+		case <-time.After(time.Millisecond):
+		}
+	}
+	r.observe(upstream.Health{Incarnation: "0", Models: []string{"m"}}, true, asked)
+	r.settle()
+	is.Equal(<-r.up.started, "1")
+	r.up.ends <- struct{}{}
+	is.Equal((<-a).Code, code.OK)
 }
--- a/pkg/agent/poison.go
+++ b/pkg/agent/poison.go
@@ -34,15 +34,43 @@
 // crashed reports whether a run that ended with err was cut off by a crash of the
 // upstream, which then does not answer or answers as another incarnation.
 func (a *Agent) crashed(t *task, err error) bool {
-	if err == nil || errors.Is(err, upstream.ErrNotSent) {
+	if err == nil || errors.Is(err, upstream.ErrNotSent) || t.ctx.Err() != nil {
 		return false
 	}
+	asked := a.doubt()
 	ctx, cancel := context.WithTimeout(context.Background(), crashCall)
 	defer cancel()
 	h, err := a.client.Health(ctx)
+	a.observe(h, err == nil, asked)
+	a.settle()
 	return err != nil || h.Incarnation != t.life
 }
 
+// doubt lets work wait after the upstream has lost a run, until settle. A run on an
+// upstream that is already down would be blamed for the crash.
+func (a *Agent) doubt() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.doubts++
+	a.checking++
+	return a.doubts
+}
+
+// settle ends a doubt.
+func (a *Agent) settle() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.checking--
+	a.wake.Broadcast()
+}
+
+// asks returns the number of doubts before a health question.
+func (a *Agent) asks() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.doubts
+}
+
 // judge takes in what the end of a run says about its request.
 func (a *Agent) judge(t *task, c code.Code, crashed bool) {
 	a.mu.Lock()
--- a/pkg/agent/work.go
+++ b/pkg/agent/work.go
@@ -41,7 +41,7 @@
 
 // startOne takes tasks from the queue until one may start. Agent.mu is held.
 func (a *Agent) startOne() *task {
-	for {
+	for a.checking == 0 {
 		i, ok := a.queue.Peek()
 		if !ok {
 			return nil
@@ -67,6 +67,7 @@
 		a.drop(t)
 		t.finish(c, "", 0)
 	}
+	return nil
 }
 
 // execute runs a started task at the upstream.
--- a/pkg/dispatch/claims.go
+++ b/pkg/dispatch/claims.go
@@ -94,16 +94,16 @@
 func (t *Table) homes(partition int) []home {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	names := []string{t.name}
+	names := []string{t.opts.Name}
 	for id, m := range t.members {
-		if id != t.name && m.home(t.now()) {
+		if id != t.opts.Name && m.home(t.opts.Now()) {
 			names = append(names, id)
 		}
 	}
 	out := make([]home, 0, len(names))
 	for _, n := range idempotency.Homes(partition, names) {
 		h := home{name: n}
-		if n != t.name {
+		if n != t.opts.Name {
 			h.client = t.members[n].client
 		}
 		out = append(out, h)
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -16,7 +16,6 @@
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/poison"
-	"github.com/coltsfootpitch/coltsfootpitch/pkg/retry"
 )
 
 // Request is one request of a caller.
@@ -34,6 +33,8 @@
 	// IdempotencyKey is the caller's key, empty when there is none.
 	IdempotencyKey string
 	Cost           int64
+	// Prefix holds the hashes of the leading blocks of a prompt; see package prefix.
+	Prefix []uint64
 }
 
 // Sink receives the answer of a request.
@@ -64,9 +65,9 @@
 	claims     *claimer
 	quarantine *Quarantine
 	meters     meters
+	budgets    budgets
 
-	mu      sync.Mutex
-	budgets map[string]*retry.Budget
+	mu sync.Mutex
 	// inFlight counts the requests in progress by organisation.
 	inFlight map[string]int
 }
@@ -82,7 +83,7 @@
 		claims:     newClaimer(t, store),
 		quarantine: q,
 		meters:     newMeters(reg),
-		budgets:    map[string]*retry.Budget{},
+		budgets:    newBudgets(),
 		inFlight:   map[string]int{},
 	}
 }
@@ -101,6 +102,11 @@
 	d.events.Record(event.Event{Kind: event.RequestReceived, Request: r.ID, Organisation: r.Organisation.Name, Detail: r.Target})
 	res := s.do(ctx)
 	res.Attempts = s.attempt
+	d.table.meters.ended(res.Code)
+	d.budgets.ended(r.Organisation.Name, res.Code)
+	if res.Code.Outcome() == code.NotRun {
+		res.RetryAfter = max(res.RetryAfter, d.table.retryAfter(target{r.Kind, r.Target}))
+	}
 	d.events.Record(event.Event{
 		Kind: event.RequestEnded, Request: r.ID, Organisation: r.Organisation.Name,
 		Upstream: res.Upstream, Attempt: res.Attempts, Code: int(res.Code), Detail: res.Code.String(),
@@ -114,15 +120,6 @@
 	return d.life + "-" + strconv.FormatUint(d.calls.Add(1), 36)
 }
 
-func (d *Dispatcher) budget(organisation string) *retry.Budget {
-	b, ok := d.budgets[organisation]
-	if !ok {
-		b = retry.New(retry.DefaultRatio, retry.DefaultBurst)
-		d.budgets[organisation] = b
-	}
-	return b
-}
-
 // enter counts a request of the organisation and reports whether its limit allows it.
 func (d *Dispatcher) enter(o configuration.Organisation) bool {
 	limit := o.MaxInProgress
@@ -135,7 +132,6 @@
 		return false
 	}
 	d.inFlight[o.Name]++
-	d.budget(o.Name).Deposit()
 	return true
 }
 
@@ -147,9 +143,3 @@
 		delete(d.inFlight, o.Name)
 	}
 }
-
-func (d *Dispatcher) withdraw(organisation string) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.budget(organisation).Withdraw()
-}
--- a/pkg/dispatch/session.go
+++ b/pkg/dispatch/session.go
@@ -10,6 +10,7 @@
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/poison"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/resume"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/retry"
 )
 
 // session is the run of one request.
@@ -50,24 +51,33 @@
 
 // attempts makes attempts until one ends the request.
 func (s *session) attempts(ctx context.Context) Result {
-	last := Result{Code: code.NoUpstream, RetryAfter: defaultRetryAfter}
+	last := Result{Code: code.NoUpstream}
 	for s.attempt < s.d.config.View().Document.Limits.MaxAttempts {
 		if res, refused := s.permitted(ctx); refused {
 			return res
 		}
-		// The rest of a stream is less work than its repeat and needs no budget; nor does
-		// the one trial of a suspect.
-		repeat := s.attempt > 0 && !s.answer.transcript.Sent() && s.permit.trial == nil
-		if repeat && !s.d.withdraw(s.req.Organisation.Name) {
+		// The one trial of a suspect needs no budget.
+		if s.attempt > 0 && s.permit.trial == nil && !s.d.budgets.allow(s.req.Organisation.Name, last.Code, s.answer.transcript.Sent()) {
+			s.d.table.meters.withheld.Inc(1)
 			return last
 		}
 		p, ok := s.pickNext()
 		if !ok {
 			return last
 		}
+		if c := retry.Hopeless(p.wait, timeLeft(ctx), p.service); c != code.OK && s.attempt == 0 {
+			s.d.table.release(p)
+			s.d.table.meters.hopeless.Inc(1)
+			return Result{Code: c}
+		}
 		s.attempt++
+		if s.attempt > 1 {
+			s.d.table.meters.retries.Inc(1)
+		}
 		s.tried = append(s.tried, p.id)
+		s.d.table.learn(p, s.req.Prefix)
 		last = s.try(ctx, p)
+		s.d.table.release(p)
 		if last.Code.Outcome() == code.Unknown && s.unknown == 0 {
 			s.unknown = last.Code
 		}
@@ -134,12 +144,12 @@
 	runCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	res, err := p.client.Run(runCtx, p.work, r, func(f peer.Frame) error { return s.answer.deliver(f, s.req.Stream, s.sink) })
-	out := Result{Code: res.Code, Detail: res.Detail, Upstream: p.id, RetryAfter: defaultRetryAfter}
+	out := Result{Code: res.Code, Detail: res.Detail, Upstream: p.id}
 	if err == nil && res.Code == code.OK {
 		err = s.answer.finish(s.sink)
 	}
 	if err == nil {
-		s.d.table.observe(p.id, res.Load)
+		s.d.table.observe(p.id, res.Load, s.d.table.opts.Now())
 		s.informLater(p, res.ConfigVersion)
 	} else {
 		if errors.Is(err, peer.ErrNotWhole) {
@@ -147,6 +157,9 @@
 			s.record(event.FrameDropped, p, code.AnswerNotWhole)
 		}
 		out.Code, out.Detail = s.settle(ctx, p, r, err), err.Error()
+		if out.Code == code.UpstreamUnreachable || out.Code == code.AgentLost {
+			s.d.table.lose(p.member)
+		}
 	}
 	if res.RetryAfterMillis > 0 {
 		out.RetryAfter = time.Duration(res.RetryAfterMillis) * time.Millisecond
@@ -155,22 +168,17 @@
 	return out
 }
 
-// startBudget bounds the time from sending an attempt to its start.
-const startBudget = 10 * time.Second
-
 // defaultDeadline stands in for the deadline of a context without one.
 const defaultDeadline = time.Minute
 
 func (s *session) message(ctx context.Context, p picked) peer.RunRequest {
-	left := defaultDeadline
-	if at, ok := ctx.Deadline(); ok {
-		left = time.Until(at)
-	}
+	left := timeLeft(ctx)
 	r := peer.RunRequest{
 		News:           s.d.table.news(),
 		Call:           s.call,
 		Request:        s.req.ID,
 		Attempt:        s.attempt,
+		From:           s.d.table.opts.Name,
 		Incarnation:    p.incarnation,
 		IssuedMillis:   p.issued.Milliseconds(),
 		Organisation:   s.req.Organisation.Name,
@@ -188,7 +196,7 @@
 		Fingerprint:    s.fingerprint,
 		Alone:          s.permit.trial != nil,
 		Cost:           s.req.Cost,
-		StartByMillis:  s.startBudget(left).Milliseconds(),
+		StartByMillis:  s.startBudget(left, p.service).Milliseconds(),
 		TimeoutMillis:  max(left.Milliseconds(), 1),
 	}
 	return r
--- a/pkg/dispatch/suspect.go
+++ b/pkg/dispatch/suspect.go
@@ -11,6 +11,7 @@
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/poison"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/retry"
 )
 
 // permitted prepares the next attempt of a request. It returns the result of a request
@@ -56,12 +57,12 @@
 func (s *session) pickNext() (picked, bool) {
 	w := target{s.req.Kind, s.req.Target}
 	if s.permit.trial == nil {
-		return s.d.table.pick(w, s.tried)
+		return s.d.table.pick(w, s.req.Prefix, s.tried)
 	}
-	if p, ok := s.d.table.pick(w, s.d.table.allBut(w, string(s.fingerprint))); ok {
+	if p, ok := s.d.table.pick(w, nil, s.d.table.allBut(w, string(s.fingerprint))); ok {
 		return p, true
 	}
-	return s.d.table.pick(w, nil)
+	return s.d.table.pick(w, nil, nil)
 }
 
 // allBut returns the IDs of all upstreams but one. That one is chosen by the key among
@@ -106,9 +107,9 @@
 
 // startBudget bounds the time to the start of an attempt. A trial may wait for as long
 // as the request has time, because other trials may come before it.
-func (s *session) startBudget(left time.Duration) time.Duration {
+func (s *session) startBudget(left, service time.Duration) time.Duration {
 	if s.permit.trial != nil {
 		return left
 	}
-	return min(left, startBudget)
+	return retry.StartBy(left, service)
 }
