--- a/pkg/dispatch/suspect.go
+++ b/pkg/dispatch/suspect.go
@@ -59,10 +59,10 @@
 	if s.permit.trial == nil {
 		return s.d.table.pick(w, s.req.Prefix, s.tried)
 	}
-	if p, ok := s.d.table.pick(w, nil, s.d.table.allBut(w, string(s.fingerprint))); ok {
+	if p, ok := s.d.table.pick(w, s.req.Prefix, s.d.table.allBut(w, string(s.fingerprint))); ok {
 		return p, true
 	}
-	return s.d.table.pick(w, nil, nil)
+	return s.d.table.pick(w, s.req.Prefix, nil)
 }
 
 // allBut returns the IDs of all upstreams but one. That one is chosen by the key among
--- a/pkg/expertmap/switch_test.go
+++ b/pkg/expertmap/switch_test.go
@@ -158,6 +158,21 @@
 	is.Equal(rank.Held(), []Ref{ran}) // no step ran on a newer map
 }
 
+// TestNewTermEndsTheStepInHand covers a rank that joined a step under the former term:
+// its answer must not count for the step of the new one.
+func TestNewTermEndsTheStepInHand(t *testing.T) {
+	is := is.New(t)
+	l := NewLeader(0, 1)
+	first := Map{Ranks: []int{0, 1}}.Seal(1)
+	begun := l.Lead(1, first)[0].Message.(Begin)
+	is.Equal(len(l.Answer(Answer{Rank: 0, Kind: Join, Step: begun.Step, Held: []Ref{first.Ref}})), 0)
+	second := l.Lead(3, Map{Ranks: []int{0, 1}}.Seal(3))
+	is.Equal(len(second), 2) // both ranks are asked anew
+	next := second[0].Message.(Begin)
+	is.Equal(next.Step.Number, begun.Step.Number+1)
+	is.Equal(len(l.Answer(Answer{Rank: 1, Kind: Join, Step: next.Step})), 0) // rank 0 has not joined it
+}
+
 func TestSealBindsContent(t *testing.T) {
 	is := is.New(t)
 	m := Map{Ranks: []int{0, 1}, Layers: []Layer{{Ranks: [][]Replica{{{Expert: 1, Share: 1}}, nil}}}}
