--- a/pkg/agent/agent_test.go
+++ b/pkg/agent/agent_test.go
@@ -258,7 +258,6 @@
 	is.Equal((<-trial).Code, code.UpstreamLost)
 	<-left
 	is.Equal(r.Status("").Verdicts[0].State, poison.Suspect)
-<<<<<<< HEAD
 }
 
 func TestNothingStartsOnAnUpstreamThatIsDown(t *testing.T) {
@@ -314,6 +313,4 @@
 	is.Equal(<-r.up.started, "1")
 	r.up.ends <- struct{}{}
 	is.Equal((<-a).Code, code.OK)
-=======
->>>>>>> main
 }
