--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -47,15 +47,20 @@
 	// verdicts are the requests known to crash upstreams.
 	verdicts *poison.Table
 	// cold is the state of the limiter that was last recorded.
-	cold    bool
-	tasks   map[string]*task
-	health  upstream.Health
-	up      bool
-	leaving bool
-	listed  peer.Listed
-	zoneOut bool
-	closed  bool
-	service float64
+	cold   bool
+	tasks  map[string]*task
+	health upstream.Health
+	up     bool
+	// doubts counts the lost runs. An answer to a health question that was asked before
+	// the newest of them says nothing.
+	doubts int
+	// checking counts the lost runs for which the upstream is being asked how it is.
+	checking int
+	leaving  bool
+	listed   peer.Listed
+	zoneOut  bool
+	closed   bool
+	service  float64
 
 	workers sync.WaitGroup
 	cancel  context.CancelFunc
