--- a/pkg/dispatch/session.go
+++ b/pkg/dispatch/session.go
@@ -196,7 +196,7 @@
 		Fingerprint:    s.fingerprint,
 		Alone:          s.permit.trial != nil,
 		Cost:           s.req.Cost,
-		StartByMillis:  retry.StartBy(left, p.service).Milliseconds(),
+		StartByMillis:  s.startBudget(left, p.service).Milliseconds(),
 		TimeoutMillis:  max(left.Milliseconds(), 1),
 	}
 	return r
