Carry cache events from engines over agents to entries

An engine publishes the events of its prefix cache late and with gaps; the agent relays them with numbers of its own, an entry asks for what it lacks in its status call.

Seen failing: without the check of the asked number in learnEvents an overtaken answer removes what a newer one stored (TestPickFollowsCacheEvents); restored.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -53,6 +53,7 @@
 	up      bool
 	leaving bool
 	listed  peer.Listed
+	cache   cacheRelay
 	zoneOut bool
 	closed  bool
 	service float64
--- a/pkg/agent/status.go
+++ b/pkg/agent/status.go
@@ -43,7 +43,11 @@
 func (a *Agent) AnswerStatus(_ context.Context, _ *jsonrpc2.Conn, r peer.StatusRequest) (peer.Status, error) {
 	a.events.Clock().Observe(r.Stamp)
 	a.heed(r.Listed)
-	return a.Status(r.From), nil
+	s := a.Status(r.From)
+	a.mu.Lock()
+	s.Cache = a.cache.log.Since(r.CacheAfter)
+	a.mu.Unlock()
+	return s, nil
 }
 
 // Configure serves peer.MethodConfigure: it adopts the document when it is newer.
@@ -63,6 +67,9 @@
 	for ctx.Err() == nil {
 		h, err := a.client.Health(ctx)
 		a.observe(h, err == nil)
+		if err == nil {
+			a.relayCache(ctx)
+		}
 		pause(ctx, time.Duration(a.settings.ProbeMillis)*time.Millisecond)
 	}
 }
@@ -77,6 +84,7 @@
 	}
 	if h.Incarnation != a.health.Incarnation {
 		a.limiter.Reset()
+		a.cache.restart()
 		a.limitChanged("new incarnation")
 	}
 	a.health = h
--- a/pkg/dispatch/refresh.go
+++ b/pkg/dispatch/refresh.go
@@ -8,6 +8,7 @@
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/instancelist"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/prefix"
 )
 
 // statusCall bounds a status call.
@@ -18,6 +19,8 @@
 	id     string
 	client *peer.Client
 	listed peer.Listed
+	// cacheAfter is the number of the first cache event that the table lacks.
+	cacheAfter int64
 }
 
 // probes appends a status call for each other process to out.
@@ -30,7 +33,7 @@
 			continue
 		}
 		listed := peer.Listed{Leaving: m.instance.State == instancelist.Leaving, Revision: m.instance.Revision}
-		out = append(out, probe{id: id, client: m.client, listed: listed})
+		out = append(out, probe{id: id, client: m.client, listed: listed, cacheAfter: m.cacheAfter})
 	}
 	return out
 }
@@ -49,7 +52,7 @@
 	ctx, cancel := context.WithTimeout(ctx, statusCall)
 	defer cancel()
 	asked := t.opts.Now()
-	r := peer.StatusRequest{News: t.news(), From: t.opts.Name, Listed: p.listed}
+	r := peer.StatusRequest{News: t.news(), From: t.opts.Name, Listed: p.listed, CacheAfter: p.cacheAfter}
 	s, err := peer.Call[peer.Status](ctx, p.client, peer.MethodStatus, r)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		t.loseByID(p.id)
@@ -58,9 +61,22 @@
 		return
 	}
 	t.observe(p.id, s, asked)
+	t.learnEvents(p, s.Cache)
 	t.inform(ctx, p.client, s.ConfigVersion)
 }
 
+// learnEvents takes in the cache events of an upstream.
+func (t *Table) learnEvents(p probe, e prefix.Events) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m := t.members[p.id]
+	if m == nil || m.cacheAfter != p.cacheAfter {
+		return
+	}
+	t.prefixes.Apply(m.key, e, t.since(t.opts.Now()))
+	m.cacheAfter = e.Next
+}
+
 func (t *Table) loseByID(id string) {
 	t.mu.Lock()
 	m := t.members[id]
--- a/pkg/dispatch/table.go
+++ b/pkg/dispatch/table.go
@@ -29,6 +29,8 @@
 	received time.Time
 	// own counts the attempts of this entry in progress.
 	own int32
+	// cacheAfter is the number of the first cache event that is not known yet.
+	cacheAfter int64
 	// lost is set after a failed contact until the next status.
 	lost bool
 	// slots are the places of the upstream among the candidates of its targets.
@@ -155,6 +157,7 @@
 	if s.Incarnation != m.status.Incarnation {
 		// A new agent stands beside a new upstream, whose cache is empty.
 		t.prefixes.Forget(m.key, t.since(t.opts.Now()))
+		m.cacheAfter = 0
 	}
 	moved := !slices.Equal(s.Models, m.status.Models) || !slices.Equal(s.Services, m.status.Services)
 	m.status = s
--- a/pkg/dispatch/table_test.go
+++ b/pkg/dispatch/table_test.go
@@ -12,6 +12,7 @@
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/instancelist"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/prefix"
 )
 
 // bench is a table with a clock that tests move.
@@ -184,6 +185,32 @@
 	}
 }
 
+// What other entries sent reaches this one by the cache events of the upstream; a doubled
+// or overtaken answer changes nothing, and a new incarnation ends what was known.
+func TestPickFollowsCacheEvents(t *testing.T) {
+	is := is.New(t)
+	b := newBench(16)
+	prompt := []uint64{1, 2, 3, 4, 5, 6, 7, 8}
+	for i := range b.list {
+		b.list[i].Control = "127.0.0.1:1"
+	}
+	b.SetInstances(b.list)
+	b.report()
+	at := b.probes(nil)[6]
+	e := prefix.Events{First: 0, Next: 8, Stored: prompt}
+	b.learnEvents(at, e)
+	b.learnEvents(at, prefix.Events{First: 0, Next: 9, Removed: prompt})
+	p, _ := b.pick(work, prompt, nil)
+	is.Equal(p.id, at.id)
+	is.Equal(b.probes(nil)[6].cacheAfter, int64(8))
+	b.release(p)
+	b.now = b.now.Add(time.Second)
+	b.status(at.id, func(s *peer.Status) { s.Incarnation = "two" })
+	is.Equal(b.probes(nil)[6].cacheAfter, int64(0))
+	b.prefixes.Look(prompt, b.since(b.now), &b.matches)
+	is.Equal(len(b.matches.All()), 0)
+}
+
 func TestPickAllocatesNothing(t *testing.T) {
 	b := newBench(200)
 	tried := []string{"up-3"}
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -4,6 +4,7 @@
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/event"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/poison"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/prefix"
 )
 
 // Methods of the protocol.
@@ -143,6 +144,8 @@
 	// From is the name of the asking process.
 	From   string `json:"from"`
 	Listed Listed `json:"listed"`
+	// CacheAfter is the number of the first cache event that the asking process lacks.
+	CacheAfter int64 `json:"cache_after,omitempty"`
 }
 
 // Status is the state of an agent and its upstream.
@@ -172,6 +175,8 @@
 	Reachable bool `json:"reachable"`
 	// ServiceMillis is the mean service time of the newest requests.
 	ServiceMillis float64 `json:"service_ms"`
+	// Cache holds cache events of the upstream, in answers to a status call only.
+	Cache prefix.Events `json:"cache,omitzero"`
 	// Verdicts are the newest verdicts on requests that crash upstreams.
 	Verdicts []poison.Verdict `json:"verdicts,omitempty"`
 }
--- a/pkg/prefix/index.go
+++ b/pkg/prefix/index.go
@@ -15,13 +15,13 @@
 type Events struct {
 	// First is the number of the first event and Next the number after the last; they
 	// rise within an incarnation of the upstream.
-	First int64
-	Next  int64
+	First int64 `json:"first"`
+	Next  int64 `json:"next"`
 	// Stored and Removed are block hashes.
-	Stored  []uint64
-	Removed []uint64
+	Stored  []uint64 `json:"stored,omitempty"`
+	Removed []uint64 `json:"removed,omitempty"`
 	// Cleared is set when the upstream lost its cache before these events.
-	Cleared bool
+	Cleared bool `json:"cleared,omitempty"`
 }
 
 // holder is an upstream that holds a block.
--- /dev/null
+++ b/pkg/prefix/log_test.go
@@ -0,0 +1,62 @@
+package prefix
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// follow reads a log into an index until nothing new comes.
+func follow(l *Log, x *Index, after int64, now time.Duration) int64 {
+	for {
+		e := l.Since(after)
+		x.Apply(1, e, now)
+		if e.Next == after {
+			return after
+		}
+		after = e.Next
+	}
+}
+
+func TestLogRelaysEventsGapsAndClears(t *testing.T) {
+	is := is.New(t)
+	var engine, agent Log
+	x := New(100)
+	relay, read := int64(0), int64(0)
+	step := func(now time.Duration) {
+		for {
+			e := engine.Since(relay)
+			next := agent.Take(e, relay)
+			if next == relay {
+				break
+			}
+			relay = next
+		}
+		read = follow(&agent, x, read, now)
+	}
+	engine.Add([]uint64{11, 12}, nil)
+	step(0)
+	is.Equal(look(x, []uint64{11, 12}, time.Second), map[uint64]int32{1: 2})
+	engine.Skip()
+	engine.Add([]uint64{13}, []uint64{12})
+	step(time.Second)
+	is.Equal(look(x, []uint64{11, 12}, 2*time.Second), map[uint64]int32{1: 1})
+	is.Equal(look(x, []uint64{11}, 2*time.Second+Doubt), map[uint64]int32{}) // the gap reached the index
+	engine.Clear()
+	engine.Add([]uint64{21}, nil)
+	step(3 * time.Second)
+	is.Equal(look(x, []uint64{13}, 4*time.Second), map[uint64]int32{})
+	is.Equal(look(x, []uint64{21}, 4*time.Second), map[uint64]int32{1: 1})
+}
+
+func TestLogIsBounded(t *testing.T) {
+	is := is.New(t)
+	var l Log
+	for i := range uint64(10 * LogSize) {
+		l.Add([]uint64{i}, nil)
+		is.True(len(l.items) < 2*LogSize)
+	}
+	e := l.Since(0)
+	is.True(e.First > 0 && len(e.Stored) == maxEvents)
+}
--- a/pkg/standin/model/server.go
+++ b/pkg/standin/model/server.go
@@ -43,7 +43,8 @@
 
 // Server is the stand-in. It is safe for concurrent use.
 type Server struct {
-	opts Options
+	opts  Options
+	cache promptCache
 
 	mu          sync.Mutex
 	incarnation string
@@ -65,6 +66,7 @@
 	s.incarnation = uuid.NewString()
 	s.limit = s.opts.ColdLimit
 	s.crash = make(chan struct{})
+	s.cache.clear()
 	s.ledger.Running = 0
 }
 
@@ -75,6 +77,7 @@
 	g.GET("/ledger", func(c *gin.Context) { c.JSON(http.StatusOK, s.Ledger()) })
 	g.POST("/crash", func(c *gin.Context) { s.Crash() })
 	g.GET("/health", s.health)
+	g.GET("/cache-events", s.cache.events)
 	g.POST("/v1/chat/completions", s.completions)
 	return g
 }
@@ -148,7 +151,7 @@
 
 func (s *Server) completions(c *gin.Context) {
 	var b body
-	if err := c.ShouldBindJSON(&b); err != nil {
+	if err := c.ShouldBindBodyWithJSON(&b); err != nil {
 		c.JSON(http.StatusBadRequest, gin.H{"error": err.Error()})
 		return
 	}
@@ -156,6 +159,7 @@
 	if !ok {
 		panic(http.ErrAbortHandler)
 	}
+	s.cache.add(c.MustGet(gin.BodyBytesKey).([]byte))
 	whole := false
 	defer func() { s.end(j, whole) }()
 	if b.Stream {
--- a/pkg/upstream/http.go
+++ b/pkg/upstream/http.go
@@ -55,22 +55,27 @@
 // Health reads GET /health.
 func (h *HTTP) Health(ctx context.Context) (Health, error) {
 	var out Health
+	err := h.GetJSON(ctx, "/health", &out)
+	return out, err
+}
+
+// GetJSON reads a small JSON document of the upstream.
+func (h *HTTP) GetJSON(ctx context.Context, path string, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, h.base+"/health", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, h.base+path, nil)
 	if err != nil {
-		return out, oops.Wrapf(err, "health request")
+		return oops.Wrapf(err, "request %s", path)
 	}
 	resp, err := h.reuse.Do(req)
 	if err != nil {
-		return out, oops.Wrapf(err, "health")
+		return oops.Wrapf(err, "get %s", path)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return out, oops.Errorf("health status %d", resp.StatusCode)
+		return oops.Errorf("get %s: status %d", path, resp.StatusCode)
 	}
-	err = json.NewDecoder(resp.Body).Decode(&out)
-	return out, err
+	return json.NewDecoder(resp.Body).Decode(out)
 }
 
 // Send sends a request and returns the response. It returns ErrNotSent when no
