--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -58,6 +58,7 @@
 	checking int
 	leaving  bool
 	listed   peer.Listed
+	cache    cacheRelay
 	zoneOut  bool
 	closed   bool
 	service  float64
