Share the weight store's rate among groups by grants in windows

Cause: nothing bounded what groups load together.

Ruled out: equal parts, an owner of the budget, a token bucket over clocks that differ (see docs/design/weight-store-budget.md).

Seen failing first: without the check for a former window 9,701 bytes were granted where 9,700 is the bound, without counting what was granted 4,301 of 4,300.

--- a/internal/fleet/ranks.go
+++ b/internal/fleet/ranks.go
@@ -14,6 +14,9 @@
 // controllers is the number of controllers of StartRanks.
 const controllers = 2
 
+// weightRate is the rate of the weight store in replicas a second.
+const weightRate = 16
+
 // StartRanks starts a platform, a rank group and two controllers. Upstreams maps the
 // name of each rank to the base URL of its record.
 func StartRanks(ctx context.Context, o Options, ranks int) (*Fleet, error) {
@@ -80,6 +83,7 @@
 	s.TickMillis = 50
 	s.PlanMillis = 200
 	s.LostMillis = 3_000
+	s.WeightStore = controller.WeightStoreSettings{BytesPerSecond: weightRate, ExpertBytes: 1}
 	s.Groups = []controller.GroupSettings{{Name: GroupName, Ranks: peers, SpareSlots: 1}}
 	if err := f.startWith(s.Name, "coltsfoot-controller", address, s); err != nil {
 		return err
--- a/pkg/controller/group.go
+++ b/pkg/controller/group.go
@@ -15,6 +15,7 @@
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/platform"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/rankgroup"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/weightstore"
 )
 
 // group owns one rank group while it holds the group's lease. One mutex guards the
@@ -27,6 +28,8 @@
 	ranks    []*peer.Client
 	events   *event.Recorder
 	meters   groupMeters
+	// share is nil when the weight store has no bound.
+	share *weightstore.Share
 
 	mu      sync.Mutex
 	owner   *expertmap.Owner
@@ -40,6 +43,7 @@
 type groupMeters struct {
 	switches metrics.Counter
 	loads    metrics.Counter
+	delayed  metrics.Counter
 	skew     metrics.GaugeFloat64
 }
 
@@ -47,6 +51,7 @@
 	return groupMeters{
 		switches: metrics.GetOrRegisterCounter("group_"+name+"_switches", r),
 		loads:    metrics.GetOrRegisterCounter("group_"+name+"_replica_loads", r),
+		delayed:  metrics.GetOrRegisterCounter("group_"+name+"_replica_loads_delayed", r),
 		skew:     metrics.GetOrRegisterGaugeFloat64("group_"+name+"_skew", r),
 	}
 }
@@ -58,6 +63,9 @@
 		meters: newGroupMeters(g.Name, reg),
 		heard:  make([]time.Time, len(g.Ranks)),
 	}
+	if rate := s.WeightStore.BytesPerSecond; rate > 0 {
+		out.share = weightstore.NewShare(p, g.Name, rate)
+	}
 	for _, address := range g.Ranks {
 		out.ranks = append(out.ranks, peer.NewClient(address, c))
 	}
--- a/pkg/controller/plan.go
+++ b/pkg/controller/plan.go
@@ -33,17 +33,66 @@
 	if err != nil || len(loads.Layers) == 0 {
 		return
 	}
+	if wanted := g.observe(living, loads.Layers); wanted > 0 {
+		g.move(g.claim(ctx, wanted))
+	}
+}
+
+// observe takes in loads and wishes a map with new shares. It returns the number of
+// replicas that the group would load for a better one.
+func (g *group) observe(living []int, loads [][]float64) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.owner == nil || g.owner.Record().Fence != g.owner.Fence() {
 		// The record is not known yet.
-		return
+		return 0
 	}
 	if g.plans.planner == nil || !slices.Equal(living, g.plans.living) {
-		g.restart(living, loads.Layers)
+		g.restart(living, loads)
+		return 0
+	}
+	p := g.plans.planner
+	p.Observe(loads)
+	g.meters.skew.Update(p.Skew())
+	if !g.owner.Idle() {
+		return 0
+	}
+	moves := len(p.Plan().Moves)
+	if moves == 0 {
+		g.wish()
+	}
+	return moves
+}
+
+// claim asks for a part of the weight store's rate and returns the number of replicas
+// that may be loaded now.
+func (g *group) claim(ctx context.Context, wanted int) int {
+	if g.share == nil {
+		return wanted
+	}
+	size := g.settings.WeightStore.ExpertBytes
+	given, err := g.share.Claim(ctx, time.Now(), int64(wanted)*size)
+	if err != nil {
+		// The moves wait for the next plan.
+		given = 0
+	}
+	n := int(given / size)
+	g.meters.delayed.Inc(int64(wanted - n))
+	return n
+}
+
+// move plans again within a number of replicas and wishes the outcome.
+func (g *group) move(limit int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.owner == nil || g.plans.planner == nil {
 		return
 	}
-	g.improve(loads.Layers)
+	p := g.plans.planner
+	plan := p.PlanWithin(limit)
+	g.meters.loads.Inc(int64(len(plan.Moves)))
+	p.Commit(plan)
+	g.wish()
 }
 
 // living asks the ranks that were not heard of for a while, and returns those that
@@ -119,21 +168,6 @@
 	g.wish()
 }
 
-// improve takes in loads and wishes a map with new shares and, where they pay, moves.
-// Group.mu is held.
-func (g *group) improve(loads [][]float64) {
-	p := g.plans.planner
-	p.Observe(loads)
-	g.meters.skew.Update(p.Skew())
-	if !g.owner.Idle() {
-		return
-	}
-	plan := p.Plan()
-	g.meters.loads.Inc(int64(len(plan.Moves)))
-	p.Commit(plan)
-	g.wish()
-}
-
 func (g *group) wish() {
 	m := g.plans.planner.Map(g.plans.living)
 	g.owner.Wish(expertmap.Wish(&m))
--- a/pkg/controller/settings.go
+++ b/pkg/controller/settings.go
@@ -16,6 +16,14 @@
 	SpareSlots int `yaml:"spare_slots" validate:"min=0"`
 }
 
+// WeightStoreSettings bound what the rank groups load. A rate of 0 means no bound.
+type WeightStoreSettings struct {
+	// BytesPerSecond is the rate of the store, shared by all groups.
+	BytesPerSecond int64 `yaml:"bytes_per_second" validate:"min=0"`
+	// ExpertBytes is the size of one expert's weights in one layer.
+	ExpertBytes int64 `yaml:"expert_bytes" validate:"min=1"`
+}
+
 // Settings are the settings of coltsfoot-controller.
 type Settings struct {
 	process.Common `yaml:",inline"`
@@ -25,6 +33,8 @@
 	LeaseMillis int64 `yaml:"lease_ms" validate:"min=100"`
 	// Groups lists the rank groups; it may be empty.
 	Groups []GroupSettings `yaml:"groups,omitempty" validate:"unique=Name,dive"`
+	// WeightStore bounds the weights that groups load.
+	WeightStore WeightStoreSettings `yaml:"weight_store"`
 	// TickMillis is the interval in which orders are repeated.
 	TickMillis int64 `yaml:"tick_ms" validate:"min=10"`
 	// PlanMillis is the interval in which placements are planned.
@@ -37,7 +47,8 @@
 func DefaultSettings() Settings {
 	return Settings{
 		Common: process.DefaultCommon(), LeaseMillis: 15_000,
-		TickMillis: 200, PlanMillis: 10_000, LostMillis: 10_000,
+		WeightStore: WeightStoreSettings{ExpertBytes: 44 << 20},
+		TickMillis:  200, PlanMillis: 10_000, LostMillis: 10_000,
 	}
 }
 
--- a/pkg/placement/planner.go
+++ b/pkg/placement/planner.go
@@ -147,10 +147,14 @@
 }
 
 // Plan weighs moves for the layers, the most skewed first.
-func (p *Planner) Plan() Plan {
+func (p *Planner) Plan() Plan { return p.PlanWithin(p.options.MovesPerPlan) }
+
+// PlanWithin is Plan with another bound on the replicas to be loaded.
+func (p *Planner) PlanWithin(limit int) Plan {
+	limit = min(limit, p.options.MovesPerPlan)
 	plan := Plan{layers: map[int]*Layer{}}
 	for _, i := range p.bySkew() {
-		left := p.options.MovesPerPlan - len(plan.Moves)
+		left := limit - len(plan.Moves)
 		if left <= 0 {
 			break
 		}
