--- a/pkg/placement/layer.go
+++ b/pkg/placement/layer.go
@@ -15,6 +15,9 @@
 	// load is the load of each rank, and total that of all ranks.
 	load  []float64
 	total float64
+	// handicap is the part of an equal load that a rank is not to bear; nil means none.
+	// It is counted as load that cannot be moved.
+	handicap []float64
 	// order holds scratch space of the water filling.
 	order []int
 	route route
@@ -50,6 +53,7 @@
 	}
 	copy(l.load, o.load)
 	l.total = o.total
+	l.handicap = o.handicap
 }
 
 // Held returns the experts on a rank. The caller must not change it.
@@ -96,8 +100,7 @@
 
 // SetLoads takes in the load of each expert. The shares of the replicas stay.
 func (l *Layer) SetLoads(loads []float64) {
-	clear(l.load)
-	l.total = 0
+	l.burden(sumOf(loads))
 	for e, want := range loads {
 		l.total += want
 		sum := 0.0
@@ -115,6 +118,25 @@
 	}
 }
 
+// SetHandicaps sets, by rank, the part of an equal load, from 0 to below 1, that a rank
+// is not to bear because it is slow. It counts from the next SetLoads on.
+func (l *Layer) SetHandicaps(parts []float64) { l.handicap = parts }
+
+// burden starts the ranks with the loads that stand for their handicaps: with
+// capacities that sum up to c, a rank in balance bears its capacity times total/c.
+func (l *Layer) burden(total float64) {
+	clear(l.load)
+	l.total = 0
+	if l.handicap == nil {
+		return
+	}
+	level := total / (float64(len(l.load)) - sumOf(l.handicap))
+	for r, h := range l.handicap {
+		l.load[r] = h * level
+		l.total += h * level
+	}
+}
+
 // Max returns the load of the fullest rank.
 func (l *Layer) Max() float64 { return slices.Max(l.load) }
 
--- a/pkg/placement/planner.go
+++ b/pkg/placement/planner.go
@@ -79,6 +79,14 @@
 // Layers returns the placement. The caller must not change it.
 func (p *Planner) Layers() []*Layer { return p.layers }
 
+// SetHandicaps sets, by rank, the part of an equal load that a slow rank is not to bear.
+// It counts from the next Observe on.
+func (p *Planner) SetHandicaps(parts []float64) {
+	for _, l := range p.layers {
+		l.SetHandicaps(parts)
+	}
+}
+
 // Observe takes in the loads of the experts of each layer in the newest interval and
 // shares those expected in the next one anew among the replicas in place.
 func (p *Planner) Observe(loads [][]float64) {
