--- a/pkg/agent/status.go
+++ b/pkg/agent/status.go
@@ -61,16 +61,22 @@
 func (a *Agent) probe(ctx context.Context) {
 	defer a.workers.Done()
 	for ctx.Err() == nil {
+		asked := a.asks()
 		h, err := a.client.Health(ctx)
-		a.observe(h, err == nil)
+		a.observe(h, err == nil, asked)
 		pause(ctx, time.Duration(a.settings.ProbeMillis)*time.Millisecond)
 	}
 }
 
-// observe takes in a health answer. A new incarnation of the upstream starts cold.
-func (a *Agent) observe(h upstream.Health, up bool) {
+// observe takes in the answer to a health question that was asked after so many doubts.
+// A new incarnation of the upstream starts cold.
+func (a *Agent) observe(h upstream.Health, up bool, asked int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	defer a.wake.Broadcast()
+	if asked != a.doubts {
+		return
+	}
 	a.up = up
 	if !up {
 		return
@@ -80,5 +86,4 @@
 		a.limitChanged("new incarnation")
 	}
 	a.health = h
-	a.wake.Broadcast()
 }
