--- a/test/policy/model_test.go
+++ b/test/policy/model_test.go
@@ -121,7 +121,7 @@
 // clock returns the virtual time for packages that take a time.Time.
 func (w *world) clock() time.Time { return time.Unix(1_000_000, 0).Add(w.now) }
 
-// organisations: the first sends more than all others together.
+// organisations of the callers; the first sends more than all others together.
 var organisations = []string{"dominant", "small-1", "small-2", "small-3", "small-4"}
 
 func (w *world) organisation() string {
@@ -131,7 +131,7 @@
 	return organisations[1+w.rng.IntN(len(organisations)-1)]
 }
 
-// weights of the organisations are equal.
+// organisation holds the equal weight of all organisations.
 var organisation = configuration.Organisation{Weight: 1}
 
 // route chooses an agent for a request of an entry, or -1.
@@ -289,7 +289,7 @@
 	return b
 }
 
-// own routing: what an entry of the system does.
+// systemRoute decides as an entry of the system does.
 func systemRoute(e *entry, r *request) int {
 	e.turn++
 	for _, i := range r.tried {
