--- a/pkg/agent/status.go
+++ b/pkg/agent/status.go
@@ -65,8 +65,9 @@
 func (a *Agent) probe(ctx context.Context) {
 	defer a.workers.Done()
 	for ctx.Err() == nil {
+		asked := a.asks()
 		h, err := a.client.Health(ctx)
-		a.observe(h, err == nil)
+		a.observe(h, err == nil, asked)
 		if err == nil {
 			a.relayCache(ctx)
 		}
@@ -74,10 +75,15 @@
 	}
 }
 
-// observe takes in a health answer. A new incarnation of the upstream starts cold.
-func (a *Agent) observe(h upstream.Health, up bool) {
+// observe takes in the answer to a health question that was asked after so many doubts.
+// A new incarnation of the upstream starts cold.
+func (a *Agent) observe(h upstream.Health, up bool, asked int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	defer a.wake.Broadcast()
+	if asked != a.doubts {
+		return
+	}
 	a.up = up
 	if !up {
 		return
@@ -88,5 +94,4 @@
 		a.limitChanged("new incarnation")
 	}
 	a.health = h
-	a.wake.Broadcast()
 }
