Hand changes on at once and serve nobody after a server closed

Cause: a change waited for the next probe at each hop of a tree, up to 3 s; and a connection that was accepted while a server closed was served on, so that a test saw a stopped process alive (one of five runs of pkg/news). Each process pushes a change when it has it, from what the other was last known to have. Seen failing: no push (the change does not arrive between probes); without the closed flag.

--- a/pkg/entry/node.go
+++ b/pkg/entry/node.go
@@ -111,6 +111,7 @@
 	n.life.Set(time.Now(), time.Duration(ttl)*time.Second)
 	n.lifeMu.Unlock()
 	n.events.Record(event.Event{Kind: event.ConfigAdopted, ConfigVersion: version})
+	n.watch.Spread()
 	n.poller.Wake()
 }
 
--- a/pkg/news/choose.go
+++ b/pkg/news/choose.go
@@ -1,6 +1,8 @@
 package news
 
 import (
+	"slices"
+
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/instancelist"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/membership"
 )
@@ -10,6 +12,8 @@
 	control string
 	// far is set for a process of another zone.
 	far bool
+	// hand is set when changes are handed on to the process at once.
+	hand bool
 	// others are its other watchers.
 	others []string
 }
@@ -20,13 +24,14 @@
 	entries, agents, control := split(list)
 	out := map[string]chosen{}
 	tree := membership.NewTree(o.Zone, entries)
-	for _, id := range append(tree.Parents(o.Name), tree.Children(o.Name)...) {
+	children := tree.Children(o.Name)
+	for _, id := range append(tree.Parents(o.Name), children...) {
 		others := append(tree.Parents(id), tree.Children(id)...)
-		out[id] = chosen{control: control[id], others: without(others, o.Name)}
+		out[id] = chosen{control: control[id], others: without(others, o.Name), hand: slices.Contains(children, id)}
 	}
 	if tree.Relay(o.Name) {
 		for _, id := range relaysOf(entries, o.Zone) {
-			out[id] = chosen{control: control[id], far: true}
+			out[id] = chosen{control: control[id], far: true, hand: true}
 		}
 	}
 	self := membership.Member{ID: o.Name, Zone: o.Zone, Region: o.Region}
@@ -35,7 +40,7 @@
 		for _, w := range membership.Watchers(a, entries) {
 			others = append(others, w.ID)
 		}
-		out[a.ID] = chosen{control: control[a.ID], far: a.Zone != o.Zone, others: without(others, o.Name)}
+		out[a.ID] = chosen{control: control[a.ID], far: a.Zone != o.Zone, hand: true, others: without(others, o.Name)}
 	}
 	delete(out, o.Name)
 	return out
--- a/pkg/news/watch.go
+++ b/pkg/news/watch.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -49,6 +51,10 @@
 	// known holds the last incarnation that answered, and conns the connection that it answered on.
 	known map[string]string
 	conns map[string]*jsonrpc2.Conn
+	// versions holds the newest version of the configuration known of each process.
+	versions map[string]int64
+	// handTo are the processes that changes are handed on to at once.
+	handTo []string
 }
 
 const (
@@ -81,6 +87,7 @@
 		clients:     map[string]*peer.Client{},
 		known:       map[string]string{},
 		conns:       map[string]*jsonrpc2.Conn{},
+		versions:    map[string]int64{},
 	}
 }
 
@@ -140,14 +147,19 @@
 			delete(w.clients, id)
 			delete(w.known, id)
 			delete(w.conns, id)
+			delete(w.versions, id)
 			c.Close()
 		}
 	}
+	w.handTo = w.handTo[:0]
 	now := time.Now()
 	for id, t := range targets {
 		if w.clients[id] == nil {
 			w.clients[id] = peer.NewClient(t.control, w.opts.Credentials)
 		}
+		if t.hand {
+			w.handTo = append(w.handTo, id)
+		}
 		if t.far {
 			w.detector.WatchFar(now, id)
 		} else {
@@ -221,7 +233,7 @@
 		return w.detector.Answered(now, id, r.Incarnation)
 	})
 	w.follow(ctx, id, c)
-	w.handOn(ctx, c, r)
+	w.handOn(ctx, id, c, r)
 }
 
 // follow probes a process at once when its connection closes.
@@ -259,19 +271,65 @@
 
 // handOn gives a process the configuration and the instance list that it lacks. A failed call
 // is made good after the next probe.
-func (w *Watch) handOn(ctx context.Context, c *peer.Client, r peer.ProbeResult) {
+func (w *Watch) handOn(ctx context.Context, id string, c *peer.Client, r peer.ProbeResult) {
 	ctx, cancel := context.WithTimeout(ctx, handLimit)
 	defer cancel()
-	if version := w.opts.Config.View().Version(); r.Config < version {
-		w.handed.Inc(1)
-		_, _ = peer.Inform(ctx, c, peer.News{Stamp: w.opts.Events.Clock().Now(), ConfigVersion: version}, w.opts.Config, r.Config)
-	}
+	w.inform(ctx, id, c, r.Config)
 	if revision, _ := w.opts.List.Position(); r.Cut && r.List < revision {
 		w.handed.Inc(1)
 		_, _ = peer.Call[InstancesResult](ctx, c, MethodInstances, InstancesRequest{List: w.opts.List.Snapshot()})
 	}
 }
 
+// inform hands the configuration to a process that was last known to have a version. What it
+// has afterwards is remembered, so that the next change needs no probe.
+func (w *Watch) inform(ctx context.Context, id string, c *peer.Client, has int64) {
+	version := w.opts.Config.View().Version()
+	if has < version {
+		w.handed.Inc(1)
+		has, _ = peer.Inform(ctx, c, peer.News{Stamp: w.opts.Events.Clock().Now(), ConfigVersion: version}, w.opts.Config, has)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.clients[id] == c {
+		w.versions[id] = max(w.versions[id], has)
+	}
+}
+
+// ProbeAll probes all watched processes once and returns when that is done.
+func (w *Watch) ProbeAll(ctx context.Context) {
+	w.mu.Lock()
+	ids := slices.Collect(maps.Keys(w.clients))
+	w.mu.Unlock()
+	for _, id := range ids {
+		w.probe(ctx, id)
+	}
+}
+
+// Spread hands the configuration on at once to the children in the trees and the watched
+// agents. Call it when a document was put in force.
+func (w *Watch) Spread() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, id := range w.handTo {
+		w.later(func(ctx context.Context) { w.push(ctx, id) })
+	}
+}
+
+// push hands the configuration to a process that has answered before.
+func (w *Watch) push(ctx context.Context, id string) {
+	w.mu.Lock()
+	c, has := w.clients[id], w.versions[id]
+	w.mu.Unlock()
+	if c == nil || has == 0 {
+		// A process that has not answered yet is informed after its first answer.
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, handLimit)
+	defer cancel()
+	w.inform(ctx, id, c, has)
+}
+
 // ask asks another watcher to probe a suspect.
 func (w *Watch) ask(ctx context.Context, c membership.Confirm) {
 	suspect, other := w.client(c.ID), w.other(c.By)
--- a/pkg/news/watch_test.go
+++ b/pkg/news/watch_test.go
@@ -35,13 +35,17 @@
 }
 
 func start(is *is.I, id, zone, address string) *process {
+	return startWith(is, id, zone, address, 100*time.Millisecond)
+}
+
+func startWith(is *is.I, id, zone, address string, interval time.Duration) *process {
 	cr, err := peer.NewCredentials(peer.CredentialSettings{})
 	is.NoErr(err)
 	p := &process{id: id, config: &configuration.Holder{}, events: event.NewRecorder(id, event.NewClock(nil), nil), server: peer.NewServer(cr)}
 	p.list = instancelist.New(instancelist.Options{OnChange: func(l []instancelist.Instance) { p.watch.SetInstances(l) }})
 	p.watch = news.New(news.Options{
 		Name: id, Zone: zone, Region: "r", Config: p.config, List: p.list, Events: p.events, Credentials: cr,
-		Membership: membership.Options{Interval: 100 * time.Millisecond, Timeout: 2 * time.Second, Suspicion: 4 * time.Second, Confirmers: 2},
+		Membership: membership.Options{Interval: interval, Timeout: 2 * time.Second, Suspicion: 4 * time.Second, Confirmers: 2},
 	})
 	p.watch.Register(p.server)
 	peer.Handle(p.server, peer.MethodConfigure, p.configure)
@@ -57,7 +61,9 @@
 
 func (p *process) configure(_ context.Context, _ *jsonrpc2.Conn, r peer.ConfigureRequest) (peer.ConfigureResult, error) {
 	// An update that builds on another document is answered with the version in force.
-	_, _ = p.config.Take(r.Update)
+	if took, _ := p.config.Take(r.Update); took {
+		p.watch.Spread()
+	}
 	return peer.ConfigureResult{News: peer.News{ConfigVersion: p.config.View().Version()}}, nil
 }
 
@@ -162,3 +168,43 @@
 	is.True(table.Take(newer))
 	is.Equal(table.All()[0].ID, "b")
 }
+
+// Between two probes a change reaches all at once, hop by hop.
+func TestSpreadDoesNotWaitForProbes(t *testing.T) {
+	is := is.New(t)
+	var all []*process
+	for i := range 6 {
+		all = append(all, startWith(is, fmt.Sprintf("entry-%d", i), fmt.Sprintf("zone-%d", i%2), "127.0.0.1:0", time.Hour))
+	}
+	defer func() {
+		for _, p := range all {
+			p.stop()
+		}
+	}()
+	first := &configuration.Document{Version: 1, Edit: "a", Limits: configuration.DefaultLimits()}
+	for _, p := range all {
+		p.config.Adopt(first)
+	}
+	for _, p := range all {
+		p.feed(is, 50, all...)
+	}
+	for _, p := range all {
+		p.watch.ProbeAll(context.Background())
+	}
+	next := *first
+	next.Version, next.Edit = 2, "b"
+	var members []membership.Member
+	for i, p := range all {
+		members = append(members, membership.Member{ID: p.id, Zone: fmt.Sprintf("zone-%d", i%2)})
+	}
+	relay := membership.NewTree("zone-0", members).Relays()[0]
+	for _, p := range all {
+		if p.id == relay {
+			p.config.Adopt(&next)
+			p.watch.Spread()
+		}
+	}
+	for _, p := range all {
+		eventually(t, p.id+" has version 2", func() bool { return p.config.View().Version() == 2 })
+	}
+}
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -29,6 +29,8 @@
 	conns    map[*jsonrpc2.Conn]bool
 	active   int
 	draining bool
+	// closed is set by Close; a connection that is accepted later is closed at once.
+	closed bool
 }
 
 // NewServer returns a server without methods.
@@ -111,6 +113,7 @@
 func (s *Server) Close() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.closed = true
 	for c := range s.conns {
 		c.Close()
 	}
@@ -123,6 +126,11 @@
 func (s *Server) add(c net.Conn) {
 	stream := jsonrpc2.NewBufferedStream(c, jsonrpc2.VarintObjectCodec{})
 	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		stream.Close()
+		return
+	}
 	// Handlers wait for the lock until the connection is entered.
 	conn := jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.AsyncHandler(s))
 	s.conns[conn] = false
