--- a/pkg/entry/module.go
+++ b/pkg/entry/module.go
@@ -42,7 +42,9 @@
 	return platform.New(platform.Options{URL: s.PlatformURL, Registry: reg})
 }
 
-func newPoisonStore(p *platform.Client) *poisonstore.Store { return poisonstore.New(p.With(platform.Safety), nil) }
+func newPoisonStore(p *platform.Client) *poisonstore.Store {
+	return poisonstore.New(p.With(platform.Safety), nil)
+}
 
 func newHolder(reg metrics.Registry) (*configuration.Holder, error) {
 	h := &configuration.Holder{}
