Keep the place of a cancelled run until the upstream has stopped it

The stand-in freed its place after the client had seen the end of the answer, so the next request could arrive too early. It frees it before now. Reading for the cause showed a fault of the agent's own: a cancelled run gave its place away at once, although the upstream notices only later that its client went away. Ruled out: late requests of the former incarnation (the engine refuses them while it is down), a wrong limit after the crash (it was reset in the events). A plain service that goes on for longer than 100 ms after its connection was closed is not covered.

--- a/pkg/agent/agent_test.go
+++ b/pkg/agent/agent_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -76,6 +77,12 @@
 }
 
 func newRig(t *testing.T, cold, limit, queue int) rig {
+	f := newFakeUpstream()
+	return newRigWith(t, f, f, cold, limit, queue)
+}
+
+// newRigWith returns an agent whose client wraps the fake upstream.
+func newRigWith(t *testing.T, c upstream.Client, f *fakeUpstream, cold, limit, queue int) rig {
 	s := DefaultSettings()
 	s.Name = "a"
 	s.Zone = "z"
@@ -83,8 +90,7 @@
 	s.ProbeMillis = 10
 	s.Upstream.ColdLimit = cold
 	s.Upstream.MaxLimit = limit
-	f := newFakeUpstream()
-	a := New(Options{Settings: s, Client: f, Recorder: event.NewRecorder("a", event.NewClock(nil), nil)})
+	a := New(Options{Settings: s, Client: c, Recorder: event.NewRecorder("a", event.NewClock(nil), nil)})
 	a.config.Adopt(&configuration.Document{Version: 1, Zones: []configuration.Zone{{Name: "z", State: configuration.ZoneIn}}})
 	h, _ := f.Health(context.Background())
 	a.observe(h, true, 0)
@@ -314,3 +320,42 @@
 	r.up.ends <- struct{}{}
 	is.Equal((<-a).Code, code.OK)
 }
+
+// slowToStop is an upstream that goes on with a request for a while after its client
+// went away.
+type slowToStop struct {
+	*fakeUpstream
+	busy, peak atomic.Int32
+}
+
+// stopTime is the time that slowToStop takes to notice that a client went away.
+const stopTime = abortTime / 2
+
+func (s *slowToStop) Run(ctx context.Context, r peer.RunRequest, emit func(upstream.Part) error) (upstream.Answer, error) {
+	busy := s.busy.Add(1)
+	for peak := s.peak.Load(); busy > peak && !s.peak.CompareAndSwap(peak, busy); {
+		peak = s.peak.Load()
+	}
+	a, err := s.fakeUpstream.Run(ctx, r, emit)
+	if err != nil {
+		time.AfterFunc(stopTime, func() { s.busy.Add(-1) })
+		return a, err
+	}
+	s.busy.Add(-1)
+	return a, err
+}
+
+func TestCancelledRunKeepsItsPlaceUntilTheUpstreamHasStopped(t *testing.T) {
+	is := is.New(t)
+	s := &slowToStop{fakeUpstream: newFakeUpstream()}
+	r := newRigWith(t, s, s.fakeUpstream, 1, 1, 8)
+	first := r.start("1", "fa", false)
+	second := r.run("2", "o", "fb", false)
+	_, err := r.Cancel(context.Background(), nil, peer.CancelRequest{Call: "1", Request: "1", Attempt: 1, Incarnation: r.fence.Incarnation()})
+	is.NoErr(err)
+	is.Equal((<-first).Code, code.CallerGone) // the result does not wait for the upstream
+	is.Equal(<-r.up.started, "2")
+	r.up.ends <- struct{}{}
+	is.Equal((<-second).Code, code.OK)
+	is.Equal(s.peak.Load(), int32(1))
+}
--- a/pkg/agent/work.go
+++ b/pkg/agent/work.go
@@ -86,6 +86,10 @@
 	c, detail := a.verdict(t, answer, err)
 	crashed := a.crashed(t, err)
 	a.judge(t, c, crashed)
+	if !crashed && t.ctx.Err() != nil {
+		t.finish(c, detail, answer.Tokens)
+		time.Sleep(abortTime)
+	}
 	a.end(t, began, c, answer, crashed)
 	t.finish(c, detail, answer.Tokens)
 	a.events.Record(event.Event{
@@ -151,3 +155,7 @@
 
 // serviceGain is the weight of the newest sample in the mean service time.
 const serviceGain = 0.1
+
+// abortTime is the time for which a cancelled run keeps its place: the upstream notices
+// only after a while that its client went away.
+const abortTime = 100 * time.Millisecond
--- a/pkg/standin/model/server.go
+++ b/pkg/standin/model/server.go
@@ -160,14 +160,22 @@
 		panic(http.ErrAbortHandler)
 	}
 	s.cache.add(c.MustGet(gin.BodyBytesKey).([]byte))
-	whole := false
-	defer func() { s.end(j, whole) }()
+	ended := false
+	// The engine has room again before the client sees the end of the answer.
+	generated := func() {
+		ended = true
+		s.end(j, true)
+	}
+	defer func() {
+		if !ended {
+			s.end(j, false)
+		}
+	}()
 	if b.Stream {
-		s.stream(c, j)
+		s.stream(c, j, generated)
 	} else {
-		s.answer(c, b.Model, j)
+		s.answer(c, b.Model, j, generated)
 	}
-	whole = true
 }
 
 // begin notes the start of a run. It reports false when the engine is down or crashes.
@@ -252,7 +260,7 @@
 	}
 }
 
-func (s *Server) stream(c *gin.Context, j job) {
+func (s *Server) stream(c *gin.Context, j job, generated func()) {
 	c.Header("Content-Type", "text/event-stream")
 	fmt.Fprintf(c.Writer, "data: {\"id\":\"chatcmpl-%s\",\"object\":\"chat.completion.chunk\",\"choices\":[{\"index\":0,\"delta\":{\"role\":\"assistant\",\"content\":\"\"},\"finish_reason\":null}]}\n\n", j.id)
 	c.Writer.Flush()
@@ -260,6 +268,7 @@
 		s.pause(c, j)
 		s.chunk(c, j, Token(j.prompt, i), "null")
 	}
+	generated()
 	s.chunk(c, j, "", `"length"`)
 	fmt.Fprint(c.Writer, "data: [DONE]\n\n")
 	c.Writer.Flush()
@@ -289,10 +298,11 @@
 	Content string `json:"content"`
 }
 
-func (s *Server) answer(c *gin.Context, model string, j job) {
+func (s *Server) answer(c *gin.Context, model string, j job, generated func()) {
 	for i := j.from; i < j.tokens; i++ {
 		s.pause(c, j)
 	}
+	generated()
 	text := strings.TrimPrefix(Text(j.prompt, j.tokens), Text(j.prompt, j.from))
 	out, err := json.Marshal(completion{
 		ID: "chatcmpl-" + j.id, Object: "chat.completion", Model: model,
