Read ledgers and metrics of a fleet in one place

Ruled out: leaving the copies, which differ in small ways for no reason. Change: the harness reads ledgers and metrics and pours load; two commands that crashed engines became one. No check changed.

--- a/cmd/coltsfoot-demo/main.go
+++ b/cmd/coltsfoot-demo/main.go
@@ -129,11 +129,7 @@
 	for i := range d.Entries {
 		seeds = append(seeds, f.Callers[fmt.Sprintf("%s-entry-%d", d.Region, i)])
 	}
-	var out []*client.Client
-	for _, o := range organisations {
-		out = append(out, client.New(fleet.Token(o), seeds))
-	}
-	return out
+	return load.Clients(organisations, seeds)
 }
 
 // showTimeline prints the events that are not about requests, and those of the last request.
--- /dev/null
+++ b/internal/fleet/observe.go
@@ -0,0 +1,89 @@
+package fleet
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// Ledgers reads the ledgers of the stand-ins whose upstream's name begins with prefix.
+func Ledgers[T any](f *Fleet, prefix string) ([]T, error) {
+	var out []T
+	for name, url := range f.Upstreams {
+		if !strings.HasPrefix(name, prefix) {
+			continue
+		}
+		l, err := ReadLedger[T](url)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, l)
+	}
+	return out, nil
+}
+
+// ReadLedger reads the ledger of the stand-in at a base URL.
+func ReadLedger[T any](url string) (T, error) {
+	var l T
+	resp, err := http.Get(url + "/ledger")
+	if err != nil {
+		return l, err
+	}
+	defer resp.Body.Close()
+	err = json.NewDecoder(resp.Body).Decode(&l)
+	return l, err
+}
+
+// Crash makes the model engine behind an agent crash.
+func (f *Fleet) Crash(upstream string) error {
+	resp, err := http.Post(f.Upstreams[upstream]+"/crash", "", nil)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+// ReadMetric reads a metric of the process with an operators' address. It reports false
+// when the process has no such metric.
+func ReadMetric(operator, name string) (float64, bool, error) {
+	resp, err := http.Get("http://" + operator + "/metrics")
+	if err != nil {
+		return 0, false, err
+	}
+	defer resp.Body.Close()
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		if text, ok := strings.CutPrefix(lines.Text(), name+" "); ok {
+			v, err := strconv.ParseFloat(text, 64)
+			return v, true, err
+		}
+	}
+	return 0, false, lines.Err()
+}
+
+// MetricSum adds up a metric over all processes that run.
+func (f *Fleet) MetricSum(name string) (float64, error) {
+	sum := 0.0
+	for _, a := range f.Operators() {
+		v, _, err := ReadMetric(a, name)
+		if err != nil {
+			return 0, fmt.Errorf("metrics of %s: %w", a, err)
+		}
+		sum += v
+	}
+	return sum, nil
+}
+
+// CallerAddresses returns the addresses of all entries for callers, in order.
+func (f *Fleet) CallerAddresses() []string {
+	var out []string
+	for _, a := range f.Callers {
+		out = append(out, a)
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/internal/load/pour.go
@@ -0,0 +1,57 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/coltsfootpitch/coltsfootpitch/internal/client"
+	"github.com/coltsfootpitch/coltsfootpitch/internal/fleet"
+)
+
+// Clients returns a caller for each organisation that knows the addresses of entries.
+func Clients(organisations, addresses []string) []*client.Client {
+	var out []*client.Client
+	for _, o := range organisations {
+		out = append(out, client.New(fleet.Token(o), addresses))
+	}
+	return out
+}
+
+// Pour is a load that goes on until it is stopped, however fast the machine is.
+type Pour struct {
+	stop atomic.Bool
+	done chan []Outcome
+}
+
+const (
+	// pourLimit bounds a load that is never stopped.
+	pourLimit = 5 * time.Minute
+	// pourBatch is the number of requests between two looks at whether to stop.
+	pourBatch = 48
+)
+
+// StartPour sends batches of the mix; Count is not used.
+func StartPour(m Mix) *Pour {
+	p := &Pour{done: make(chan []Outcome, 1)}
+	prefix := m.Prefix
+	m.Count = pourBatch
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), pourLimit)
+		defer cancel()
+		var all []Outcome
+		for batch := 0; !p.stop.Load() && ctx.Err() == nil; batch++ {
+			m.Prefix = fmt.Sprintf("%s batch %d", prefix, batch)
+			all = append(all, Run(ctx, m)...)
+		}
+		p.done <- all
+	}()
+	return p
+}
+
+// Stop ends the load and returns the ends of all its requests.
+func (p *Pour) Stop() []Outcome {
+	p.stop.Store(true)
+	return <-p.done
+}
--- a/pkg/configstore/edit_test.go
+++ b/pkg/configstore/edit_test.go
@@ -23,15 +23,11 @@
 func TestSameSectionIsAConflictWithBothValues(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
-	s := configstore.New(newCloud(1).direct())
-	_, err := s.Apply(ctx, first(3))
-	is.NoErr(err)
-	base, _, err := s.Load(ctx)
-	is.NoErr(err)
+	s, base := started(is, newCloud(1))
 	theirs, mine := *base, *base
 	changes[0](&theirs, 100)
 	changes[0](&mine, 201)
-	_, err = s.Apply(ctx, &theirs)
+	_, err := s.Apply(ctx, &theirs)
 	is.NoErr(err)
 	_, err = s.Apply(ctx, &mine)
 	var c *configuration.Conflict
@@ -44,15 +40,11 @@
 func TestOtherSectionsRebase(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
-	s := configstore.New(newCloud(1).direct())
-	_, err := s.Apply(ctx, first(3))
-	is.NoErr(err)
-	base, _, err := s.Load(ctx)
-	is.NoErr(err)
+	s, base := started(is, newCloud(1))
 	theirs, mine := *base, *base
 	changes[0](&theirs, 100)
 	changes[1](&mine, 7)
-	_, err = s.Apply(ctx, &theirs)
+	_, err := s.Apply(ctx, &theirs)
 	is.NoErr(err)
 	r, err := s.Edit(ctx, configstore.Edit{Mine: &mine, Base: base.Version})
 	is.NoErr(err)
@@ -68,16 +60,12 @@
 func TestRebasedDocumentIsValidatedAcrossSections(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
-	s := configstore.New(newCloud(1).direct())
-	_, err := s.Apply(ctx, first(3))
-	is.NoErr(err)
-	base, _, err := s.Load(ctx)
-	is.NoErr(err)
+	s, base := started(is, newCloud(1))
 	lower, higher := *base, *base
 	lower.Limits.OrganisationMaxInFlight = 10
 	higher.Organisations = slices.Clone(base.Organisations)
 	higher.Organisations[0].MaxInProgress = 20
-	_, err = s.Apply(ctx, &lower)
+	_, err := s.Apply(ctx, &lower)
 	is.NoErr(err)
 	_, err = s.Apply(ctx, &higher)
 	is.True(err != nil)
@@ -92,27 +80,36 @@
 	is := is.New(t)
 	ctx := context.Background()
 	c := newCloud(1)
+	s, base := started(is, c)
+	mine := *base
+	changes[1](&mine, 7)
+	racer := &racingObjects{Objects: c.direct(), race: func() { fillHistory(is, s, 0) }}
+	_, err := configstore.Over(configstore.Options{Objects: racer}).Edit(ctx, configstore.Edit{ID: "e", Base: base.Version, Mine: &mine})
+	is.True(errors.Is(err, configstore.ErrUnsettled))
+}
+
+// started returns a store with a first document, and that document.
+func started(is *is.I, c *cloud) (*configstore.Store, *configuration.Document) {
+	ctx := context.Background()
 	s := configstore.New(c.direct())
 	_, err := s.Apply(ctx, first(3))
 	is.NoErr(err)
 	base, _, err := s.Load(ctx)
 	is.NoErr(err)
-	mine := *base
-	changes[1](&mine, 7)
-	racer := &racingObjects{Objects: c.direct(), race: func() {
-		for n := range configstoreHistory {
-			d, _, err := s.Load(ctx)
-			is.NoErr(err)
-			changes[0](d, n)
-			_, err = s.Apply(ctx, d)
-			is.NoErr(err)
-		}
-	}}
-	_, err = configstore.Over(configstore.Options{Objects: racer}).Edit(ctx, configstore.Edit{ID: "e", Base: base.Version, Mine: &mine})
-	is.True(errors.Is(err, configstore.ErrUnsettled))
+	return s, base
 }
 
-const configstoreHistory = configuration.HistoryLength + 1
+// fillHistory makes edits of one kind until earlier ones have left the history.
+func fillHistory(is *is.I, s *configstore.Store, kind int) {
+	ctx := context.Background()
+	for n := range configuration.HistoryLength + 1 {
+		d, _, err := s.Load(ctx)
+		is.NoErr(err)
+		changes[kind](d, n)
+		_, err = s.Apply(ctx, d)
+		is.NoErr(err)
+	}
+}
 
 // A document with 3,600 organisations, and one with a section near a megabyte, are kept whole.
 func TestLargeSections(t *testing.T) {
@@ -266,13 +263,7 @@
 	grow(is, s, 1)
 	start, _, err := s.Load(ctx)
 	is.NoErr(err)
-	for n := range configstoreHistory {
-		d, _, err := s.Load(ctx)
-		is.NoErr(err)
-		changes[4](d, n)
-		_, err = s.Apply(ctx, d)
-		is.NoErr(err)
-	}
+	fillHistory(is, s, 4)
 	// A crashed editor left this content behind.
 	text, err := configuration.Encode(start, configuration.LimitsSection)
 	is.NoErr(err)
@@ -292,13 +283,7 @@
 	got, _, err := configstore.New(c.direct()).Load(ctx)
 	is.NoErr(err)
 	is.Equal(got.Limits, start.Limits)
-	for n := range configstoreHistory {
-		d, _, err := s.Load(ctx)
-		is.NoErr(err)
-		changes[4](d, n)
-		_, err = s.Apply(ctx, d)
-		is.NoErr(err)
-	}
+	fillHistory(is, s, 4)
 	// Edits remove by themselves what leaves the history.
 	_, err = c.direct().Get(ctx, configstore.SectionKind, name)
 	is.True(errors.Is(err, platform.ErrNotFound))
--- a/test/booking_test.go
+++ b/test/booking_test.go
@@ -4,9 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -190,24 +188,12 @@
 
 // serviceLedger adds up the ledgers of all service stand-ins.
 func serviceLedger(ts *testscript.TestScript, f *fleet.Fleet) plain.Ledger {
+	list, err := fleet.Ledgers[plain.Ledger](f, "weighbridge-app")
+	ts.Check(err)
 	sum := plain.Ledger{ByRequest: map[string]int{}, ByKey: map[string]int{}}
-	for name, url := range f.Upstreams {
-		if !strings.HasPrefix(name, "weighbridge-app") {
-			continue
-		}
-		resp, err := http.Get(url + "/ledger")
-		ts.Check(err)
-		text, err := io.ReadAll(resp.Body)
-		resp.Body.Close()
-		ts.Check(err)
-		var l plain.Ledger
-		ts.Check(json.Unmarshal(text, &l))
-		for k, n := range l.ByRequest {
-			sum.ByRequest[k] += n
-		}
-		for k, n := range l.ByKey {
-			sum.ByKey[k] += n
-		}
+	for _, l := range list {
+		addCounts(sum.ByRequest, l.ByRequest)
+		addCounts(sum.ByKey, l.ByKey)
 	}
 	return sum
 }
@@ -216,11 +202,11 @@
 // turn, and checks that each costs two updates of the platform and that reads are few.
 func claimCalls(ts *testscript.TestScript, _ bool, args []string) {
 	f := worldOf(ts).fleet
-	entries := callers(f)
+	entries := f.CallerAddresses()
 	keys := number(ts, args[0])
 	settle := func(writes int) int {
 		for n := 0; ; n++ {
-			now := metricSum(ts, f, "coltsfoot_claim_platform_writes ")
+			now := metricSum(ts, f, "coltsfoot_claim_platform_writes")
 			if now >= writes || n > 100 {
 				return now
 			}
@@ -233,7 +219,7 @@
 		}
 	}
 	writes := settle(2 * keys)
-	reads := metricSum(ts, f, "coltsfoot_claim_platform_reads ")
+	reads := metricSum(ts, f, "coltsfoot_claim_platform_reads")
 	ts.Logf("%d keyed calls: %d updates, %d reads", keys, writes, reads)
 	if writes > 2*keys || reads > 2*idempotency.Partitions {
 		ts.Fatalf("%d updates and %d reads for %d keys", writes, reads, keys)
@@ -242,18 +228,7 @@
 
 // metricSum adds up a metric over all processes.
 func metricSum(ts *testscript.TestScript, f *fleet.Fleet, name string) int {
-	sum := 0
-	for _, o := range f.Operators() {
-		resp, err := http.Get("http://" + o + "/metrics")
-		ts.Check(err)
-		text, err := io.ReadAll(resp.Body)
-		resp.Body.Close()
-		ts.Check(err)
-		for line := range strings.Lines(string(text)) {
-			if value, ok := strings.CutPrefix(line, name); ok {
-				sum += number(ts, strings.TrimSpace(value))
-			}
-		}
-	}
-	return sum
+	sum, err := f.MetricSum(name)
+	ts.Check(err)
+	return int(sum)
 }
--- a/test/overhead_test.go
+++ b/test/overhead_test.go
@@ -1,10 +1,8 @@
 package test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"net/http"
 	"os"
 	"slices"
 	"strconv"
@@ -129,21 +127,9 @@
 
 // metricValue reads one value from the metrics page of a process.
 func metricValue(b *testing.B, operator, name string) float64 {
-	resp, err := http.Get("http://" + operator + "/metrics")
-	if err != nil {
-		b.Fatal(err)
+	v, ok, err := fleet.ReadMetric(operator, name)
+	if err != nil || !ok {
+		b.Fatalf("no metric %s: %v", name, err)
 	}
-	defer resp.Body.Close()
-	lines := bufio.NewScanner(resp.Body)
-	for lines.Scan() {
-		if text, ok := strings.CutPrefix(lines.Text(), name+" "); ok {
-			v, err := strconv.ParseFloat(text, 64)
-			if err != nil {
-				b.Fatal(err)
-			}
-			return v
-		}
-	}
-	b.Fatalf("no metric %s", name)
-	return 0
+	return v
 }
--- a/test/poison_test.go
+++ b/test/poison_test.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
-	"net/http"
 	"sort"
-	"strings"
 	"sync"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -19,7 +16,6 @@
 func init() {
 	commands["poison"] = sendPoison
 	commands["crashes"] = crashes
-	commands["fall"] = fall
 }
 
 // sendPoison: poison together|in-turn TIMES TEXT sends a request that crashes its engine
@@ -63,17 +59,10 @@
 
 // crashes: crashes MIN MAX checks the number of crashes of all engines.
 func crashes(ts *testscript.TestScript, _ bool, args []string) {
+	list, err := fleet.Ledgers[model.Ledger](worldOf(ts).fleet, "intake-llm")
+	ts.Check(err)
 	sum, overshoots := 0, 0
-	for name, url := range worldOf(ts).fleet.Upstreams {
-		if !strings.HasPrefix(name, "intake-llm") {
-			continue
-		}
-		resp, err := http.Get(url + "/ledger")
-		ts.Check(err)
-		var l model.Ledger
-		err = json.NewDecoder(resp.Body).Decode(&l)
-		resp.Body.Close()
-		ts.Check(err)
+	for _, l := range list {
 		sum += l.Crashes
 		overshoots += l.Overshoots
 	}
@@ -85,12 +74,3 @@
 		ts.Fatalf("%d engines received more than they bear", overshoots)
 	}
 }
-
-// fall: fall UPSTREAM... crashes engines.
-func fall(ts *testscript.TestScript, _ bool, args []string) {
-	for _, name := range args {
-		resp, err := http.Post(worldOf(ts).fleet.Upstreams[name]+"/crash", "", nil)
-		ts.Check(err)
-		resp.Body.Close()
-	}
-}
--- a/test/scenario_test.go
+++ b/test/scenario_test.go
@@ -13,7 +13,6 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
-	"github.com/coltsfootpitch/coltsfootpitch/internal/client"
 	"github.com/coltsfootpitch/coltsfootpitch/internal/fleet"
 	"github.com/coltsfootpitch/coltsfootpitch/internal/load"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/configuration"
@@ -91,7 +90,7 @@
 	// saved holds the counts that a script keeps.
 	saved map[string]int
 	// streams are the loads that go on until they are drained.
-	streams map[string]*pouring
+	streams map[string]*load.Pour
 }
 
 func (w *world) close() {
@@ -132,25 +131,23 @@
 	ts.Setenv("LOGS", filepath.Join(dir))
 }
 
-// send: send NAME COUNT PARALLEL TOKENS PAUSE starts sending mixed requests.
-func send(ts *testscript.TestScript, _ bool, args []string) {
-	w := worldOf(ts)
-	var seeds []string
-	for _, a := range w.fleet.Callers {
-		seeds = append(seeds, a)
-	}
-	var clients []*client.Client
-	for _, o := range organisations {
-		clients = append(clients, client.New(fleet.Token(o), seeds))
-	}
-	pause, err := time.ParseDuration(args[4])
+// mixOf returns the mix with the arguments PARALLEL TOKENS PAUSE.
+func mixOf(ts *testscript.TestScript, prefix string, args []string) load.Mix {
+	pause, err := time.ParseDuration(args[2])
 	ts.Check(err)
-	m := load.Mix{
-		Clients: clients, Model: "intake-llm", Service: "weighbridge-app", Prefix: args[0],
-		Count: number(ts, args[1]), Parallel: number(ts, args[2]), Tokens: number(ts, args[3]), Between: pause,
+	return load.Mix{
+		Clients: load.Clients(organisations, worldOf(ts).fleet.CallerAddresses()),
+		Model:   "intake-llm", Service: "weighbridge-app", Prefix: prefix,
+		Parallel: number(ts, args[0]), Tokens: number(ts, args[1]), Between: pause,
 	}
+}
+
+// send: send NAME COUNT PARALLEL TOKENS PAUSE starts sending mixed requests.
+func send(ts *testscript.TestScript, _ bool, args []string) {
+	m := mixOf(ts, args[0], args[2:])
+	m.Count = number(ts, args[1])
 	done := make(chan []load.Outcome, 1)
-	w.sends[args[0]] = done
+	worldOf(ts).sends[args[0]] = done
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), scenarioLimit)
 		defer cancel()
--- a/test/stream_test.go
+++ b/test/stream_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -53,7 +52,7 @@
 	}
 	streaming[f][args[0]] = s
 	streamsMu.Unlock()
-	entries := callers(f)
+	entries := f.CallerAddresses()
 	numbers := make(chan int)
 	var senders sync.WaitGroup
 	for range number(ts, args[2]) {
@@ -77,14 +76,6 @@
 	}()
 }
 
-func callers(f *fleet.Fleet) []string {
-	var out []string
-	for _, a := range f.Callers {
-		out = append(out, a)
-	}
-	return out
-}
-
 // streamed: streamed NAME WHOLE-AT-LEAST waits for a stream command. No answer may hold a
 // foreign, missing or doubled byte; one that is not whole must be the beginning of the
 // right one and say so.
@@ -129,18 +120,18 @@
 	return n
 }
 
-// crash: crash UPSTREAM ends all requests of a model engine at once.
+// crash: crash UPSTREAM... ends all requests of model engines at once.
 func crash(ts *testscript.TestScript, _ bool, args []string) {
-	resp, err := http.Post(worldOf(ts).fleet.Upstreams[args[0]]+"/crash", "", nil)
-	ts.Check(err)
-	resp.Body.Close()
+	for _, name := range args {
+		ts.Check(worldOf(ts).fleet.Crash(name))
+	}
 }
 
 // vanish: vanish COUNT TOKENS starts streams whose callers go away after the first bytes,
 // and waits until the engines run nothing, though none of the streams has finished.
 func vanish(ts *testscript.TestScript, _ bool, args []string) {
 	f := worldOf(ts).fleet
-	entries := callers(f)
+	entries := f.CallerAddresses()
 	var group sync.WaitGroup
 	for n := range number(ts, args[0]) {
 		group.Go(func() { goAwayEarly(ts, entries[n%len(entries)], n, args[1]) })
@@ -177,34 +168,30 @@
 
 // engineLedger adds up what the engines run, started and finished.
 func engineLedger(ts *testscript.TestScript, f *fleet.Fleet) model.Ledger {
+	list, err := fleet.Ledgers[model.Ledger](f, "intake-llm")
+	ts.Check(err)
 	sum := model.Ledger{Started: map[string]int{}, Finished: map[string]int{}}
-	for name, url := range f.Upstreams {
-		if !strings.HasPrefix(name, "intake-llm") {
-			continue
-		}
-		resp, err := http.Get(url + "/ledger")
-		ts.Check(err)
-		var l model.Ledger
-		err = json.NewDecoder(resp.Body).Decode(&l)
-		resp.Body.Close()
-		ts.Check(err)
+	for _, l := range list {
 		sum.Running += l.Running
 		sum.BadResumes += l.BadResumes
-		for k, c := range l.Started {
-			sum.Started[k] += c
-		}
-		for k, c := range l.Finished {
-			sum.Finished[k] += c
-		}
+		addCounts(sum.Started, l.Started)
+		addCounts(sum.Finished, l.Finished)
 	}
 	return sum
 }
 
+// addCounts adds the counts of from to those of to.
+func addCounts(to, from map[string]int) {
+	for k, n := range from {
+		to[k] += n
+	}
+}
+
 // stall: stall COUNT starts endless streams whose callers never read, and waits until the
 // engines run nothing and the entries have ended the requests.
 func stall(ts *testscript.TestScript, _ bool, args []string) {
 	f := worldOf(ts).fleet
-	entries := callers(f)
+	entries := f.CallerAddresses()
 	count := number(ts, args[0])
 	for n := range count {
 		raw, err := net.Dial("tcp", entries[n%len(entries)])
--- a/test/zone_test.go
+++ b/test/zone_test.go
@@ -1,16 +1,10 @@
 package test
 
 import (
-	"context"
-	"encoding/json"
-	"fmt"
-	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
-	"github.com/coltsfootpitch/coltsfootpitch/internal/client"
 	"github.com/coltsfootpitch/coltsfootpitch/internal/fleet"
 	"github.com/coltsfootpitch/coltsfootpitch/internal/load"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/code"
@@ -86,17 +80,12 @@
 
 // startedAt returns the number of requests that a stand-in has started.
 func startedAt(url string) (int, error) {
-	resp, err := http.Get(url + "/ledger")
-	if err != nil {
-		return 0, err
-	}
-	defer resp.Body.Close()
 	// The ledgers of both kinds of stand-ins; one of the fields is absent.
-	var l struct {
+	type ledger struct {
 		Started   map[string]int `json:"started"`
 		ByRequest map[string]int `json:"by_request"`
 	}
-	err = json.NewDecoder(resp.Body).Decode(&l)
+	l, err := fleet.ReadLedger[ledger](url)
 	n := 0
 	for _, c := range l.Started {
 		n += c
@@ -107,60 +96,20 @@
 	return n, err
 }
 
-// pouring is a load that goes on until it is stopped.
-type pouring struct {
-	stop atomic.Bool
-	done chan []load.Outcome
-}
-
-// pourLimit bounds a load that is never stopped.
-const pourLimit = 5 * time.Minute
-
-// pour: pour NAME PARALLEL TOKENS PAUSE sends mixed requests until they are drained, however
-// fast the machine is.
+// pour: pour NAME PARALLEL TOKENS PAUSE sends mixed requests until they are drained.
 func pour(ts *testscript.TestScript, _ bool, args []string) {
 	w := worldOf(ts)
-	var seeds []string
-	for _, a := range w.fleet.Callers {
-		seeds = append(seeds, a)
-	}
-	var clients []*client.Client
-	for _, o := range organisations {
-		clients = append(clients, client.New(fleet.Token(o), seeds))
-	}
-	pause, err := time.ParseDuration(args[3])
-	ts.Check(err)
-	m := load.Mix{
-		Clients: clients, Model: "intake-llm", Service: "weighbridge-app",
-		Count: pourBatch, Parallel: number(ts, args[1]), Tokens: number(ts, args[2]), Between: pause,
-	}
-	s := &pouring{done: make(chan []load.Outcome, 1)}
 	if w.streams == nil {
-		w.streams = map[string]*pouring{}
+		w.streams = map[string]*load.Pour{}
 	}
-	w.streams[args[0]] = s
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), pourLimit)
-		defer cancel()
-		var all []load.Outcome
-		for batch := 0; !s.stop.Load() && ctx.Err() == nil; batch++ {
-			m.Prefix = fmt.Sprintf("%s batch %d", args[0], batch)
-			all = append(all, load.Run(ctx, m)...)
-		}
-		s.done <- all
-	}()
+	w.streams[args[0]] = load.StartPour(mixOf(ts, args[0], args[1:]))
 }
 
-// pourBatch is the number of requests between two looks at whether to stop.
-const pourBatch = 48
-
 // drained: drained NAME whole|settled stops a load and checks that all its answers are whole,
 // or that each is whole or was refused or failed with a code or a lost connection, and
 // that none is whole but wrong.
 func drained(ts *testscript.TestScript, _ bool, args []string) {
-	s := worldOf(ts).streams[args[0]]
-	s.stop.Store(true)
-	all := <-s.done
+	all := worldOf(ts).streams[args[0]].Stop()
 	wrong := load.Wrong(all)
 	for _, o := range wrong {
 		outcome := code.Code(o.Answer.Code).Outcome()
