Write each log line at once

Cause: the profile of BenchmarkOverhead puts 15% of an entry into the log. The logfmt encoder writes each pair by itself, so that a line of ten pairs was ten system calls, and lines of two processes on one terminal could mix. Ruled out: fewer events, which the time line needs.

--- a/pkg/process/log.go
+++ b/pkg/process/log.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"log"
@@ -47,6 +48,9 @@
 
 	mu  sync.Mutex
 	out io.Writer
+	// line holds the entry that is being formatted: the encoder writes each pair by
+	// itself, and a line must reach the log in one write.
+	line bytes.Buffer
 }
 
 // Accept implements hclog.SinkAdapter.
@@ -56,7 +60,8 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e := logfmt.NewEncoder(s.out)
+	s.line.Reset()
+	e := logfmt.NewEncoder(&s.line)
 	pairs := append([]any{
 		"time", time.Now().UTC().Format(time.RFC3339Nano),
 		"level", strings.ToLower(level.String()),
@@ -70,4 +75,6 @@
 		}
 	}
 	_ = e.EndRecord()
+	// Nobody could be told of a log that cannot be written.
+	_, _ = s.out.Write(s.line.Bytes())
 }
--- a/pkg/process/log_test.go
+++ b/pkg/process/log_test.go
@@ -10,9 +10,20 @@
 	"github.com/matryer/is"
 )
 
+// writes counts the writes to a log.
+type writes struct {
+	bytes.Buffer
+	count int
+}
+
+func (w *writes) Write(p []byte) (int, error) {
+	w.count++
+	return w.Buffer.Write(p)
+}
+
 func TestLogWritesOneLineOfPairsForEachEvent(t *testing.T) {
 	is := is.New(t)
-	var out bytes.Buffer
+	var out writes
 	l := NewLog("entry-1", "info", &out)
 	l.Info("request-ended", "request", "r 1", "code", 1000)
 	l.Debug("not-shown")
@@ -21,6 +32,7 @@
 	log.Print("from a library\nwith two lines")
 	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
 	is.Equal(len(lines), 2)
+	is.Equal(out.count, 2) // each in one write
 	is.True(strings.HasSuffix(lines[0], `level=info process=entry-1 event=request-ended request="r 1" code=1000`))
 	is.True(strings.HasSuffix(lines[1], `level=warn process=entry-1 event=library-message text="from a library\nwith two lines"`))
 }
