Fail a scenario when one of its processes crashes or races

Cause: a run of the scenarios once ended with a goroutine trace that nobody could place, and the race detector of the processes wrote only to logs that were thrown away with the fleet. Ruled out: reading exit codes, which a killed process does not have. Change: at the end of each script the logs of all processes are searched.

--- a/test/scenario_test.go
+++ b/test/scenario_test.go
@@ -74,7 +74,7 @@
 			w := &world{sends: map[string]chan []load.Outcome{}}
 			e.Values[worldKey{}] = w
 			e.Setenv("PATH", binaries+string(os.PathListSeparator)+e.Getenv("PATH"))
-			e.Defer(w.close)
+			e.Defer(func() { w.close(e.T()) })
 			return nil
 		},
 		Cmds: commands,
@@ -93,9 +93,18 @@
 	streams map[string]*load.Pour
 }
 
-func (w *world) close() {
-	if w.fleet != nil {
-		w.fleet.Close()
+// close ends the fleet. A process that crashed or met a data race fails the script.
+func (w *world) close(t testscript.T) {
+	if w.fleet == nil {
+		return
+	}
+	w.fleet.Close()
+	faults := w.fleet.Faults()
+	for _, f := range faults {
+		t.Log(f)
+	}
+	if len(faults) > 0 {
+		t.FailNow()
 	}
 }
 
