Give examples of settings and of the configuration

Cause: a newcomer had no settings file to start from. Ruled out: examples in the README alone, which nothing checks.

--- a/test/scenario_test.go
+++ b/test/scenario_test.go
@@ -68,11 +68,16 @@
 }
 
 func TestScenarios(t *testing.T) {
+	root, err := filepath.Abs("..")
+	if err != nil {
+		t.Fatal(err)
+	}
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata",
 		Setup: func(e *testscript.Env) error {
 			w := &world{sends: map[string]chan []load.Outcome{}}
 			e.Values[worldKey{}] = w
+			e.Setenv("EXAMPLES", filepath.Join(root, "docs", "examples"))
 			e.Setenv("PATH", binaries+string(os.PathListSeparator)+e.Getenv("PATH"))
 			e.Defer(func() { w.close(e.T()) })
 			return nil
