Share the HTTP client of upstreams; fail a fleet's start at once

Cause: the clients of engines and of services repeated the same wrapper around the HTTP client, and a process that ended at its start was waited for during 30 s. Ruled out: a common Run, because only engines stream events.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -122,7 +122,7 @@
 		if p.Operator == "" {
 			continue
 		}
-		if err := waitHTTP(ctx, "http://"+p.Operator+"/readyz"); err != nil {
+		if err := p.waitReady(ctx); err != nil {
 			return errors.Join(err, errors.New(p.Log()))
 		}
 	}
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -82,6 +82,20 @@
 	return string(text)
 }
 
+// waitReady waits until the process is ready. It fails at once when the process ends.
+func (p *Process) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go func() {
+		select {
+		case <-p.done:
+			cancel(fmt.Errorf("%s ended at its start", p.Name))
+		case <-ctx.Done():
+		}
+	}()
+	return waitHTTP(ctx, "http://"+p.Operator+"/readyz")
+}
+
 // waitHTTP waits until url answers with status 200.
 func waitHTTP(ctx context.Context, url string) error {
 	for {
@@ -98,7 +112,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return errors.Join(ctx.Err(), fmt.Errorf("%s is not ready", url))
+			return errors.Join(context.Cause(ctx), fmt.Errorf("%s is not ready", url))
 		case <-time.After(waitPoll):
 		}
 	}
--- a/pkg/engine/cache.go
+++ b/pkg/engine/cache.go
@@ -11,6 +11,6 @@
 // engine publishes them late and with gaps. Blocks are named as in package prefix.
 func (c *Client) CacheEvents(ctx context.Context, after int64) (prefix.Events, error) {
 	var e prefix.Events
-	err := c.http.GetJSON(ctx, "/cache-events?after="+strconv.FormatInt(after, 10), &e)
+	err := c.GetJSON(ctx, "/cache-events?after="+strconv.FormatInt(after, 10), &e)
 	return e, err
 }
--- a/pkg/engine/client.go
+++ b/pkg/engine/client.go
@@ -15,23 +15,18 @@
 
 // Client calls one model engine. It implements upstream.Client.
 type Client struct {
-	http *upstream.HTTP
+	*upstream.HTTP
 }
 
 // New returns a client of the engine at the base URL.
 func New(base string) *Client {
-	return &Client{http: upstream.NewHTTP(base)}
-}
-
-// Health implements upstream.Client.
-func (c *Client) Health(ctx context.Context) (upstream.Health, error) {
-	return c.http.Health(ctx)
+	return &Client{HTTP: upstream.NewHTTP(base)}
 }
 
 // Run implements upstream.Client. Each part of a streamed answer is one whole
 // server-sent event.
 func (c *Client) Run(ctx context.Context, r peer.RunRequest, emit func(upstream.Part) error) (upstream.Answer, error) {
-	resp, err := c.http.Send(ctx, r)
+	resp, err := c.Send(ctx, r)
 	if err != nil {
 		return upstream.Answer{}, err
 	}
--- a/pkg/service/client.go
+++ b/pkg/service/client.go
@@ -9,22 +9,17 @@
 
 // Client calls one plain service. It implements upstream.Client.
 type Client struct {
-	http *upstream.HTTP
+	*upstream.HTTP
 }
 
 // New returns a client of the service at the base URL.
 func New(base string) *Client {
-	return &Client{http: upstream.NewHTTP(base)}
-}
-
-// Health implements upstream.Client.
-func (c *Client) Health(ctx context.Context) (upstream.Health, error) {
-	return c.http.Health(ctx)
+	return &Client{HTTP: upstream.NewHTTP(base)}
 }
 
 // Run implements upstream.Client.
 func (c *Client) Run(ctx context.Context, r peer.RunRequest, emit func(upstream.Part) error) (upstream.Answer, error) {
-	resp, err := c.http.Send(ctx, r)
+	resp, err := c.Send(ctx, r)
 	if err != nil {
 		return upstream.Answer{}, err
 	}
