--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	$(GO) test -race -count=1 -json ./test | $(GATE)
 
 bench:
-	$(GO) test -run '^$$' -bench . -benchmem ./...
+	$(GO) test -p 1 -run '^$$' -bench . -benchmem ./...
 
 # Measures what each further peer, change or organisation costs; docs/CAPACITY.md quotes a run.
 slopes: build
