Leave the place kept after a cancel out of the service time

Cause: reading the change once more, the 100 ms for which a cancelled run keeps its place were counted in the mean service time, which routing and Retry-After use. Ruled out: leaving cancelled runs out of the mean, which would change what it holds. Measured: the new test moves the agent's clock an hour ahead once the result is out: it failed with the wait counted and passes now; the tests of pkg/agent pass with the race detector.

--- a/pkg/agent/agent_test.go
+++ b/pkg/agent/agent_test.go
@@ -74,6 +74,8 @@
 type rig struct {
 	*Agent
 	up *fakeUpstream
+	// ahead is how far the agent's clock is ahead of the true one, in nanoseconds.
+	ahead *atomic.Int64
 }
 
 func newRig(t *testing.T, cold, limit, queue int) rig {
@@ -90,13 +92,15 @@
 	s.ProbeMillis = 10
 	s.Upstream.ColdLimit = cold
 	s.Upstream.MaxLimit = limit
-	a := New(Options{Settings: s, Client: c, Recorder: event.NewRecorder("a", event.NewClock(nil), nil)})
+	ahead := &atomic.Int64{}
+	now := func() time.Time { return time.Now().Add(time.Duration(ahead.Load())) }
+	a := New(Options{Settings: s, Client: c, Now: now, Recorder: event.NewRecorder("a", event.NewClock(nil), nil)})
 	a.config.Adopt(&configuration.Document{Version: 1, Zones: []configuration.Zone{{Name: "z", State: configuration.ZoneIn}}})
 	h, _ := f.Health(context.Background())
 	a.observe(h, true, 0)
 	a.Start()
 	t.Cleanup(a.Stop)
-	return rig{a, f}
+	return rig{a, f, ahead}
 }
 
 // run sends an attempt and returns the channel of its result.
@@ -359,3 +363,17 @@
 	is.Equal((<-second).Code, code.OK)
 	is.Equal(s.peak.Load(), int32(1))
 }
+
+func TestPlaceKeptAfterACancelIsNoServiceTime(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 1, 1, 8)
+	first := r.start("1", "fa", false)
+	_, err := r.Cancel(context.Background(), nil, peer.CancelRequest{Call: "1", Request: "1", Attempt: 1, Incarnation: r.fence.Incarnation()})
+	is.NoErr(err)
+	is.Equal((<-first).Code, code.CallerGone)
+	r.ahead.Store(int64(time.Hour))
+	for r.Status("").Running > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	is.True(r.Status("").ServiceMillis < serviceGain*float64(time.Hour.Milliseconds()))
+}
--- a/pkg/agent/work.go
+++ b/pkg/agent/work.go
@@ -83,6 +83,7 @@
 		}
 		return t.send(p)
 	})
+	took := a.now().Sub(began)
 	c, detail := a.verdict(t, answer, err)
 	crashed := a.crashed(t, err)
 	a.judge(t, c, crashed)
@@ -90,7 +91,7 @@
 		t.finish(c, detail, answer.Tokens)
 		time.Sleep(abortTime)
 	}
-	a.end(t, began, c, answer, crashed)
+	a.end(t, took, c, answer, crashed)
 	t.finish(c, detail, answer.Tokens)
 	a.events.Record(event.Event{
 		Kind: event.WorkEnded, Request: t.req.Request, Attempt: t.req.Attempt,
@@ -126,9 +127,8 @@
 }
 
 // end updates the tables after a run.
-func (a *Agent) end(t *task, began time.Time, c code.Code, answer upstream.Answer, crashed bool) {
+func (a *Agent) end(t *task, took time.Duration, c code.Code, answer upstream.Answer, crashed bool) {
 	now := a.now()
-	took := now.Sub(began)
 	a.meters.ended(c, took)
 	a.mu.Lock()
 	defer a.mu.Unlock()
