Read the end of a process before waiting for it beside a restart

The processes under test are not concerned. Conclusion: the channel is read before the goroutine starts.

--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -86,9 +86,11 @@
 func (p *Process) waitReady(ctx context.Context) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	// A restart replaces the channel; this wait is for the present life.
+	done := p.done
 	go func() {
 		select {
-		case <-p.done:
+		case <-done:
 			cancel(fmt.Errorf("%s ended at its start", p.Name))
 		case <-ctx.Done():
 		}
