Serve the users' platform by a gateway that calls upstreams directly

Cause: nothing of the product spoke the platform's protocol. Ruled out for the first step: calls through the agent (two hops, one more process that can die); net/http's transport towards upstreams, as it repeats some requests by itself and hides whether anything was sent (pkg/exchange).

No maps yet, so the model group is over its capacity.

--- /dev/null
+++ b/cmd/coltsfoot-gateway/main.go
@@ -0,0 +1,13 @@
+// Command coltsfoot-gateway takes callers on the users' platform.
+package main
+
+import (
+	"os"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/gateway"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/node"
+)
+
+func main() {
+	os.Exit(node.Main("coltsfoot-gateway", "take callers on the users' platform", gateway.Module, os.Args))
+}
--- /dev/null
+++ b/pkg/gateway/fleet.go
@@ -0,0 +1,257 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/inventory"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/pick"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/route"
+	"github.com/coltsfootpitch/coltsfootpitch/platform"
+)
+
+// Fleet holds the upstreams and what this gateway has seen of them. It is safe for
+// concurrent use.
+type Fleet struct {
+	zone   string
+	warmup platform.WarmupBounds
+
+	mu       sync.Mutex
+	list     *inventory.Inventory
+	zonesOut map[string]bool
+	services map[string]*route.Service
+	seen     map[string]*sight
+	// entries is the number of gateways that share what is bounded over all of them.
+	entries int
+}
+
+// sight is what the gateway has seen of one upstream.
+type sight struct {
+	running int
+	// failures is the recent part of attempts that failed.
+	failures float64
+	// took is the recent time to an answer.
+	took time.Duration
+	// suspended is until when the upstream is tried only when no other is there, and
+	// strikes the failures in a row that led there.
+	suspended time.Time
+	strikes   int
+	cold      pick.Bucket
+}
+
+const (
+	// sampleWeight is the weight of the newest attempt in what is seen of an upstream.
+	sampleWeight = 0.15
+	// firstSuspension and maxSuspension bound how long an upstream is left alone after
+	// its connection failed; it doubles with each failure in a row.
+	firstSuspension = 250 * time.Millisecond
+	maxSuspension   = 2 * time.Second
+)
+
+// NewFleet returns a fleet without upstreams.
+func NewFleet(n platform.Node) *Fleet {
+	return &Fleet{
+		zone: n.Zone, warmup: n.Warmup, list: inventory.New(),
+		zonesOut: map[string]bool{}, services: map[string]*route.Service{},
+		seen: map[string]*sight{}, entries: 1,
+	}
+}
+
+// SetServices takes in the services of a new configuration.
+func (f *Fleet) SetServices(s map[string]*route.Service) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.services = s
+}
+
+// SetEntries takes in the number of gateways.
+func (f *Fleet) SetEntries(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.entries = max(n, 1)
+}
+
+// SetZoneOut takes a zone out or back.
+func (f *Fleet) SetZoneOut(zone string, out bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.zonesOut[zone] = out
+}
+
+// ReplaceZonesOut takes in all zones that are out.
+func (f *Fleet) ReplaceZonesOut(zones []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.zonesOut = map[string]bool{}
+	for _, z := range zones {
+		f.zonesOut[z] = true
+	}
+}
+
+// Change runs a change of the list under the fleet's lock.
+func (f *Fleet) Change(change func(list *inventory.Inventory, warmup func(service string) time.Duration)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f.list, f.warmupOf)
+	for id := range f.seen {
+		if f.list.Entries()[id] == nil && f.seen[id].running == 0 {
+			delete(f.seen, id)
+		}
+	}
+}
+
+func (f *Fleet) warmupOf(service string) time.Duration {
+	if s := f.services[service]; s != nil {
+		return s.Warmup
+	}
+	return 0
+}
+
+// Target is the upstream chosen for an attempt.
+type Target struct {
+	ID             string
+	Address        string
+	MaxConnections int
+}
+
+// Choose reserves a place at the best upstream of a service that was not tried before.
+// Release gives the place back. It reports false when there is none.
+func (f *Fleet) Choose(service string, tried []string, now time.Time) (Target, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.list.Expire(now)
+	candidates, ids := f.candidates(service, tried, now)
+	best := pick.Best(candidates, rand.Float64)
+	if best < 0 {
+		return Target{}, false
+	}
+	e := f.list.Entries()[ids[best]]
+	s := f.sight(e.ID)
+	if candidates[best].Cold && !s.cold.Take(f.coldRate(service), now) {
+		return Target{}, false
+	}
+	s.running++
+	return Target{ID: e.ID, Address: e.Address, MaxConnections: f.connections(service)}, true
+}
+
+func (f *Fleet) candidates(service string, tried []string, now time.Time) ([]pick.Candidate, []string) {
+	var out []pick.Candidate
+	var ids []string
+	usual := f.usualTime(service)
+	for id, e := range f.list.Entries() {
+		if e.Service != service || e.Leaving || f.zonesOut[e.Zone] || slices.Contains(tried, id) {
+			continue
+		}
+		s := f.sight(id)
+		cold := now.Before(e.ColdUntil) && f.coldRate(service) > 0
+		if cold && !s.cold.Ready(f.coldRate(service), now) {
+			continue
+		}
+		c := pick.Candidate{
+			ID: id, Running: s.running, Capacity: e.Capacity, Failures: s.failures,
+			Cold: cold, Doubtful: e.Doubtful, Suspended: now.Before(s.suspended), Far: e.Zone != f.zone,
+		}
+		if usual > 0 {
+			c.Slowness = float64(s.took) / float64(usual)
+		}
+		out = append(out, c)
+		ids = append(ids, id)
+	}
+	return out, ids
+}
+
+// usualTime returns the mean time to an answer over the upstreams of a service.
+func (f *Fleet) usualTime(service string) time.Duration {
+	sum, n := time.Duration(0), 0
+	for id, e := range f.list.Entries() {
+		if s := f.seen[id]; s != nil && e.Service == service && s.took > 0 {
+			sum += s.took
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / time.Duration(n)
+}
+
+// coldRate returns this gateway's part of the starts a second at a cold upstream; 0 means
+// that starts are not bounded.
+func (f *Fleet) coldRate(service string) float64 {
+	s := f.services[service]
+	if s == nil || s.WarmupRate <= 0 {
+		return 0
+	}
+	return s.WarmupRate / float64(f.entries)
+}
+
+// connections returns this gateway's part of the connections to one upstream.
+func (f *Fleet) connections(service string) int {
+	s := f.services[service]
+	if s == nil || s.MaxConnections <= 0 {
+		return 0
+	}
+	return max(2, s.MaxConnections/f.entries)
+}
+
+func (f *Fleet) sight(id string) *sight {
+	s := f.seen[id]
+	if s == nil {
+		s = &sight{}
+		f.seen[id] = s
+	}
+	return s
+}
+
+// Report is how an attempt at an upstream ended.
+type Report int
+
+// Reports.
+const (
+	// Neutral says nothing about the upstream: the caller left, or the request was at fault.
+	Neutral Report = iota
+	Succeeded
+	Failed
+	// Unreachable means that the connection failed.
+	Unreachable
+)
+
+// Release gives a place back and takes in how the attempt ended after a time.
+func (f *Fleet) Release(id string, r Report, took time.Duration, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.sight(id)
+	s.running--
+	switch r {
+	case Succeeded:
+		s.failures -= sampleWeight * s.failures
+		s.strikes = 0
+		s.suspended = time.Time{}
+		if s.took == 0 {
+			s.took = took
+		}
+		s.took += time.Duration(sampleWeight * float64(took-s.took))
+	case Failed:
+		s.failures += sampleWeight * (1 - s.failures)
+	case Unreachable:
+		s.failures += sampleWeight * (1 - s.failures)
+		s.suspended = now.Add(min(firstSuspension<<min(s.strikes, 8), maxSuspension))
+		s.strikes++
+	}
+}
+
+// Usable returns the number of upstreams of a service that may take work, and the places
+// that they have.
+func (f *Fleet) Usable(service string) (upstreams, places int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range f.list.Entries() {
+		if e.Service == service && !e.Leaving && !f.zonesOut[e.Zone] {
+			upstreams++
+			places += e.Capacity
+		}
+	}
+	return upstreams, places
+}
--- /dev/null
+++ b/pkg/gateway/follow.go
@@ -0,0 +1,127 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/inventory"
+	"github.com/coltsfootpitch/coltsfootpitch/platform"
+)
+
+// follow keeps the gateway's beliefs in step with the store until ctx ends.
+func (g *Gateway) follow(ctx context.Context, s *platform.Store) {
+	go s.Follow(ctx, platform.KindConfiguration, &configurationFollower{g: g})
+	go s.Follow(ctx, platform.KindEvacuations, &zoneFollower{g: g})
+	go s.Follow(ctx, platform.KindUpstreams, &upstreamFollower{g: g})
+}
+
+// configurationFollower takes in the operators' document. Its link stands for the link to
+// the store as a whole.
+type configurationFollower struct{ g *Gateway }
+
+// Replace implements platform.Follower.
+func (f *configurationFollower) Replace(objects []platform.Object) {
+	for _, o := range objects {
+		f.Change(o)
+	}
+}
+
+// Change implements platform.Follower. A configuration that was removed stays in force:
+// operators replace it and never withdraw it.
+func (f *configurationFollower) Change(o platform.Object) {
+	if o.Name == platform.NameConfiguration && !o.Deleted {
+		f.g.Adopt(o.Spec, "store")
+	}
+}
+
+// Lost implements platform.Follower.
+func (f *configurationFollower) Lost(err error) {
+	f.g.storeLost.Store(int64(max(1, time.Since(f.g.born))))
+	f.g.log.Warn("store-lost", "kind", platform.KindConfiguration, "error", err.Error())
+}
+
+// Recovered implements platform.Follower.
+func (f *configurationFollower) Recovered() {
+	f.g.storeLost.Store(0)
+	f.g.log.Info("store-recovered", "kind", platform.KindConfiguration)
+}
+
+// zoneFollower takes in the zones that operators took out.
+type zoneFollower struct{ g *Gateway }
+
+// Replace implements platform.Follower.
+func (f *zoneFollower) Replace(objects []platform.Object) {
+	var zones []string
+	for _, o := range objects {
+		zones = append(zones, o.Name)
+	}
+	f.g.fleet.ReplaceZonesOut(zones)
+	f.g.Refresh()
+	f.g.log.Info("zones-out", "zones", zones)
+}
+
+// Change implements platform.Follower.
+func (f *zoneFollower) Change(o platform.Object) {
+	f.g.fleet.SetZoneOut(o.Name, !o.Deleted)
+	f.g.Refresh()
+	f.g.log.Info("zone-changed", "zone", o.Name, "out", !o.Deleted)
+}
+
+// Lost implements platform.Follower.
+func (f *zoneFollower) Lost(err error) {
+	f.g.log.Warn("store-lost", "kind", platform.KindEvacuations, "error", err.Error())
+}
+
+// Recovered implements platform.Follower.
+func (f *zoneFollower) Recovered() {
+	f.g.log.Info("store-recovered", "kind", platform.KindEvacuations)
+}
+
+// upstreamFollower takes in the list of upstreams.
+type upstreamFollower struct{ g *Gateway }
+
+// Replace implements platform.Follower.
+func (f *upstreamFollower) Replace(objects []platform.Object) {
+	var list []inventory.Upstream
+	for _, o := range objects {
+		u, err := platform.DecodeUpstream(o)
+		if err != nil {
+			f.g.log.Warn("upstream-unreadable", "upstream", o.Name, "error", err.Error())
+			continue
+		}
+		list = append(list, u)
+	}
+	f.g.fleet.Change(func(v *inventory.Inventory, warmup func(string) time.Duration) {
+		v.Replace(list, warmup, time.Now())
+	})
+	f.g.Refresh()
+	f.g.log.Info("upstreams-listed", "count", len(list))
+}
+
+// Change implements platform.Follower. An entry that cannot be read names no upstream.
+func (f *upstreamFollower) Change(o platform.Object) {
+	u, err := platform.DecodeUpstream(o)
+	gone := o.Deleted || err != nil
+	f.g.fleet.Change(func(v *inventory.Inventory, warmup func(string) time.Duration) {
+		if gone {
+			v.Remove(o.Name, time.Now())
+			return
+		}
+		v.Put(u, warmup(u.Service), time.Now())
+	})
+	f.g.Refresh()
+	f.g.log.Info("upstream-changed", "upstream", o.Name, "gone", gone, "leaving", u.Leaving,
+		"address", u.Address, "zone", u.Zone, "revision", o.Revision)
+}
+
+// Lost implements platform.Follower.
+func (f *upstreamFollower) Lost(err error) {
+	f.g.fleet.Change(func(v *inventory.Inventory, _ func(string) time.Duration) { v.Outage() })
+	f.g.log.Warn("store-lost", "kind", platform.KindUpstreams, "error", err.Error())
+}
+
+// Recovered implements platform.Follower.
+func (f *upstreamFollower) Recovered() {
+	f.g.fleet.Change(func(v *inventory.Inventory, _ func(string) time.Duration) { v.Recovered(time.Now()) })
+	f.g.log.Info("store-recovered", "kind", platform.KindUpstreams)
+}
--- /dev/null
+++ b/pkg/gateway/gateway.go
@@ -0,0 +1,168 @@
+package gateway
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/exchange"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/retry"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/route"
+	"github.com/coltsfootpitch/coltsfootpitch/platform"
+)
+
+// Gateway serves callers' requests. It is safe for concurrent use.
+type Gateway struct {
+	node     platform.Node
+	log      hclog.Logger
+	metrics  metrics.Registry
+	fleet    *Fleet
+	permits  *permits
+	pool     *exchange.Pool
+	table    atomic.Pointer[route.Table]
+	document atomic.Pointer[document]
+	// leaving is set from the stop signal on.
+	leaving atomic.Bool
+	// requests numbers the requests of this process.
+	requests atomic.Uint64
+	// storeLost is since when the store has not answered, in nanoseconds of the process's
+	// life; 0 while it answers.
+	storeLost atomic.Int64
+	born      time.Time
+
+	mu      sync.Mutex
+	retries map[string]*retry.Window
+	entries int
+}
+
+// document is the newest configuration as it came, for handing it on.
+type document struct {
+	version int64
+	spec    []byte
+}
+
+// New returns a gateway that knows no configuration yet.
+func New(n platform.Node, f *Fleet, log hclog.Logger, m metrics.Registry) *Gateway {
+	return &Gateway{
+		node: n, log: log, metrics: m, fleet: f, permits: newPermits(), pool: exchange.NewPool(),
+		retries: map[string]*retry.Window{}, entries: 1, born: time.Now(),
+	}
+}
+
+// Adopt takes in a configuration when it is newer than the one in force.
+func (g *Gateway) Adopt(spec []byte, source string) {
+	c, err := platform.DecodeConfiguration(spec)
+	if err != nil {
+		g.log.Error("configuration-unreadable", "source", source, "error", err.Error())
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if d := g.document.Load(); d != nil && c.Version <= d.version {
+		return
+	}
+	table := route.Compile(c)
+	g.fleet.SetServices(table.Services())
+	g.document.Store(&document{version: c.Version, spec: spec})
+	g.table.Store(table)
+	for name := range table.Services() {
+		g.limit(name)
+	}
+	g.log.Info("configuration-adopted", "version", c.Version, "routes", len(c.Routes), "source", source)
+}
+
+// Version returns the version of the configuration in force, 0 for none.
+func (g *Gateway) Version() int64 {
+	if t := g.table.Load(); t != nil {
+		return t.Version()
+	}
+	return 0
+}
+
+// Ready reports whether the gateway can serve requests and is not about to stop.
+func (g *Gateway) Ready() bool { return g.table.Load() != nil && !g.leaving.Load() }
+
+// SetEntries takes in the number of gateways among which bounds are divided.
+func (g *Gateway) SetEntries(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if n == g.entries {
+		return
+	}
+	g.log.Info("entries-changed", "from", g.entries, "to", n)
+	g.entries = n
+	g.retries = map[string]*retry.Window{}
+	g.fleet.SetEntries(n)
+	if t := g.table.Load(); t != nil {
+		for name := range t.Services() {
+			g.limit(name)
+		}
+	}
+}
+
+// Refresh works the permits out anew, after the list of upstreams changed.
+func (g *Gateway) Refresh() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if t := g.table.Load(); t != nil {
+		for name := range t.Services() {
+			g.limit(name)
+		}
+	}
+}
+
+// plainBacklog is the number of requests per place of a plain service that an entry may
+// have under way: one runs and one waits at the upstream.
+const plainBacklog = 2
+
+// limit sets the permits of a service: this gateway's part of the places, and a half more,
+// as callers spread over the gateways by chance.
+func (g *Gateway) limit(service string) {
+	_, places := g.fleet.Usable(service)
+	s := g.table.Load().Service(service)
+	if s.Engine == nil {
+		places *= plainBacklog
+	}
+	const spread = 1.5
+	g.permits.setLimit(service, max(1, int(spread*float64(places)/float64(g.entries)+0.5)))
+}
+
+// retryPart is the part of the shared bound on retries that the gateways use: their
+// number is not known exactly at every moment.
+const retryPart = 0.75
+
+// retryWindow returns the bound on the retries to a service.
+func (g *Gateway) withdrawRetry(service string, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.window(service).Withdraw(now)
+}
+
+func (g *Gateway) noteRequest(service string, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.window(service).Request(now)
+}
+
+func (g *Gateway) window(service string) *retry.Window {
+	w := g.retries[service]
+	if w == nil {
+		b := g.node.Retries
+		w = retry.NewWindow(b.Window, retryPart*b.Ratio, retryPart*b.Allowance/float64(g.entries))
+		g.retries[service] = w
+	}
+	return w
+}
+
+// count raises a counter.
+func (g *Gateway) count(name string) {
+	metrics.GetOrRegisterCounter(name, g.metrics).Inc(1)
+}
+
+// observe adds a time to a histogram.
+func (g *Gateway) observe(name string, d time.Duration) {
+	metrics.GetOrRegisterTimer(name, g.metrics).Update(d)
+}
--- /dev/null
+++ b/pkg/gateway/module.go
@@ -0,0 +1,184 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/fx"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/metric"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/platform"
+)
+
+// MetricsPort is the port of the metrics of a gateway.
+const MetricsPort = "9464"
+
+// Module has the parts of the gateway process.
+var Module = fx.Options(
+	fx.Provide(
+		func() peer.Credentials { return peer.Credentials{} },
+		func(n platform.Node, m metrics.Registry) *platform.Store { return platform.NewStore(n.StoreAddress, m) },
+		NewFleet, New, NewPeers, peer.NewServer, newProcess,
+	),
+	fx.Invoke(func(lc fx.Lifecycle, p *process) {
+		lc.Append(fx.Hook{OnStart: p.start, OnStop: p.stop})
+	}),
+)
+
+// process is the running gateway with its listeners.
+type process struct {
+	node    platform.Node
+	log     hclog.Logger
+	gateway *Gateway
+	peers   *Peers
+	store   *platform.Store
+	server  *peer.Server
+	callers *http.Server
+	others  []*http.Server
+	idle    *idleConns
+	cancel  context.CancelFunc
+}
+
+func newProcess(n platform.Node, log hclog.Logger, g *Gateway, p *Peers, s *platform.Store, server *peer.Server) *process {
+	p.register(server)
+	return &process{node: n, log: log, gateway: g, peers: p, store: s, server: server, idle: newIdleConns()}
+}
+
+// headerTimeout bounds the head of a caller's request; operators state 3 s.
+const headerTimeout = 3 * time.Second
+
+func (p *process) start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	p.gateway.follow(ctx, p.store)
+	p.callers = &http.Server{
+		Handler: p.gateway, ReadHeaderTimeout: headerTimeout, ConnState: p.idle.note,
+		ErrorLog: p.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	}
+	if err := serve(p.callers, p.node.CallerAddress); err != nil {
+		return err
+	}
+	if err := p.serveOthers(); err != nil {
+		return err
+	}
+	l, err := net.Listen("tcp", p.node.PeerAddress)
+	if err != nil {
+		return err
+	}
+	go func() {
+		if err := p.server.Serve(l); err != nil {
+			p.log.Error("peer-listener-failed", "error", err.Error())
+		}
+	}()
+	go p.peers.run(ctx, p.store)
+	go p.sweep(ctx)
+	return nil
+}
+
+// serveOthers opens the listeners of the directory, of readiness and of metrics.
+func (p *process) serveOthers() error {
+	gin.SetMode(gin.ReleaseMode)
+	addresses := []string{p.node.DirectoryAddress, p.node.ReadyAddress, net.JoinHostPort(p.node.Address, MetricsPort)}
+	slices.Sort(addresses)
+	for _, address := range slices.Compact(addresses) {
+		if address == "" {
+			continue
+		}
+		s := &http.Server{Handler: p.pages(), ReadHeaderTimeout: headerTimeout}
+		if err := serve(s, address); err != nil {
+			return err
+		}
+		p.others = append(p.others, s)
+	}
+	return nil
+}
+
+// pages answers the directory, readiness and metrics; which of them is asked for depends
+// on the listener.
+func (p *process) pages() http.Handler {
+	e := gin.New()
+	e.GET(platform.PathDirectory, func(c *gin.Context) {
+		q := platform.ReadDirectoryQuery(c.Request.URL.Query())
+		addresses := p.peers.addresses(q.Region)
+		if len(addresses) == 0 {
+			c.Status(http.StatusServiceUnavailable)
+			return
+		}
+		life := min(directoryLife, p.node.DirectoryLife)
+		c.JSON(http.StatusOK, platform.NewDirectoryAnswer(addresses, life))
+	})
+	e.GET(platform.PathReady, func(c *gin.Context) {
+		if !p.gateway.Ready() {
+			c.Status(http.StatusServiceUnavailable)
+			return
+		}
+		c.Status(http.StatusOK)
+	})
+	e.GET("/metrics", func(c *gin.Context) {
+		c.Header("Content-Type", metric.ContentType)
+		if err := metric.Write(c.Writer, p.gateway.metrics); err != nil {
+			p.log.Warn("metrics-failed", "error", err.Error())
+		}
+	})
+	return e
+}
+
+func serve(s *http.Server, address string) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	go func() {
+		if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			panic(err)
+		}
+	}()
+	return nil
+}
+
+// sweepInterval is the time between two looks for idle connections.
+const sweepInterval = 500 * time.Millisecond
+
+func (p *process) sweep(ctx context.Context) {
+	tick := time.NewTicker(sweepInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			p.gateway.pool.Sweep(now)
+			if t := p.gateway.table.Load(); t != nil && t.Limits().Idle > 0 {
+				p.idle.closeOlder(now, t.Limits().Idle)
+			}
+		}
+	}
+}
+
+// leaveTime is how long a gateway that stops goes on taking new connections: callers keep
+// an answer of the directory for a second, and some three times as long.
+const leaveTime = 3 * time.Second
+
+// stop leaves the directory, serves on for a while, ends the answers under way and closes.
+func (p *process) stop(ctx context.Context) error {
+	p.gateway.leaving.Store(true)
+	p.peers.probe(ctx)
+	select {
+	case <-time.After(leaveTime):
+	case <-ctx.Done():
+	}
+	err := p.callers.Shutdown(ctx)
+	p.cancel()
+	for _, s := range p.others {
+		err = errors.Join(err, s.Close())
+	}
+	return errors.Join(err, p.server.Close())
+}
--- /dev/null
+++ b/pkg/gateway/permits.go
@@ -0,0 +1,113 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/permit"
+)
+
+// permits holds the gates of all services. It is safe for concurrent use.
+type permits struct {
+	mu      sync.Mutex
+	gates   map[string]*permit.Gate
+	waiting map[string]chan struct{}
+}
+
+func newPermits() *permits {
+	return &permits{gates: map[string]*permit.Gate{}, waiting: map[string]chan struct{}{}}
+}
+
+// firstHold is how long a permit is held until it was measured: about a usual answer.
+const firstHold = time.Second
+
+// setLimit changes the number of permits of a service.
+func (p *permits) setLimit(service string, limit int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.gates[service]
+	if g == nil {
+		p.gates[service] = permit.NewGate(limit, firstHold)
+		return
+	}
+	if g.Limit() != limit {
+		p.wake(g.SetLimit(limit))
+	}
+}
+
+func (p *permits) wake(ids []string) {
+	for _, id := range ids {
+		if c := p.waiting[id]; c != nil {
+			close(c)
+			delete(p.waiting, id)
+		}
+	}
+}
+
+// acquire waits for a permit. The decision is Granted or Refused; the error is that of
+// ctx when the caller left while it waited.
+func (p *permits) acquire(ctx context.Context, service string, r permit.Request) (permit.Decision, error) {
+	granted, d := p.ask(service, r)
+	if d.Outcome != permit.Queued {
+		return d, nil
+	}
+	timer := time.NewTimer(r.Patience)
+	defer timer.Stop()
+	select {
+	case <-granted:
+		return permit.Decision{Outcome: permit.Granted}, nil
+	case <-timer.C:
+		d.Outcome = permit.Refused
+	case <-ctx.Done():
+	}
+	if !p.abandon(service, r.ID) {
+		// The permit was granted at the same moment.
+		return permit.Decision{Outcome: permit.Granted}, nil
+	}
+	return d, ctx.Err()
+}
+
+func (p *permits) ask(service string, r permit.Request) (chan struct{}, permit.Decision) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.gates[service]
+	if g == nil {
+		return nil, permit.Decision{Outcome: permit.Refused, Wait: firstHold}
+	}
+	d := g.Ask(r)
+	if d.Outcome != permit.Queued {
+		return nil, d
+	}
+	c := make(chan struct{})
+	p.waiting[r.ID] = c
+	return c, d
+}
+
+func (p *permits) abandon(service, id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.waiting[id] == nil {
+		return false
+	}
+	delete(p.waiting, id)
+	return p.gates[service].Abandon(id)
+}
+
+// release gives a permit back that was held for a time.
+func (p *permits) release(service string, held time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wake(p.gates[service].Done(held))
+}
+
+// state returns the permits in use, the requests that wait, and the limit.
+func (p *permits) state(service string) (running, waiting, limit int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.gates[service]
+	if g == nil {
+		return 0, 0, 0
+	}
+	return g.Running(), g.Waiting(), g.Limit()
+}
--- /dev/null
+++ b/pkg/permit/gate.go
@@ -0,0 +1,132 @@
+// Package permit decides who may start work on a service, who waits and who is refused.
+//
+// A Gate holds the permits of one entry for one service. Requests wait in the queue of
+// package fairness, so that priorities and organisations share what is free. A request
+// that would wait longer than its caller gains from is refused at once and told when the
+// queue will have drained.
+//
+// The package has no I/O, no clock and no goroutines.
+package permit
+
+import (
+	"time"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/fairness"
+)
+
+// Request asks for a permit.
+type Request struct {
+	ID           string
+	Organisation string
+	// Priority ranks requests; higher ones are served first.
+	Priority int
+	// Cost is the expected work in tokens.
+	Cost int64
+	// Patience is the longest wait that is of use to the caller.
+	Patience time.Duration
+}
+
+// Outcome is the answer to a request for a permit.
+type Outcome int
+
+// Outcomes.
+const (
+	Granted Outcome = iota
+	Queued
+	Refused
+)
+
+// Decision is an outcome with its reason.
+type Decision struct {
+	Outcome Outcome
+	// Wait is the expected time until a permit is free; for a refusal it is the time
+	// after which the caller may come back.
+	Wait time.Duration
+}
+
+const (
+	// queueItems bounds the requests that wait at an entry; each holds a body in memory.
+	queueItems = 512
+	// holdWeight is the weight of the newest sample in the mean time a permit is held.
+	holdWeight = 0.05
+	// minReturn is the shortest time after which a refused caller is asked to come back.
+	minReturn = 200 * time.Millisecond
+)
+
+// Gate holds the permits. It is not safe for concurrent use.
+type Gate struct {
+	limit   int
+	running int
+	queue   *fairness.Queue
+	// hold is the mean time that a permit is held.
+	hold time.Duration
+}
+
+// NewGate returns a gate with a number of permits and an estimate of how long each is held.
+func NewGate(limit int, hold time.Duration) *Gate {
+	return &Gate{limit: limit, hold: hold, queue: fairness.New(fairness.Options{Items: queueItems})}
+}
+
+// Running and Waiting return the permits in use and the requests that wait for one.
+func (g *Gate) Running() int { return g.running }
+
+// Waiting returns the requests that wait.
+func (g *Gate) Waiting() int { return g.queue.Len() }
+
+// Limit returns the number of permits.
+func (g *Gate) Limit() int { return g.limit }
+
+// Hold returns the mean time that a permit is held.
+func (g *Gate) Hold() time.Duration { return g.hold }
+
+// Ask asks for a permit. A queued request is granted by a later Done or SetLimit.
+func (g *Gate) Ask(r Request) Decision {
+	if g.running < g.limit && g.queue.Len() == 0 {
+		g.running++
+		return Decision{Outcome: Granted}
+	}
+	wait := g.wait()
+	if wait > r.Patience || g.queue.Len() >= queueItems {
+		return Decision{Outcome: Refused, Wait: max(wait, minReturn)}
+	}
+	g.queue.Push(fairness.Item{ID: r.ID, Organisation: r.Organisation, Priority: r.Priority, Cost: r.Cost})
+	return Decision{Outcome: Queued, Wait: wait}
+}
+
+// wait returns the expected wait of a request that is added to the queue.
+func (g *Gate) wait() time.Duration {
+	if g.limit <= 0 {
+		return g.hold
+	}
+	ahead := g.queue.Len() + 1 + max(0, g.running-g.limit)
+	return time.Duration(float64(ahead) * float64(g.hold) / float64(g.limit))
+}
+
+// Abandon removes a waiting request. It reports false when the request was granted.
+func (g *Gate) Abandon(id string) bool { return g.queue.Remove(id) }
+
+// Done returns a permit that was held for a time, and returns the requests granted.
+func (g *Gate) Done(held time.Duration) []string {
+	g.running--
+	g.hold += time.Duration(holdWeight * float64(held-g.hold))
+	return g.grant()
+}
+
+// SetLimit changes the number of permits and returns the requests granted.
+func (g *Gate) SetLimit(limit int) []string {
+	g.limit = limit
+	return g.grant()
+}
+
+func (g *Gate) grant() []string {
+	var out []string
+	for g.running < g.limit {
+		item, ok := g.queue.Pop()
+		if !ok {
+			break
+		}
+		g.running++
+		out = append(out, item.ID)
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/route/table.go
@@ -0,0 +1,102 @@
+package route
+
+import (
+	"cmp"
+	"net"
+	"slices"
+	"strings"
+)
+
+// Table finds routes, services and organisations of one configuration. It is immutable.
+type Table struct {
+	version  int64
+	limits   Limits
+	hosts    map[string][]*Route
+	services map[string]*Service
+	keys     map[string]*Organisation
+}
+
+// Compile returns the table of a configuration, which must not change afterwards.
+func Compile(c Configuration) *Table {
+	t := &Table{
+		version: c.Version, limits: c.Limits,
+		hosts:    map[string][]*Route{},
+		services: map[string]*Service{},
+		keys:     map[string]*Organisation{},
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		host := canonicalHost(r.Host)
+		t.hosts[host] = append(t.hosts[host], r)
+	}
+	for _, routes := range t.hosts {
+		slices.SortStableFunc(routes, func(a, b *Route) int {
+			return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix))
+		})
+	}
+	for i := range c.Services {
+		t.services[c.Services[i].Name] = &c.Services[i]
+	}
+	for i := range c.Organisations {
+		for _, key := range c.Organisations[i].Keys {
+			t.keys[key] = &c.Organisations[i]
+		}
+	}
+	return t
+}
+
+// Version returns the version of the configuration.
+func (t *Table) Version() int64 { return t.version }
+
+// Limits returns what callers may send.
+func (t *Table) Limits() Limits { return t.limits }
+
+// Route returns the route of a host whose prefix is the longest that begins the path,
+// or nil when there is none.
+func (t *Table) Route(host, path string) *Route {
+	for _, r := range t.hosts[canonicalHost(host)] {
+		if strings.HasPrefix(path, r.PathPrefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Service returns the named service, or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// Services returns all services.
+func (t *Table) Services() map[string]*Service { return t.services }
+
+// HasOrganisations reports whether requests need a key.
+func (t *Table) HasOrganisations() bool { return len(t.keys) > 0 }
+
+// Organisation returns the owner of a key, or nil.
+func (t *Table) Organisation(key string) *Organisation { return t.keys[key] }
+
+// Backend returns the service for a request on r, by weight; u in [0, 1) chooses.
+func (r *Route) Backend(u float64) string {
+	total := 0.0
+	for _, b := range r.Backends {
+		total += max(0, b.Weight)
+	}
+	left := u * total
+	for _, b := range r.Backends {
+		left -= max(0, b.Weight)
+		if left < 0 {
+			return b.Service
+		}
+	}
+	if len(r.Backends) == 0 {
+		return ""
+	}
+	return r.Backends[len(r.Backends)-1].Service
+}
+
+// canonicalHost returns a host name in lower case without a port.
+func canonicalHost(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
--- /dev/null
+++ b/pkg/sse/id.go
@@ -0,0 +1,15 @@
+package sse
+
+import "bytes"
+
+var idField = []byte("id:")
+
+// ID returns the id of an event, or "" when it has none.
+func ID(event []byte) string {
+	for _, line := range bytes.Split(event, []byte{'\n'}) {
+		if rest, ok := bytes.CutPrefix(line, idField); ok {
+			return string(bytes.TrimSpace(rest))
+		}
+	}
+	return ""
+}
