Balance the experts of a model group from the ranks' own instances

Change: a steward beside each rank reads it for free and gives its orders; one of them leads under a fencing number from the store, plans with placement.EvenGroup and drives mapswitch.Switch (hold, arm, release, decided from fresh reports only).

--- /dev/null
+++ b/cmd/coltsfoot-steward/main.go
@@ -0,0 +1,13 @@
+// Command coltsfoot-steward looks after the rank of a group beside it.
+package main
+
+import (
+	"os"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/node"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/steward"
+)
+
+func main() {
+	os.Exit(node.Main("coltsfoot-steward", "look after the rank of a group", steward.Module, os.Args))
+}
--- /dev/null
+++ b/pkg/mapswitch/order.go
@@ -0,0 +1,70 @@
+package mapswitch
+
+// Map lists the experts by layer and rank.
+type Map [][][]int
+
+// None stands for no version and no pass.
+const None = int64(-1)
+
+// Rank is what a fresh report says of a rank.
+type Rank struct {
+	// Known is set when the report is fresh.
+	Known bool
+	// Open is set while the group runs passes.
+	Open  bool
+	Epoch int64
+	// Pass is the last pass that was begun.
+	Pass int64
+	// Running is the version of the map in use.
+	Running int64
+	// Prepared is the version that is loaded beside it, or None.
+	Prepared int64
+	// Loading is the version that the rank has accepted and may still be loading, or None.
+	// Waiting for it only spares orders.
+	Loading int64
+	// Armed is the version that the rank will switch to, and ArmedFor the pass with which
+	// it will, or None.
+	Armed    int64
+	ArmedFor int64
+	// Held is the pass that the group may not begin, or None.
+	Held int64
+}
+
+// Op is what an order asks for.
+type Op int
+
+// Operations.
+const (
+	Prepare Op = iota + 1
+	Hold
+	Arm
+	Release
+)
+
+// String returns the name of the operation.
+func (o Op) String() string {
+	switch o {
+	case Prepare:
+		return "prepare"
+	case Hold:
+		return "hold"
+	case Arm:
+		return "arm"
+	case Release:
+		return "release"
+	}
+	return "unknown"
+}
+
+// Order is what a rank is asked to do.
+type Order struct {
+	Rank  int   `json:"rank"`
+	Op    Op    `json:"op"`
+	Epoch int64 `json:"epoch"`
+	// Version names the map of Prepare and Arm.
+	Version int64 `json:"version,omitempty"`
+	// Pass is that of Hold, Arm and Release.
+	Pass int64 `json:"pass,omitempty"`
+	// Map is the content for Prepare.
+	Map Map `json:"map,omitempty"`
+}
--- /dev/null
+++ b/pkg/steward/leader.go
@@ -0,0 +1,415 @@
+package steward
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/mapswitch"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/placement"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/route"
+	"github.com/coltsfootpitch/coltsfootpitch/platform"
+)
+
+const (
+	// observeTimeout bounds a look at one rank: its steward's own calls and a round trip.
+	observeTimeout = 150 * time.Millisecond
+	// idleRound is the time between two looks while nothing changes, and loadRound while
+	// ranks load experts.
+	idleRound = 80 * time.Millisecond
+	loadRound = 30 * time.Millisecond
+	// switchRound is the time between two looks while a hold is in force.
+	switchRound = 4 * time.Millisecond
+	// listInterval is the time between two looks at the list of upstreams.
+	listInterval = 2 * time.Second
+	// loadMargin is how much longer than expected a rank may load before it is asked again.
+	loadMargin = 150 * time.Millisecond
+	// aloneAfter is how long a leader that reaches fewer than half of the ranks goes on.
+	aloneAfter = 2 * time.Second
+	// versionsPerFence is the number of versions that a leader may use.
+	versionsPerFence = 1_000_000
+)
+
+// leader drives one group while its fencing number is the newest.
+type leader struct {
+	s      *Steward
+	fence  int64
+	size   int
+	group  string
+	sw     *mapswitch.Switch
+	loads  *Loads
+	engine *route.Engine
+	// held is the map in use, as far as it is known, with its version.
+	held        mapswitch.Map
+	heldVersion int64
+	versions    int64
+	// planned is the map of the target, for when it is in use.
+	planned mapswitch.Map
+	// accepted is when each rank accepted to load the target.
+	accepted map[int]time.Time
+	loadTime time.Duration
+	listed   time.Time
+	reached  time.Time
+	places   map[int]Member
+}
+
+// lead takes the next fencing number and leads until another steward does.
+func (s *Steward) lead(ctx context.Context, r platform.RankReport) {
+	s.mu.Lock()
+	known := s.fence.newest
+	s.mu.Unlock()
+	n, won, err := takeTerm(ctx, s.store, r.Group, known, s.node.Name, uuid.NewString())
+	if err != nil {
+		s.log.Warn("term-not-taken", "group", r.Group, "error", err.Error())
+		return
+	}
+	s.mu.Lock()
+	s.fence.read(n, time.Now())
+	s.mu.Unlock()
+	if !won {
+		return
+	}
+	s.log.Info("leader-began", "group", r.Group, "fence", n)
+	l := &leader{
+		s: s, fence: n, size: r.Size, group: r.Group, sw: mapswitch.New(), heldVersion: mapswitch.None,
+		reached: time.Now(), accepted: map[int]time.Time{},
+	}
+	reason := l.run(ctx)
+	s.log.Info("leader-ended", "group", r.Group, "fence", n, "reason", reason)
+}
+
+// run leads until ctx ends or the leadership does, and returns the reason.
+func (l *leader) run(ctx context.Context) string {
+	for ctx.Err() == nil {
+		if !l.refresh(ctx) {
+			pause(ctx, idleRound)
+			continue
+		}
+		seen, newest := l.observeAll(ctx)
+		if newest > l.fence {
+			return "another leader"
+		}
+		if len(seen) > l.size/2 {
+			l.reached = time.Now()
+		} else if time.Since(l.reached) > aloneAfter {
+			return "ranks not reached"
+		}
+		pause(ctx, l.round(ctx, seen))
+	}
+	return "stopping"
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// refresh reads the list of upstreams and the engine's description now and then. It
+// reports false while they are not known.
+func (l *leader) refresh(ctx context.Context) bool {
+	if time.Since(l.listed) > listInterval {
+		members, err := listMembers(ctx, l.s.store, l.s.node)
+		if err != nil {
+			l.s.log.Warn("members-not-listed", "error", err.Error())
+		} else {
+			l.s.mu.Lock()
+			l.s.members = members
+			l.s.mu.Unlock()
+		}
+		l.listed = time.Now()
+	}
+	if l.engine == nil {
+		e, err := readEngine(ctx, l.s.store, l.s.node.UpstreamService)
+		if err != nil || e == nil {
+			l.s.log.Warn("engine-unknown", "service", l.s.node.UpstreamService)
+			return false
+		}
+		l.engine = e
+		l.loads = NewLoads(e.Layers)
+	}
+	return l.engine.Experts > 0
+}
+
+// listMembers returns the upstreams of the own service with their stewards.
+func listMembers(ctx context.Context, s *platform.Store, n platform.Node) ([]Member, error) {
+	list, err := s.List(ctx, platform.KindUpstreams)
+	if err != nil {
+		return nil, err
+	}
+	var out []Member
+	for _, o := range list.Objects {
+		u, err := platform.DecodeUpstream(o)
+		if err != nil || u.Service != n.UpstreamService {
+			continue
+		}
+		host, _, err := net.SplitHostPort(u.Address)
+		if err != nil {
+			continue
+		}
+		out = append(out, Member{Upstream: u.Address, Steward: n.PortAddress(host, 0)})
+	}
+	return out, nil
+}
+
+// readEngine returns the description of a service's engines, or nil where there is none.
+func readEngine(ctx context.Context, s *platform.Store, service string) (*route.Engine, error) {
+	o, err := s.Get(ctx, platform.KindConfiguration, platform.NameConfiguration)
+	if err != nil {
+		return nil, err
+	}
+	c, err := platform.DecodeConfiguration(o.Spec)
+	if err != nil {
+		return nil, err
+	}
+	for _, v := range c.Services {
+		if v.Name == service {
+			return v.Engine, nil
+		}
+	}
+	return nil, nil
+}
+
+// observeAll looks at all ranks at once. It returns what was seen by rank, and the newest
+// fencing number that any steward has seen.
+func (l *leader) observeAll(ctx context.Context) (map[int]Observation, int64) {
+	l.s.mu.Lock()
+	members := l.s.members
+	running := l.heldVersion
+	l.s.mu.Unlock()
+	request := ObserveRequest{Fence: l.fence, Leader: l.s.node.Name, Members: members, Lists: running == mapswitch.None}
+	answers := l.s.observeMembers(ctx, members, request)
+	seen := map[int]Observation{}
+	newest := int64(0)
+	l.places = map[int]Member{}
+	for i, o := range answers {
+		if o == nil {
+			continue
+		}
+		newest = max(newest, o.Fence)
+		if o.Report.Group == l.group {
+			seen[o.Report.Index] = *o
+			l.places[o.Report.Index] = members[i]
+		}
+	}
+	return seen, newest
+}
+
+// observeMembers looks at members at once; the answer of one that gave none is nil.
+func (s *Steward) observeMembers(ctx context.Context, members []Member, r ObserveRequest) []*Observation {
+	ctx, cancel := context.WithTimeout(ctx, observeTimeout)
+	defer cancel()
+	out := make([]*Observation, len(members))
+	var wait sync.WaitGroup
+	for i, m := range members {
+		wait.Go(func() {
+			o, err := s.observeMember(ctx, m, r)
+			if err != nil {
+				s.log.Debug("rank-not-seen", "steward", m.Steward, "error", err.Error())
+				return
+			}
+			out[i] = &o
+		})
+	}
+	wait.Wait()
+	return out
+}
+
+func (s *Steward) observeMember(ctx context.Context, m Member, r ObserveRequest) (Observation, error) {
+	if m.Upstream == s.node.UpstreamAddress {
+		return s.observe(ctx, r)
+	}
+	return peer.Call[Observation](ctx, s.client(m.Steward), methodObserve, r)
+}
+
+// round acts on what was seen and returns the time until the next look.
+func (l *leader) round(ctx context.Context, seen map[int]Observation) time.Duration {
+	now := time.Now()
+	ranks := l.view(seen, now)
+	l.count(seen, now)
+	if !l.follow(seen, ranks) {
+		return idleRound
+	}
+	orders, phase := l.sw.Next(ranks)
+	switch phase {
+	case mapswitch.Idle:
+		if !l.plan(ranks, now) {
+			return idleRound
+		}
+		orders, phase = l.sw.Next(ranks)
+	case mapswitch.Stuck:
+		l.start(ranks[0].Epoch, l.held)
+		orders, phase = l.sw.Next(ranks)
+	case mapswitch.Blocked:
+		return idleRound
+	}
+	l.give(ctx, orders, now)
+	if phase == mapswitch.Preparing {
+		return loadRound
+	}
+	return switchRound
+}
+
+// view returns the ranks as the switch sees them.
+func (l *leader) view(seen map[int]Observation, now time.Time) []mapswitch.Rank {
+	ranks := make([]mapswitch.Rank, l.size)
+	for i := range ranks {
+		o, ok := seen[i]
+		if !ok {
+			continue
+		}
+		ranks[i] = o.Report.State
+		if t := l.sw.Target(); t != nil && now.Sub(l.accepted[i]) < l.loadTime+loadMargin {
+			ranks[i].Loading = t.Version
+		}
+	}
+	return ranks
+}
+
+// count takes in the counts of the ranks.
+func (l *leader) count(seen map[int]Observation, now time.Time) {
+	l.loads.Begin(now)
+	for i, o := range seen {
+		l.loads.Add(i, o.Report.Born, o.Counts)
+	}
+}
+
+// follow keeps track of the map in use. It reports false while that is not known.
+func (l *leader) follow(seen map[int]Observation, ranks []mapswitch.Rank) bool {
+	running := mapswitch.None
+	for _, r := range ranks {
+		if !r.Known {
+			return true // The switch reports that it is blocked.
+		}
+		if running != mapswitch.None && r.Running != running {
+			return true // The ranks are switching at this moment.
+		}
+		running = r.Running
+	}
+	if running == l.heldVersion {
+		return true
+	}
+	if l.planned != nil && running == l.fence*versionsPerFence+l.versions {
+		l.held, l.heldVersion = l.planned, running
+		l.s.log.Info("map-in-use", "version", running, "pass", ranks[0].Pass, "epoch", ranks[0].Epoch)
+		return true
+	}
+	return l.takeLists(seen, running)
+}
+
+// takeLists takes the map in use from the lists of the ranks.
+func (l *leader) takeLists(seen map[int]Observation, running int64) bool {
+	held := make(mapswitch.Map, l.engine.Layers)
+	for i := range held {
+		held[i] = make([][]int, l.size)
+	}
+	for r, o := range seen {
+		if o.HeldVersion != running || len(o.Held) != l.engine.Layers {
+			l.heldVersion = mapswitch.None // The next look asks for the lists.
+			return false
+		}
+		for i, experts := range o.Held {
+			held[i][r] = experts
+		}
+	}
+	l.held, l.heldVersion = held, running
+	l.s.log.Info("map-read", "version", running)
+	return true
+}
+
+// plan starts a new map where that pays.
+func (l *leader) plan(ranks []mapswitch.Rank, now time.Time) bool {
+	loads := l.loads.Recent(now)
+	if loads == nil || l.heldVersion == mapswitch.None {
+		return false
+	}
+	g := placement.EvenGroup{Slots: l.engine.Slots, Reserve: l.engine.Reserve, Loads: loadsPerPlan}
+	p := g.Plan(l.held, loads)
+	if !worth(p, l.engine.LoadTime) {
+		return false
+	}
+	l.s.log.Info("map-planned", "version", l.fence*versionsPerFence+l.versions+1, "skew", p.Before,
+		"skew_after", p.After, "loads", p.Loaded, "pass", ranks[0].Pass)
+	l.loadTime = time.Duration(p.Loaded) * l.engine.LoadTime
+	l.start(ranks[0].Epoch, p.Held)
+	return true
+}
+
+// start makes a map the target under a version that was never used.
+func (l *leader) start(epoch int64, m mapswitch.Map) {
+	l.versions++
+	l.planned = m
+	clear(l.accepted)
+	l.sw.Start(mapswitch.Target{Version: l.fence*versionsPerFence + l.versions, Map: m, Epoch: epoch})
+}
+
+const (
+	// loadsPerPlan bounds the experts that one rank loads for one map: short rounds bring
+	// the first relief soon.
+	loadsPerPlan = 2
+	// planHorizon is the time over which a better map counts: what is in demand was seen
+	// to change every few seconds.
+	planHorizon = 2500 * time.Millisecond
+	// expertPart is the part of a pass that experts take in a busy group.
+	expertPart = 0.7
+	// loadSlowdown is the part by which passes take longer while ranks load experts.
+	loadSlowdown = 0.15
+	// switchCost is the time that the group stands still for a switch.
+	switchCost = 20 * time.Millisecond
+	// planMargin is how often over a plan must pay for itself.
+	planMargin = 1.5
+)
+
+// worth reports whether a plan pays for itself.
+func worth(p placement.EvenPlan, loadTime time.Duration) bool {
+	if p.Before <= 0 {
+		return false
+	}
+	saved := expertPart * (p.Before - p.After) / p.Before * planHorizon.Seconds()
+	cost := loadSlowdown*float64(p.Loaded)*loadTime.Seconds() + switchCost.Seconds()
+	return saved > planMargin*cost
+}
+
+// give passes orders to the stewards of their ranks, all at once.
+func (l *leader) give(ctx context.Context, orders []mapswitch.Order, now time.Time) {
+	results := l.s.giveOrders(ctx, orders, l.places, l.fence)
+	for i, r := range results {
+		if r != nil && r.Accepted && orders[i].Op == mapswitch.Prepare {
+			l.accepted[orders[i].Rank] = now
+		}
+	}
+}
+
+// giveOrders passes orders on; the result of one whose steward gave none is nil.
+func (s *Steward) giveOrders(ctx context.Context, orders []mapswitch.Order, places map[int]Member, fence int64) []*OrderResult {
+	ctx, cancel := context.WithTimeout(ctx, observeTimeout)
+	defer cancel()
+	out := make([]*OrderResult, len(orders))
+	var wait sync.WaitGroup
+	for i, o := range orders {
+		wait.Go(func() {
+			r, err := s.giveOrder(ctx, places[o.Rank], OrderRequest{Fence: fence, Order: o})
+			if err != nil {
+				s.log.Info("order-not-passed", "rank", o.Rank, "op", o.Op.String(), "error", err.Error())
+				return
+			}
+			out[i] = &r
+		})
+	}
+	wait.Wait()
+	return out
+}
+
+func (s *Steward) giveOrder(ctx context.Context, m Member, r OrderRequest) (OrderResult, error) {
+	if m.Upstream == s.node.UpstreamAddress {
+		return s.order(ctx, r), nil
+	}
+	return peer.Call[OrderResult](ctx, s.client(m.Steward), methodOrder, r)
+}
--- /dev/null
+++ b/pkg/steward/module.go
@@ -0,0 +1,47 @@
+package steward
+
+import (
+	"context"
+	"net"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/fx"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/platform"
+)
+
+// Module has the parts of the steward process.
+var Module = fx.Options(
+	fx.Provide(
+		func() peer.Credentials { return peer.Credentials{} },
+		func(n platform.Node, m metrics.Registry) *platform.Store { return platform.NewStore(n.StoreAddress, m) },
+		New, peer.NewServer,
+	),
+	fx.Invoke(register),
+)
+
+func register(lc fx.Lifecycle, n platform.Node, s *Steward, server *peer.Server, log hclog.Logger) {
+	s.register(server)
+	ctx, cancel := context.WithCancel(context.Background())
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			l, err := net.Listen("tcp", n.PortAddress(n.Address, 0))
+			if err != nil {
+				return err
+			}
+			go func() {
+				if err := server.Serve(l); err != nil {
+					log.Error("listener-failed", "error", err.Error())
+				}
+			}()
+			go s.run(ctx)
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			cancel()
+			return server.Close()
+		},
+	})
+}
--- /dev/null
+++ b/pkg/steward/steward.go
@@ -0,0 +1,180 @@
+package steward
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/mapswitch"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/platform"
+)
+
+const (
+	// rankTimeout bounds a call of the own rank, which answers within milliseconds.
+	rankTimeout = 60 * time.Millisecond
+	// watchInterval is the time between two looks at leader and rank.
+	watchInterval = 100 * time.Millisecond
+	// orphanAfter is the silence of the leader after which a hold on the own rank is
+	// completed without it: some rounds of a leader that switches.
+	orphanAfter = 350 * time.Millisecond
+	// leadAfter is the silence of the leader after which the first rank takes over, and
+	// leadStagger what each further rank waits more, so that one of them does.
+	leadAfter   = 600 * time.Millisecond
+	leadStagger = 150 * time.Millisecond
+)
+
+// Steward serves one rank. It is safe for concurrent use.
+type Steward struct {
+	node        platform.Node
+	log         hclog.Logger
+	metrics     metrics.Registry
+	store       *platform.Store
+	rank        *platform.Rank
+	credentials peer.Credentials
+
+	mu      sync.Mutex
+	fence   fence
+	members []Member
+	clients map[string]*peer.Client
+	// report is the newest report of the own rank.
+	report platform.RankReport
+}
+
+// New returns a steward of the rank beside it.
+func New(n platform.Node, s *platform.Store, c peer.Credentials, log hclog.Logger, m metrics.Registry) *Steward {
+	return &Steward{
+		node: n, log: log, metrics: m, store: s, credentials: c,
+		rank: platform.NewRank(n.UpstreamAddress, rankTimeout), clients: map[string]*peer.Client{},
+		fence: fence{heard: time.Now()},
+	}
+}
+
+// register adds the methods that leaders call.
+func (s *Steward) register(server *peer.Server) {
+	peer.Handle(server, methodObserve, func(ctx context.Context, _ *jsonrpc2.Conn, r ObserveRequest) (Observation, error) {
+		return s.observe(ctx, r)
+	})
+	peer.Handle(server, methodOrder, func(ctx context.Context, _ *jsonrpc2.Conn, r OrderRequest) (OrderResult, error) {
+		return s.order(ctx, r), nil
+	})
+}
+
+// observe reads the own rank for a leader.
+func (s *Steward) observe(ctx context.Context, r ObserveRequest) (Observation, error) {
+	s.mu.Lock()
+	if s.fence.hear(r.Fence, time.Now()) && len(r.Members) > 0 {
+		s.members = r.Members
+	}
+	o := Observation{Fence: s.fence.newest}
+	s.mu.Unlock()
+	if r.Fence != 0 && r.Fence < o.Fence {
+		// A former leader learns that there is a newer one and needs nothing else.
+		return o, nil
+	}
+	var err error
+	if o.Report, err = s.rank.Report(ctx); err != nil {
+		return o, err
+	}
+	if r.Lists {
+		if o.HeldVersion, o.Held, err = s.rank.Held(ctx); err != nil {
+			return o, err
+		}
+	}
+	if r.Fence != 0 {
+		o.Counts, err = s.rank.Counts(ctx)
+	}
+	return o, err
+}
+
+// order gives the own rank an order that the fence allows.
+func (s *Steward) order(ctx context.Context, r OrderRequest) OrderResult {
+	s.mu.Lock()
+	allowed := s.fence.allows(r.Order.Op, r.Fence)
+	result := OrderResult{Fence: s.fence.newest}
+	s.mu.Unlock()
+	if !allowed {
+		result.Refused, result.Detail = true, "fence"
+		s.log.Warn("order-fenced", "op", r.Order.Op.String(), "fence", r.Fence, "newest", result.Fence)
+		return result
+	}
+	err := s.rank.Order(ctx, r.Order, r.Fence)
+	result.Accepted = err == nil
+	result.Refused = errors.Is(err, platform.ErrDoesNotFit)
+	if err != nil {
+		result.Detail = err.Error()
+		s.log.Info("order-not-taken", "op", r.Order.Op.String(), "version", r.Order.Version,
+			"pass", r.Order.Pass, "fence", r.Fence, "error", err.Error())
+	}
+	return result
+}
+
+// run watches the leader and the own rank until ctx ends, and leads when nobody does.
+func (s *Steward) run(ctx context.Context) {
+	tick := time.NewTicker(watchInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		silent := s.silence()
+		if silent < orphanAfter {
+			continue
+		}
+		report, err := s.rank.Report(ctx)
+		if err != nil {
+			s.log.Debug("rank-silent", "error", err.Error())
+			continue
+		}
+		s.learnFence(ctx, report.Group)
+		if report.State.Held != mapswitch.None {
+			s.completeHold(ctx, report)
+		}
+		if s.silence() > leadAfter+time.Duration(report.Index)*leadStagger {
+			s.lead(ctx, report)
+		}
+	}
+}
+
+func (s *Steward) silence() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.fence.heard)
+}
+
+// learnFence reads the newest fencing number, once in each life of the process.
+func (s *Steward) learnFence(ctx context.Context, group string) {
+	s.mu.Lock()
+	known := s.fence.known
+	s.mu.Unlock()
+	if known {
+		return
+	}
+	t, _, err := readTerm(ctx, s.store, group)
+	if err != nil {
+		s.log.Warn("fence-unknown", "error", err.Error())
+		return
+	}
+	s.mu.Lock()
+	s.fence.read(t.Fence, time.Now())
+	s.mu.Unlock()
+}
+
+// client returns the client of another steward.
+func (s *Steward) client(address string) *peer.Client {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.clients[address]
+	if c == nil {
+		c = peer.NewClient(address, s.credentials)
+		s.clients[address] = c
+	}
+	return c
+}
