--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -48,6 +48,7 @@
 		c.tried = append(c.tried, target.ID)
 		last := !c.mayTryAgain(reached+1) || try >= sendTries
 		end := c.attempt(ctx, target, last)
+		c.mayHaveRun = c.mayHaveRun || end == failed
 		switch {
 		case end == final:
 			return
@@ -62,9 +63,6 @@
 			continue
 		}
 		reached++
-		if end == failed {
-			c.mayHaveRun = true
-		}
 		if !c.goOn(end, reached) {
 			c.giveUp(ctx, "upstream-failed")
 			return
--- a/pkg/placement/even.go
+++ b/pkg/placement/even.go
@@ -12,6 +12,8 @@
 	// Loads is the number of new experts that a rank may load in one plan over all
 	// layers: ranks load one after the other, and the slowest rank makes all wait.
 	Loads int
+	// Goal is the skew of a layer at which it is good enough.
+	Goal float64
 }
 
 // EvenPlan is the result of EvenGroup.Plan.
@@ -22,8 +24,9 @@
 	// the mean, divided by the number of layers.
 	Before float64
 	After  float64
-	// Loaded is the largest number of new experts on one rank.
+	// Loaded is the largest number of new experts on one rank, and Copies that on all ranks.
 	Loaded int
+	Copies int
 }
 
 // evenPower is the power in the potential that the plan lowers: the higher, the more the
@@ -63,6 +66,7 @@
 	p.After /= float64(max(1, len(held)))
 	for _, n := range left {
 		p.Loaded = max(p.Loaded, g.Loads-n)
+		p.Copies += g.Loads - n
 	}
 	return p
 }
@@ -140,6 +144,9 @@
 	}
 	for range evenSteps {
 		full := fullest(l.load)
+		if l.load[full] <= l.group.Goal*l.mean {
+			return
+		}
 		best := l.bestStep(full)
 		if best.gain <= evenLeastGain*l.height(l.load[full]) {
 			return
--- a/pkg/placement/even_test.go
+++ b/pkg/placement/even_test.go
@@ -69,6 +69,7 @@
 			Slots:   experts/ranks + rapid.IntRange(0, 2).Draw(t, "spare"),
 			Reserve: rapid.IntRange(1, 3).Draw(t, "reserve"),
 			Loads:   rapid.IntRange(1, 6).Draw(t, "loads"),
+			Goal:    rapid.Float64Range(1, 1.3).Draw(t, "goal"),
 		}
 		held := inTurn(2, experts, ranks)
 		for range 4 {
--- a/pkg/steward/leader.go
+++ b/pkg/steward/leader.go
@@ -55,6 +55,7 @@
 	listed   time.Time
 	reached  time.Time
 	places   map[int]Member
+	passes   passClock
 }
 
 // lead takes the next fencing number and leads until another steward does.
@@ -234,6 +235,7 @@
 	now := time.Now()
 	ranks := l.view(seen, now)
 	l.count(seen, now)
+	l.passes.see(ranks, now)
 	if !l.follow(seen, ranks) {
 		return idleRound
 	}
@@ -330,13 +332,14 @@
 	if loads == nil || l.heldVersion == mapswitch.None {
 		return false
 	}
-	g := placement.EvenGroup{Slots: l.engine.Slots, Reserve: l.engine.Reserve, Loads: loadsPerPlan}
+	g := placement.EvenGroup{Slots: l.engine.Slots, Reserve: l.engine.Reserve, Loads: loadsPerPlan, Goal: skewGoal}
 	p := g.Plan(l.held, loads)
-	if !worth(p, l.engine.LoadTime) {
+	pass := l.passes.time()
+	if !worth(p, l.engine.LoadTime, pass) {
 		return false
 	}
 	l.s.log.Info("map-planned", "version", l.fence*versionsPerFence+l.versions+1, "skew", p.Before,
-		"skew_after", p.After, "loads", p.Loaded, "pass", ranks[0].Pass)
+		"skew_after", p.After, "loads", p.Loaded, "copies", p.Copies, "pass", ranks[0].Pass, "pass_time", pass.Round(time.Millisecond))
 	l.loadTime = time.Duration(p.Loaded) * l.engine.LoadTime
 	l.start(ranks[0].Epoch, p.Held)
 	return true
@@ -363,17 +366,28 @@
 	loadSlowdown = 0.15
 	// switchCost is the time that the group stands still for a switch.
 	switchCost = 20 * time.Millisecond
+	// copyPrice is what the copy of one expert is worth, in time of the whole group's
+	// service, by the price that operators put on the bytes.
+	copyPrice = 1400 * time.Microsecond
 	// planMargin is how often over a plan must pay for itself.
 	planMargin = 1.5
+	// skewGoal is the skew of a layer that is good enough: further copies gain less than
+	// they cost.
+	skewGoal = 1.1
+	// easyPass is the time of a pass that nobody feels: a third of the usual longest pause
+	// between events.
+	easyPass = 40 * time.Millisecond
 )
 
-// worth reports whether a plan pays for itself.
-func worth(p placement.EvenPlan, loadTime time.Duration) bool {
-	if p.Before <= 0 {
+// worth reports whether a plan pays for itself, given the time of a pass.
+func worth(p placement.EvenPlan, loadTime, pass time.Duration) bool {
+	if p.Before <= 0 || p.Copies == 0 {
 		return false
 	}
-	saved := expertPart * (p.Before - p.After) / p.Before * planHorizon.Seconds()
-	cost := loadSlowdown*float64(p.Loaded)*loadTime.Seconds() + switchCost.Seconds()
+	felt := min(1, max(0, float64(pass-easyPass)/float64(easyPass)))
+	saved := felt * expertPart * (p.Before - p.After) / p.Before * planHorizon.Seconds()
+	cost := loadSlowdown*float64(p.Loaded)*loadTime.Seconds() + switchCost.Seconds() +
+		float64(p.Copies)*copyPrice.Seconds()
 	return saved > planMargin*cost
 }
 
