Give orders again sooner, and leave them a pass more while some get lost

Cause: with orders unanswered (applied_late) a switch stood still for 60 ms and more at each loss, so that every running stream had a pause over its bound.

Change: an order is given up after 20 ms, and for 10 s after a loss the hold is set three passes ahead in place of two.

--- a/pkg/mapswitch/switch.go
+++ b/pkg/mapswitch/switch.go
@@ -25,19 +25,28 @@
 	Blocked
 )
 
-// lead is the number of passes between the newest one and the pass at which a map
-// changes: the hold must arrive before that pass begins, and the arms should.
-const lead = 2
+// Passes between the newest one and the pass at which a map changes. The hold must arrive
+// before that pass begins, and the arms should, as the group stands still until they have.
+const (
+	// DefaultLead serves while orders are answered at once.
+	DefaultLead = 2
+	// SafeLead leaves time for orders that must be given again.
+	SafeLead = 3
+)
 
 // Switch drives one group. It is not safe for concurrent use.
 type Switch struct {
 	target *Target
 	// pass is the pass for which a hold of the target was ordered, None before.
 	pass int64
+	lead int64
 }
 
 // New returns a switch without a target.
-func New() *Switch { return &Switch{pass: None} }
+func New() *Switch { return &Switch{pass: None, lead: DefaultLead} }
+
+// SetLead sets the number of passes between the newest one and that of a change.
+func (s *Switch) SetLead(passes int64) { s.lead = passes }
 
 // Start sets the target; a former one is given up, which is safe at any time.
 func (s *Switch) Start(t Target) {
@@ -178,7 +187,7 @@
 		newest = max(newest, r.Pass)
 	}
 	if s.pass == None || newest >= s.pass {
-		s.pass = newest + lead
+		s.pass = newest + s.lead
 	}
 	return []Order{{Rank: s.holder(len(ranks)), Op: Hold, Epoch: s.target.Epoch, Pass: s.pass}}
 }
--- a/pkg/steward/leader.go
+++ b/pkg/steward/leader.go
@@ -30,6 +30,8 @@
 	loadMargin = 150 * time.Millisecond
 	// aloneAfter is how long a leader that reaches fewer than half of the ranks goes on.
 	aloneAfter = 2 * time.Second
+	// cautionTime is how long after an unanswered order switches leave time for another.
+	cautionTime = 10 * time.Second
 	// versionsPerFence is the number of versions that a leader may use.
 	versionsPerFence = 1_000_000
 )
@@ -56,6 +58,8 @@
 	reached  time.Time
 	places   map[int]Member
 	passes   passClock
+	// unanswered is when an order was last not answered.
+	unanswered time.Time
 }
 
 // lead takes the next fencing number and leads until another steward does.
@@ -395,10 +399,16 @@
 func (l *leader) give(ctx context.Context, orders []mapswitch.Order, now time.Time) {
 	results := l.s.giveOrders(ctx, orders, l.places, l.fence)
 	for i, r := range results {
-		if r != nil && r.Accepted && orders[i].Op == mapswitch.Prepare {
+		if r == nil || !r.Accepted && !r.Refused {
+			l.unanswered = now
+		} else if r.Accepted && orders[i].Op == mapswitch.Prepare {
 			l.accepted[orders[i].Rank] = now
 		}
 	}
+	l.sw.SetLead(mapswitch.DefaultLead)
+	if now.Sub(l.unanswered) < cautionTime {
+		l.sw.SetLead(mapswitch.SafeLead)
+	}
 }
 
 // giveOrders passes orders on; the result of one whose steward gave none is nil.
--- a/pkg/steward/steward.go
+++ b/pkg/steward/steward.go
@@ -18,6 +18,9 @@
 const (
 	// rankTimeout bounds a call of the own rank, which answers within milliseconds.
 	rankTimeout = 60 * time.Millisecond
+	// orderTimeout bounds an order to the own rank: one that is not answered by then is
+	// given again, and the group may stand still meanwhile.
+	orderTimeout = 20 * time.Millisecond
 	// watchInterval is the time between two looks at leader and rank.
 	watchInterval = 100 * time.Millisecond
 	// orphanAfter is the silence of the leader after which a hold on the own rank is
@@ -103,6 +106,8 @@
 		s.log.Warn("order-fenced", "op", r.Order.Op.String(), "fence", r.Fence, "newest", result.Fence)
 		return result
 	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
 	err := s.rank.Order(ctx, r.Order, r.Fence)
 	result.Accepted = err == nil
 	result.Refused = errors.Is(err, platform.ErrDoesNotFit)
