Bound the work in a group by the time of its passes, and divide it

Cause: while passes are long (a slow rank, a shift of experts) every running stream pauses longer than its bound, and all are served late together. The leader also stood still for seconds while the store was silent, as it listed upstreams between its rounds.

Change: sharing.Bound follows the pass time, sharing.Divide splits it among the entries by demand; the leader tells each its part. The leader reads the store beside its rounds. Holds are set three passes ahead. Log lines of requests tell wait, first event and longest gap.

--- a/pkg/gateway/answer.go
+++ b/pkg/gateway/answer.go
@@ -97,16 +97,26 @@
 		}
 		if !c.began {
 			c.begin(answer)
-			c.g.observe("first_event", time.Since(c.start))
+			c.first = time.Since(c.start)
+			c.g.observe("first_event", c.first)
 		}
 		if !c.send(control, event) {
 			c.finished(0, "caller-gone")
 			return final, Neutral
 		}
-		if id := sse.ID(event); id != "" {
-			c.lastEvent = id
-		}
+		c.noteEvent(event, time.Now())
+	}
+}
+
+// noteEvent takes in an event that the caller has now.
+func (c *call) noteEvent(event []byte, now time.Time) {
+	if id := sse.ID(event); id != "" {
+		c.lastEvent = id
+	}
+	if !c.lastAt.IsZero() {
+		c.gap = max(c.gap, now.Sub(c.lastAt))
 	}
+	c.lastAt = now
 }
 
 // begin sends the head of a stream.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -34,6 +34,7 @@
 	born      time.Time
 
 	mu      sync.Mutex
+	limits  map[string]groupLimit
 	retries map[string]*retry.Window
 	entries int
 }
@@ -48,7 +49,7 @@
 func New(n platform.Node, f *Fleet, log hclog.Logger, m metrics.Registry) *Gateway {
 	return &Gateway{
 		node: n, log: log, metrics: m, fleet: f, permits: newPermits(), pool: exchange.NewPool(),
-		retries: map[string]*retry.Window{}, entries: 1, born: time.Now(),
+		limits: map[string]groupLimit{}, retries: map[string]*retry.Window{}, entries: 1, born: time.Now(),
 	}
 }
 
@@ -114,22 +115,6 @@
 	}
 }
 
-// plainBacklog is the number of requests per place of a plain service that an entry may
-// have under way: one runs and one waits at the upstream.
-const plainBacklog = 2
-
-// limit sets the permits of a service: this gateway's part of the places, and a half more,
-// as callers spread over the gateways by chance.
-func (g *Gateway) limit(service string) {
-	_, places := g.fleet.Usable(service)
-	s := g.table.Load().Service(service)
-	if s.Engine == nil {
-		places *= plainBacklog
-	}
-	const spread = 1.5
-	g.permits.setLimit(service, max(1, int(spread*float64(places)/float64(g.entries)+0.5)))
-}
-
 // retryPart is the part of the shared bound on retries that the gateways use: their
 // number is not known exactly at every moment.
 const retryPart = 0.75
--- /dev/null
+++ b/pkg/gateway/limits.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/roster"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/sharing"
+)
+
+const (
+	// plainBacklog is the number of requests per place of a plain service that an entry
+	// may have under way: one runs and one waits at the upstream.
+	plainBacklog = 2
+	// limitSpread is how much more than an equal part of the places an entry takes, as
+	// callers spread over the entries by chance.
+	limitSpread = 1.5
+	// limitLife is how long the part that a group's leader gave is kept without news;
+	// after a change of leader the next one is heard within about a second.
+	limitLife = 3 * time.Second
+)
+
+// groupLimit is the part of a group's bound that its leader gave.
+type groupLimit struct {
+	fence int64
+	part  int
+	at    time.Time
+}
+
+// takeLimit takes in the part that a group's leader gives and tells what there is to do.
+func (g *Gateway) takeLimit(l roster.Limit) roster.LimitAnswer {
+	running, waiting, _ := g.permits.state(l.Service)
+	answer := roster.LimitAnswer{Demand: sharing.Demand{Running: running, Waiting: waiting}}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if l.Part < 0 || l.Fence < g.limits[l.Service].fence {
+		return answer
+	}
+	g.limits[l.Service] = groupLimit{fence: l.Fence, part: l.Part, at: time.Now()}
+	if g.table.Load() != nil {
+		g.limit(l.Service)
+	}
+	return answer
+}
+
+// limit sets the permits of a service: the part that the leader of its group gave, and
+// otherwise this entry's part of the places, and some more. The caller holds g.mu.
+func (g *Gateway) limit(service string) {
+	if given := g.limits[service]; !given.at.IsZero() && time.Since(given.at) < limitLife {
+		g.permits.setLimit(service, given.part)
+		return
+	}
+	s := g.table.Load().Service(service)
+	if s == nil {
+		return
+	}
+	_, places := g.fleet.Usable(service)
+	if s.Engine == nil {
+		places *= plainBacklog
+	}
+	g.permits.setLimit(service, max(1, int(limitSpread*float64(places)/float64(g.entries)+0.5)))
+}
--- a/pkg/gateway/module.go
+++ b/pkg/gateway/module.go
@@ -156,6 +156,7 @@
 			return
 		case now := <-tick.C:
 			p.gateway.pool.Sweep(now)
+			p.gateway.Refresh()
 			if t := p.gateway.table.Load(); t != nil && t.Limits().Idle > 0 {
 				p.idle.closeOlder(now, t.Limits().Idle)
 			}
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -12,12 +12,11 @@
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/inventory"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/roster"
 	"github.com/coltsfootpitch/coltsfootpitch/platform"
 )
 
 const (
-	// kindEntries holds an object for each gateway, named as its instance.
-	kindEntries = "entries"
 	// probeInterval is the time between two probes of a peer, and probeTimeout bounds one.
 	probeInterval = 500 * time.Millisecond
 	probeTimeout  = 400 * time.Millisecond
@@ -36,25 +35,14 @@
 	directoryLife = time.Second
 )
 
-// Identity names a gateway to its peers.
-type Identity struct {
-	Name string `json:"name"`
-	// Incarnation tells two lives of a gateway apart.
-	Incarnation   string `json:"incarnation"`
-	CallerAddress string `json:"caller_address"`
-	PeerAddress   string `json:"peer_address"`
-	Region        string `json:"region"`
-	Zone          string `json:"zone"`
-}
-
 // Hello is what gateways tell one another in each probe and its answer.
 type Hello struct {
-	From  Identity `json:"from"`
-	Ready bool     `json:"ready"`
+	From  roster.Entry `json:"from"`
+	Ready bool         `json:"ready"`
 	// Version is the version of the configuration in force.
 	Version int64 `json:"version"`
 	// Others are the gateways that the sender hears.
-	Others []Identity `json:"others,omitempty"`
+	Others []roster.Entry `json:"others,omitempty"`
 }
 
 // Snapshot hands on what a gateway knows to one that cannot reach the store.
@@ -71,7 +59,7 @@
 
 // member is another gateway as this one knows it.
 type member struct {
-	Identity
+	roster.Entry
 	client *peer.Client
 	heard  time.Time
 	ready  bool
@@ -79,7 +67,7 @@
 
 // Peers knows the other gateways. It is safe for concurrent use.
 type Peers struct {
-	self        Identity
+	self        roster.Entry
 	seeds       []string
 	gateway     *Gateway
 	credentials peer.Credentials
@@ -92,7 +80,7 @@
 // NewPeers returns a view without other gateways.
 func NewPeers(n platform.Node, g *Gateway, c peer.Credentials, log hclog.Logger) *Peers {
 	return &Peers{
-		self: Identity{
+		self: roster.Entry{
 			Name: n.Name, Incarnation: uuid.NewString(), CallerAddress: n.CallerAddress,
 			PeerAddress: n.PeerAddress, Region: n.Region, Zone: n.Zone,
 		},
@@ -109,6 +97,9 @@
 	peer.Handle(s, methodSnapshot, func(context.Context, *jsonrpc2.Conn, struct{}) (Snapshot, error) {
 		return p.gateway.snapshot(), nil
 	})
+	peer.Handle(s, roster.MethodLimit, func(_ context.Context, _ *jsonrpc2.Conn, l roster.Limit) (roster.LimitAnswer, error) {
+		return p.gateway.takeLimit(l), nil
+	})
 }
 
 func (p *Peers) hello() Hello {
@@ -118,7 +109,7 @@
 	defer p.mu.Unlock()
 	for _, m := range p.members {
 		if now.Sub(m.heard) < deadAfter {
-			h.Others = append(h.Others, m.Identity)
+			h.Others = append(h.Others, m.Entry)
 		}
 	}
 	return h
@@ -145,17 +136,17 @@
 }
 
 // meet returns the member with an identity, new or known. The caller holds p.mu.
-func (p *Peers) meet(i Identity) *member {
+func (p *Peers) meet(i roster.Entry) *member {
 	if i.Name == p.self.Name || i.PeerAddress == "" {
 		return nil
 	}
 	m := p.members[i.Name]
 	if m == nil || m.Incarnation != i.Incarnation && m.PeerAddress != i.PeerAddress {
-		m = &member{Identity: i, client: peer.NewClient(i.PeerAddress, p.credentials)}
+		m = &member{Entry: i, client: peer.NewClient(i.PeerAddress, p.credentials)}
 		p.members[i.Name] = m
 		return m
 	}
-	m.Identity = i
+	m.Entry = i
 	return m
 }
 
@@ -281,9 +272,9 @@
 
 // write creates or replaces the own object.
 func (p *Peers) write(ctx context.Context, s *platform.Store) bool {
-	_, err := s.Create(ctx, kindEntries, p.self.Name, p.self)
+	_, err := s.Create(ctx, roster.KindEntries, p.self.Name, p.self)
 	if err != nil {
-		_, err = s.Replace(ctx, kindEntries, p.self.Name, 0, p.self)
+		_, err = s.Replace(ctx, roster.KindEntries, p.self.Name, 0, p.self)
 	}
 	if err != nil {
 		p.log.Warn("announce-failed", "error", err.Error())
@@ -292,27 +283,25 @@
 }
 
 func (p *Peers) meetListed(ctx context.Context, s *platform.Store) {
-	l, err := s.List(ctx, kindEntries)
+	entries, unreadable, err := roster.List(ctx, s)
 	if err != nil {
 		p.log.Warn("peers-not-listed", "error", err.Error())
 		return
 	}
+	if len(unreadable) > 0 {
+		p.log.Warn("peers-unreadable", "objects", unreadable)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, o := range l.Objects {
-		var i Identity
-		if err := json.Unmarshal(o.Spec, &i); err != nil {
-			p.log.Warn("peer-unreadable", "peer", o.Name, "error", err.Error())
-			continue
-		}
-		p.meet(i)
+	for _, e := range entries {
+		p.meet(e)
 	}
 }
 
 // addresses returns the caller addresses of the gateways that serve.
 func (p *Peers) addresses(region string) []string {
 	var near, all []string
-	add := func(i Identity) {
+	add := func(i roster.Entry) {
 		all = append(all, i.CallerAddress)
 		if i.Region == region {
 			near = append(near, i.CallerAddress)
@@ -325,7 +314,7 @@
 	p.mu.Lock()
 	for _, m := range p.members {
 		if m.ready && now.Sub(m.heard) < deadAfter {
-			add(m.Identity)
+			add(m.Entry)
 		}
 	}
 	p.mu.Unlock()
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -50,6 +50,12 @@
 	began bool
 	// lastEvent is the id of the last event that the caller has.
 	lastEvent string
+	// waited is the time until a permit was granted, first that until the first event,
+	// and gap the longest pause between two events; lastAt is when the newest came.
+	waited time.Duration
+	first  time.Duration
+	gap    time.Duration
+	lastAt time.Time
 }
 
 // ServeHTTP serves one request of a caller.
@@ -152,8 +158,8 @@
 	d, err := c.g.permits.acquire(ctx, c.service, permit.Request{
 		ID: c.id, Organisation: c.organisation, Priority: -c.priority, Cost: c.cost(), Patience: c.patience(),
 	})
-	waited := time.Since(c.start)
-	c.g.observe("wait", waited)
+	c.waited = time.Since(c.start)
+	c.g.observe("wait", c.waited)
 	if err != nil {
 		c.refuse(http.StatusServiceUnavailable, 0, "left-while-waiting")
 		return
@@ -215,5 +221,7 @@
 	}
 	c.g.log.Info("request-ended", "request", c.q.ID, "route", name, "organisation", c.organisation,
 		"status", status, "reason", reason, "attempts", c.sent, "upstreams", c.tried,
-		"took", time.Since(c.start).Round(time.Millisecond), "config_version", c.g.Version())
+		"took", time.Since(c.start).Round(time.Millisecond), "waited", c.waited.Round(time.Millisecond),
+		"first_event", c.first.Round(time.Millisecond), "longest_gap", c.gap.Round(time.Millisecond),
+		"config_version", c.g.Version())
 }
--- a/pkg/mapswitch/switch.go
+++ b/pkg/mapswitch/switch.go
@@ -29,9 +29,9 @@
 // before that pass begins, and the arms should, as the group stands still until they have.
 const (
 	// DefaultLead serves while orders are answered at once.
-	DefaultLead = 2
+	DefaultLead = 3
 	// SafeLead leaves time for orders that must be given again.
-	SafeLead = 3
+	SafeLead = 4
 )
 
 // Switch drives one group. It is not safe for concurrent use.
--- /dev/null
+++ b/pkg/sharing/sharing_test.go
@@ -0,0 +1,55 @@
+package sharing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func TestDivideGivesOutTheBoundAndNoMore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		bound := rapid.IntRange(0, 300).Draw(t, "bound")
+		n := rapid.IntRange(1, 12).Draw(t, "entries")
+		demands := make([]Demand, n)
+		for i := range demands {
+			demands[i] = Demand{rapid.IntRange(0, 40).Draw(t, "running"), rapid.IntRange(0, 40).Draw(t, "waiting")}
+		}
+		parts := Divide(bound, demands)
+		sum := 0
+		for i, p := range parts {
+			sum += p
+			for j, q := range parts {
+				// Nobody who asks for more goes without while another gets more than it.
+				if p < demands[i].Running+demands[i].Waiting && q > p+1 && q > demands[j].Running+demands[j].Waiting {
+					t.Fatalf("entry %d asks for %v and gets %d, entry %d gets %d", i, demands[i], p, j, q)
+				}
+			}
+		}
+		if sum != bound {
+			t.Fatalf("%d of %d given out", sum, bound)
+		}
+	})
+}
+
+// group is a group whose pass takes a time for each running request.
+func (b *Bound) settle(empty, each time.Duration, offered int) (running int, pass time.Duration) {
+	for range 60 {
+		pass = empty + time.Duration(running)*each
+		running = min(offered, b.Update(pass, running))
+	}
+	return running, pass
+}
+
+func TestBoundKeepsPassesWithinTheTarget(t *testing.T) {
+	is := is.New(t)
+	b := &Bound{Target: 85 * time.Millisecond, Empty: 18 * time.Millisecond, Least: 16, Most: 192}
+	_, pass := b.settle(18*time.Millisecond, 400*time.Microsecond, 1000)
+	is.True(pass <= 90*time.Millisecond) // balanced: the bound is above what is needed
+	running, pass := b.settle(18*time.Millisecond, time.Millisecond, 1000)
+	is.True(pass <= 90*time.Millisecond) // one expert in demand slows every request
+	is.True(running >= 60)               // and the group is not left idle
+	running, _ = b.settle(18*time.Millisecond, 400*time.Microsecond, 1000)
+	is.True(running >= 150) // the bound comes back once the map fits
+}
--- a/pkg/steward/leader.go
+++ b/pkg/steward/leader.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -54,10 +55,15 @@
 	// accepted is when each rank accepted to load the target.
 	accepted map[int]time.Time
 	loadTime time.Duration
-	listed   time.Time
-	reached  time.Time
-	places   map[int]Member
-	passes   passClock
+	// listed is when the store was last read, listing is set while that goes on, and found
+	// is the engine's description once it was read.
+	listed  time.Time
+	listing atomic.Bool
+	found   atomic.Pointer[route.Engine]
+	reached time.Time
+	places  map[int]Member
+	passes  passClock
+	shares  *shares
 	// unanswered is when an order was last not answered.
 	unanswered time.Time
 }
@@ -83,6 +89,7 @@
 		s: s, fence: n, size: r.Size, group: r.Group, sw: mapswitch.New(), heldVersion: mapswitch.None,
 		reached: time.Now(), accepted: map[int]time.Time{},
 	}
+	l.shares = newShares(s, n)
 	reason := l.run(ctx)
 	s.log.Info("leader-ended", "group", r.Group, "fence", n, "reason", reason)
 }
@@ -117,30 +124,44 @@
 	}
 }
 
-// refresh reads the list of upstreams and the engine's description now and then. It
-// reports false while they are not known.
+// refresh reads what changes seldom, now and then and beside the rounds: a silent store
+// must not keep the leader from its group. It reports false while the engine is not known.
 func (l *leader) refresh(ctx context.Context) bool {
-	if time.Since(l.listed) > listInterval {
-		members, err := listMembers(ctx, l.s.store, l.s.node)
-		if err != nil {
-			l.s.log.Warn("members-not-listed", "error", err.Error())
-		} else {
-			l.s.mu.Lock()
-			l.s.members = members
-			l.s.mu.Unlock()
-		}
+	if time.Since(l.listed) > listInterval && l.listing.CompareAndSwap(false, true) {
 		l.listed = time.Now()
+		go func() {
+			defer l.listing.Store(false)
+			l.readStore(ctx)
+		}()
 	}
 	if l.engine == nil {
+		if e := l.found.Load(); e != nil {
+			l.engine = e
+			l.loads = NewLoads(e.Layers)
+			l.shares.engine(e, l.size)
+		}
+	}
+	return l.engine != nil && l.engine.Experts > 0
+}
+
+// readStore reads the list of upstreams, the entries, and once the engine's description.
+func (l *leader) readStore(ctx context.Context) {
+	if l.found.Load() == nil {
 		e, err := readEngine(ctx, l.s.store, l.s.node.UpstreamService)
 		if err != nil || e == nil {
 			l.s.log.Warn("engine-unknown", "service", l.s.node.UpstreamService)
-			return false
 		}
-		l.engine = e
-		l.loads = NewLoads(e.Layers)
+		l.found.Store(e)
+	}
+	members, err := listMembers(ctx, l.s.store, l.s.node)
+	if err != nil {
+		l.s.log.Warn("members-not-listed", "error", err.Error())
+	} else {
+		l.s.mu.Lock()
+		l.s.members = members
+		l.s.mu.Unlock()
 	}
-	return l.engine.Experts > 0
+	l.shares.list(ctx)
 }
 
 // listMembers returns the upstreams of the own service with their stewards.
@@ -240,6 +261,7 @@
 	ranks := l.view(seen, now)
 	l.count(seen, now)
 	l.passes.see(ranks, now)
+	l.shares.update(ctx, l.passes.time(), seen, now)
 	if !l.follow(seen, ranks) {
 		return idleRound
 	}
--- /dev/null
+++ b/pkg/steward/shares.go
@@ -0,0 +1,121 @@
+package steward
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/roster"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/route"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/sharing"
+)
+
+const (
+	// shareInterval is the time between two divisions of the bound: about two passes.
+	shareInterval = 100 * time.Millisecond
+	// shareTimeout bounds the call of an entry.
+	shareTimeout = 150 * time.Millisecond
+	// passTarget is the time of a pass to aim for: the usual longest pause between events
+	// is 120 ms, and passes in which long prompts are read take half as long again.
+	passTarget = 85 * time.Millisecond
+	// leastPerRank is the running requests per rank that are always allowed.
+	leastPerRank = 2
+)
+
+// shares keeps the entries informed of their parts of the group's bound.
+type shares struct {
+	s       *Steward
+	fence   int64
+	entries []roster.Entry
+	bound   *sharing.Bound
+	next    time.Time
+
+	mu      sync.Mutex
+	demands map[string]sharing.Demand
+	busy    map[string]bool
+}
+
+func newShares(s *Steward, fence int64) *shares {
+	return &shares{s: s, fence: fence, demands: map[string]sharing.Demand{}, busy: map[string]bool{}}
+}
+
+// engine sets the limits of the bound.
+func (h *shares) engine(e *route.Engine, ranks int) {
+	h.bound = &sharing.Bound{
+		Target: passTarget, Empty: time.Duration(e.TokensPerPass) * e.StepTime,
+		Least: leastPerRank * ranks, Most: e.Batch * ranks,
+	}
+}
+
+// list reads who the entries are.
+func (h *shares) list(ctx context.Context) {
+	entries, _, err := roster.List(ctx, h.s.store)
+	if err != nil {
+		h.s.log.Warn("entries-not-listed", "error", err.Error())
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.entries = entries
+}
+
+// update works the bound out and tells the entries their parts, without waiting for them.
+func (h *shares) update(ctx context.Context, pass time.Duration, seen map[int]Observation, now time.Time) {
+	if h.bound == nil || now.Before(h.next) {
+		return
+	}
+	h.next = now.Add(shareInterval)
+	running := 0
+	for _, o := range seen {
+		running += o.Report.Running
+	}
+	bound := h.bound.Update(pass, running)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	heard := make([]roster.Entry, 0, len(h.entries))
+	demands := make([]sharing.Demand, 0, len(h.entries))
+	for _, e := range h.entries {
+		d, ok := h.demands[e.Name]
+		if !ok {
+			// It is asked first, and counts once it has answered.
+			h.tell(ctx, e, -1)
+			continue
+		}
+		heard = append(heard, e)
+		demands = append(demands, d)
+	}
+	if len(heard) == 0 {
+		return
+	}
+	for i, part := range sharing.Divide(bound, demands) {
+		h.tell(ctx, heard[i], part)
+	}
+	h.s.log.Debug("bound", "bound", bound, "running", running, "pass_time", pass.Round(time.Millisecond), "entries", len(heard))
+}
+
+// tell passes an entry its part unless the last call is still under way. An entry that
+// does not answer is left out of the division. The caller holds h.mu.
+func (h *shares) tell(ctx context.Context, e roster.Entry, part int) {
+	if h.busy[e.Name] {
+		return
+	}
+	h.busy[e.Name] = true
+	limit := roster.Limit{Service: h.s.node.UpstreamService, Fence: h.fence, Part: part}
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, shareTimeout)
+		defer cancel()
+		c := h.s.client(e.PeerAddress)
+		answer, err := peer.Call[roster.LimitAnswer](ctx, c, roster.MethodLimit, limit)
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		delete(h.busy, e.Name)
+		if err != nil {
+			delete(h.demands, e.Name)
+			c.Close()
+			h.s.log.Debug("entry-not-told", "entry", e.Name, "error", err.Error())
+			return
+		}
+		h.demands[e.Name] = answer.Demand
+	}()
+}
