--- a/pkg/mapswitch/world_test.go
+++ b/pkg/mapswitch/world_test.go
@@ -85,12 +85,13 @@
 func (w *world) report(i int) Rank {
 	r := w.ranks[i]
 	prepared := r.prepared
+	loading := None
 	if w.now < r.readyAt {
-		prepared = None
+		prepared, loading = None, r.prepared
 	}
 	return Rank{
 		Known: true, Open: true, Epoch: w.epoch, Pass: w.pass,
-		Running: r.running, Prepared: prepared, Loading: None, Armed: r.armed, ArmedFor: r.armedFor, Held: r.held,
+		Running: r.running, Prepared: prepared, Loading: loading, Armed: r.armed, ArmedFor: r.armedFor, Held: r.held,
 	}
 }
 
@@ -172,6 +173,7 @@
 	orders, phase := o.sw.Next(o.view)
 	if phase == Idle || phase == Stuck {
 		o.counter++
+		o.sw.SetEarly(w.rng.IntN(2) == 0)
 		o.sw.Start(Target{Version: o.fence*1000 + o.counter, Epoch: o.view[0].Epoch})
 	}
 	orders = w.spoil(o, orders)
--- a/pkg/placement/even.go
+++ b/pkg/placement/even.go
@@ -29,6 +29,15 @@
 	Copies int
 }
 
+// Skew returns the mean over the layers of the fullest rank's load relative to the mean.
+func (g EvenGroup) Skew(held [][][]int, loads [][]float64) float64 {
+	sum := 0.0
+	for i := range held {
+		sum += newEvenLayer(g, held[i], loads[i], nil).skew()
+	}
+	return sum / float64(max(1, len(held)))
+}
+
 // evenPower is the power in the potential that the plan lowers: the higher, the more the
 // fullest ranks count against all others.
 const evenPower = 4 // applied to the square, so that the power is 8
--- a/pkg/steward/leader.go
+++ b/pkg/steward/leader.go
@@ -29,6 +29,8 @@
 	listInterval = 2 * time.Second
 	// loadMargin is how much longer than expected a rank may load before it is asked again.
 	loadMargin = 150 * time.Millisecond
+	// earlyMargin is the time that a rank may take longer to load than is expected of it.
+	earlyMargin = 25 * time.Millisecond
 	// aloneAfter is how long a leader that reaches fewer than half of the ranks goes on.
 	aloneAfter = 2 * time.Second
 	// cautionTime is how long after an unanswered order switches leave time for another.
@@ -44,6 +46,7 @@
 	size   int
 	group  string
 	sw     *mapswitch.Switch
+	phase  mapswitch.Phase
 	loads  *Loads
 	engine *route.Engine
 	// held is the map in use, as far as it is known, with its version.
@@ -101,7 +104,7 @@
 			pause(ctx, idleRound)
 			continue
 		}
-		seen, newest := l.observeAll(ctx)
+		seen, newest := l.observeAll(ctx, l.phase == mapswitch.Idle || l.phase == mapswitch.Blocked)
 		if newest > l.fence {
 			return "another leader"
 		}
@@ -205,12 +208,12 @@
 
 // observeAll looks at all ranks at once. It returns what was seen by rank, and the newest
 // fencing number that any steward has seen.
-func (l *leader) observeAll(ctx context.Context) (map[int]Observation, int64) {
+func (l *leader) observeAll(ctx context.Context, counts bool) (map[int]Observation, int64) {
 	l.s.mu.Lock()
 	members := l.s.members
 	running := l.heldVersion
 	l.s.mu.Unlock()
-	request := ObserveRequest{Fence: l.fence, Leader: l.s.node.Name, Members: members, Lists: running == mapswitch.None}
+	request := ObserveRequest{Fence: l.fence, Leader: l.s.node.Name, Members: members, Counts: counts, Lists: running == mapswitch.None}
 	answers := l.s.observeMembers(ctx, members, request)
 	seen := map[int]Observation{}
 	newest := int64(0)
@@ -259,16 +262,23 @@
 func (l *leader) round(ctx context.Context, seen map[int]Observation) time.Duration {
 	now := time.Now()
 	ranks := l.view(seen, now)
-	l.count(seen, now)
+	if l.phase == mapswitch.Idle || l.phase == mapswitch.Blocked {
+		l.count(seen, now)
+	}
 	l.passes.see(ranks, now)
 	l.shares.update(ctx, l.passes.time(), seen, now)
 	if !l.follow(seen, ranks) {
 		return idleRound
 	}
 	orders, phase := l.sw.Next(ranks)
+	former := l.phase
+	l.phase = phase
 	switch phase {
 	case mapswitch.Idle:
-		if !l.plan(ranks, now) {
+		if former != mapswitch.Idle && former != mapswitch.Blocked {
+			return 0 // The newest look had no counts.
+		}
+		if !l.plan(ranks, runningIn(seen), now) {
 			return idleRound
 		}
 		orders, phase = l.sw.Next(ranks)
@@ -278,6 +288,8 @@
 	case mapswitch.Blocked:
 		return idleRound
 	}
+	l.phase = phase
+	l.sw.SetEarly(l.nearlyLoaded(now))
 	l.give(ctx, orders, now)
 	if phase == mapswitch.Preparing {
 		return loadRound
@@ -285,6 +297,31 @@
 	return switchRound
 }
 
+// nearlyLoaded reports whether the ranks will have loaded the target by the time that a
+// hold ordered now would stop the group.
+func (l *leader) nearlyLoaded(now time.Time) bool {
+	if len(l.accepted) < l.size || now.Sub(l.unanswered) < cautionTime {
+		return false
+	}
+	last := time.Time{}
+	for _, at := range l.accepted {
+		if at.After(last) {
+			last = at
+		}
+	}
+	ahead := time.Duration(mapswitch.DefaultLead-1) * l.passes.time()
+	return last.Add(l.loadTime + earlyMargin).Before(now.Add(ahead))
+}
+
+// runningIn returns the requests that run at the ranks.
+func runningIn(seen map[int]Observation) int {
+	n := 0
+	for _, o := range seen {
+		n += o.Report.Running
+	}
+	return n
+}
+
 // view returns the ranks as the switch sees them.
 func (l *leader) view(seen map[int]Observation, now time.Time) []mapswitch.Rank {
 	ranks := make([]mapswitch.Rank, l.size)
@@ -305,7 +342,7 @@
 func (l *leader) count(seen map[int]Observation, now time.Time) {
 	l.loads.Begin(now)
 	for i, o := range seen {
-		l.loads.Add(i, o.Report.Born, o.Counts)
+		l.loads.Add(i, o.Report.Born, o.Counts.unpack())
 	}
 }
 
@@ -353,14 +390,19 @@
 }
 
 // plan starts a new map where that pays.
-func (l *leader) plan(ranks []mapswitch.Rank, now time.Time) bool {
+func (l *leader) plan(ranks []mapswitch.Rank, running int, now time.Time) bool {
 	loads := l.loads.Recent(now)
 	if loads == nil || l.heldVersion == mapswitch.None {
 		return false
 	}
 	g := placement.EvenGroup{Slots: l.engine.Slots, Reserve: l.engine.Reserve, Loads: loadsPerPlan, Goal: skewGoal}
+	skew := g.Skew(l.held, loads)
+	pass := max(l.passes.time(), expectedPass(l.engine, float64(running)/float64(l.size), skew))
+	l.s.log.Debug("skew", "skew", skew, "pass_time", pass.Round(time.Millisecond), "running", running)
+	if !worth(placement.EvenPlan{Before: skew, After: 1, Loaded: 1, Copies: 1}, l.engine.LoadTime, pass) {
+		return false // Even a perfect map would not pay.
+	}
 	p := g.Plan(l.held, loads)
-	pass := l.passes.time()
 	if !worth(p, l.engine.LoadTime, pass) {
 		return false
 	}
@@ -371,6 +413,16 @@
 	return true
 }
 
+// readingFactor is how much longer a pass takes for the prompts that are read in it.
+const readingFactor = 1.3
+
+// expectedPass returns the time of a pass with a number of running requests per rank, when
+// experts are skewed.
+func expectedPass(e *route.Engine, running, skew float64) time.Duration {
+	step := float64(e.StepTime) + float64(e.StepPerRequest)*running*(1-e.ExpertShare+e.ExpertShare*skew)
+	return time.Duration(readingFactor * float64(e.TokensPerPass) * step)
+}
+
 // start makes a map the target under a version that was never used.
 func (l *leader) start(epoch int64, m mapswitch.Map) {
 	l.versions++
--- a/pkg/steward/loads.go
+++ b/pkg/steward/loads.go
@@ -1,6 +1,7 @@
 package steward
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -8,7 +9,10 @@
 const (
 	// loadWindow is the time over which choices of experts count: a few passes, as what
 	// is in demand may change within seconds.
-	loadWindow = 300 * time.Millisecond
+	loadWindow = 400 * time.Millisecond
+	// changed is the part of the choices that differ from one sample to the next from
+	// which on demand has changed; between samples of some requests each it is below.
+	changed = 0.25
 	// minChoices is the number of choices in a layer from which loads mean something: at
 	// 64 experts the heaviest ones are then known to a few in a hundred.
 	minChoices = 5_000
@@ -70,8 +74,9 @@
 	}
 }
 
-// Recent returns the loads by layer and expert in the newest window, or nil while there
-// are too few choices.
+// Recent returns the loads by layer and expert, or nil while there are too few choices. It
+// goes back over the samples as far as the window reaches, but not beyond a change of
+// what is in demand: a mix of before and after fits neither.
 func (l *Loads) Recent(now time.Time) [][]float64 {
 	var sum []int64
 	for i := len(l.samples) - 1; i >= 0; i-- {
@@ -82,10 +87,10 @@
 		if sum == nil {
 			sum = make([]int64, len(s.counts))
 		}
-		if now.Sub(s.at) > loadWindow && l.enough(sum) {
+		if len(s.counts) != len(sum) {
 			break
 		}
-		if len(s.counts) != len(sum) {
+		if l.enough(sum) && (now.Sub(s.at) > loadWindow || l.enough(s.counts) && distance(sum, s.counts) > changed) {
 			break
 		}
 		for k, n := range s.counts {
@@ -105,6 +110,20 @@
 	return out
 }
 
+// distance returns the part of the choices, from 0 to 1, that differs between two samples.
+func distance(a, b []int64) float64 {
+	totalA, totalB := 0.0, 0.0
+	for i := range a {
+		totalA += float64(a[i])
+		totalB += float64(b[i])
+	}
+	d := 0.0
+	for i := range a {
+		d += math.Abs(float64(a[i])/totalA - float64(b[i])/totalB)
+	}
+	return d / 2
+}
+
 func (l *Loads) enough(sum []int64) bool {
 	total := int64(0)
 	for _, n := range sum {
--- a/pkg/steward/message.go
+++ b/pkg/steward/message.go
@@ -1,6 +1,8 @@
 package steward
 
 import (
+	"encoding/binary"
+
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/mapswitch"
 	"github.com/coltsfootpitch/coltsfootpitch/platform"
 )
@@ -23,8 +25,9 @@
 	// Fence is the fencing number of the leader; 0 for one who only completes a hold.
 	Fence  int64  `json:"fence"`
 	Leader string `json:"leader"`
-	// Lists asks for the experts that the rank holds.
-	Lists bool `json:"lists,omitempty"`
+	// Counts asks for the counts of chosen experts, and Lists for those that the rank holds.
+	Counts bool `json:"counts,omitempty"`
+	Lists  bool `json:"lists,omitempty"`
 	// Members hands the leader's list on, for a steward that cannot read it in the store.
 	Members []Member `json:"members,omitempty"`
 }
@@ -32,8 +35,9 @@
 // Observation is the state of a rank.
 type Observation struct {
 	Report platform.RankReport `json:"report"`
-	// Counts are, one layer after the other, how often each expert was chosen.
-	Counts []int64 `json:"counts,omitempty"`
+	// Counts are, one layer after the other, how often each expert was chosen. Hundreds of
+	// them travel many times a second, so they are packed.
+	Counts packedCounts `json:"counts,omitempty"`
 	// HeldVersion is the version of the map whose experts Held lists by layer.
 	HeldVersion int64   `json:"held_version"`
 	Held        [][]int `json:"held,omitempty"`
@@ -41,6 +45,31 @@
 	Fence int64 `json:"fence"`
 }
 
+// packedCounts are counts as varints.
+type packedCounts []byte
+
+func packCounts(counts []int64) packedCounts {
+	var out packedCounts
+	for _, n := range counts {
+		out = binary.AppendUvarint(out, uint64(n))
+	}
+	return out
+}
+
+// unpack returns the counts, up to the first that cannot be read.
+func (p packedCounts) unpack() []int64 {
+	var out []int64
+	for len(p) > 0 {
+		v, n := binary.Uvarint(p)
+		if n <= 0 {
+			return out
+		}
+		out = append(out, int64(v))
+		p = p[n:]
+	}
+	return out
+}
+
 // OrderRequest asks a steward to give its rank an order.
 type OrderRequest struct {
 	Fence int64           `json:"fence"`
--- a/pkg/steward/shares.go
+++ b/pkg/steward/shares.go
@@ -66,10 +66,7 @@
 		return
 	}
 	h.next = now.Add(shareInterval)
-	running := 0
-	for _, o := range seen {
-		running += o.Report.Running
-	}
+	running := runningIn(seen)
 	bound := h.bound.Update(pass, running)
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/pkg/steward/steward.go
+++ b/pkg/steward/steward.go
@@ -89,10 +89,14 @@
 			return o, err
 		}
 	}
-	if r.Fence != 0 {
-		o.Counts, err = s.rank.Counts(ctx)
+	if r.Counts {
+		counts, err := s.rank.Counts(ctx)
+		if err != nil {
+			return o, err
+		}
+		o.Counts = packCounts(counts)
 	}
-	return o, err
+	return o, nil
 }
 
 // order gives the own rank an order that the fence allows.
