--- /dev/null
+++ b/pkg/gateway/gateway_test.go
@@ -0,0 +1,355 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/coltsfootpitch/coltsfootpitch/platform"
+	"github.com/coltsfootpitch/coltsfootpitch/platform/standin"
+)
+
+// attempts numbers the requests of the tests.
+var attempts atomic.Uint64
+
+// bed is a gateway with a store and workers, all stand-ins.
+type bed struct {
+	t       *testing.T
+	store   *standin.Store
+	gateway *Gateway
+	server  *httptest.Server
+	workers []*standin.Worker
+}
+
+const configurationText = `{"version":%VERSION%,"routes":[
+ {"name":"safe","host":"h","path_prefix":"/safe/","type":"safe","service":"plain","max_attempts":2,"timeout_ms":900,"target_latency_ms":100},
+ {"name":"once","host":"h","path_prefix":"/once/","type":"unsafe","service":"plain","max_attempts":2,"timeout_ms":900,"target_latency_ms":100},
+ {"name":"stream","host":"h","path_prefix":"/stream/","type":"streaming","resumable":true,"service":"plain","max_attempts":2,"timeout_ms":4000,"target_latency_ms":500},
+ {"name":"live","host":"h","path_prefix":"/live/","type":"streaming","service":"plain","max_attempts":2,"timeout_ms":4000,"target_latency_ms":500}],
+ "services":[{"name":"plain","max_connections":50}],
+ "limits":{"max_body_bytes":1000,"idle_timeout_ms":15000},
+ "tenants":[{"name":"o","api_keys":["key-1"]}]}`
+
+func configuration(version string) []byte {
+	return []byte(strings.Replace(configurationText, "%VERSION%", version, 1))
+}
+
+func newBed(t *testing.T, workers int) *bed {
+	t.Helper()
+	b := &bed{t: t, store: standin.NewStore()}
+	t.Cleanup(b.store.Close)
+	n := platform.Node{
+		Name: "edge-1", Zone: "z", StoreAddress: b.store.Address(), StopTime: 8 * time.Second,
+		Retries: platform.RetryBounds{Ratio: 0.2, Allowance: 94, Window: 10 * time.Second},
+	}
+	m := metrics.NewRegistry()
+	b.gateway = New(n, NewFleet(n), hclog.NewNullLogger(), m)
+	b.gateway.follow(t.Context(), platform.NewStore(n.StoreAddress, m))
+	b.server = httptest.NewServer(b.gateway)
+	t.Cleanup(b.server.Close)
+	for i := range workers {
+		w := standin.NewWorker("i-" + string(rune('a'+i)))
+		t.Cleanup(w.Close)
+		b.workers = append(b.workers, w)
+		b.store.Put(platform.KindUpstreams, w.ID, w.Entry("plain", "z"))
+	}
+	return b
+}
+
+// configure puts a configuration into force and waits for the workers to be known.
+func (b *bed) configure(version string) {
+	b.t.Helper()
+	b.store.PutRaw(platform.KindConfiguration, platform.NameConfiguration, configuration(version))
+	b.eventually("the configuration and the workers", func() bool {
+		upstreams, _ := b.gateway.fleet.Usable("plain")
+		return b.gateway.Ready() && upstreams == len(b.workers)
+	})
+}
+
+func (b *bed) eventually(what string, holds func() bool) {
+	b.t.Helper()
+	for range 500 {
+		if holds() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	b.t.Fatal("not seen in time: " + what)
+}
+
+// call makes a request; a broken answer has the error of its reading.
+func (b *bed) call(path, key, body string) (int, string, http.Header, error) {
+	b.t.Helper()
+	req, err := http.NewRequest(http.MethodPost, b.server.URL+path, strings.NewReader(body))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	req.Host = "h"
+	req.Header.Set("Authorization", "Bearer "+key)
+	standin.Name(req, "attempt-"+strconv.FormatUint(attempts.Add(1), 10))
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, "", nil, err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(text), resp.Header, err
+}
+
+func (b *bed) ran() int {
+	n := 0
+	for _, w := range b.workers {
+		n += len(w.Requests())
+	}
+	return n
+}
+
+// behave sets how the workers answer: the one that is asked first by first, the other by second.
+func (b *bed) behave(first, second func(w *standin.Worker) func(http.ResponseWriter, *http.Request)) {
+	var asked *standin.Worker
+	for _, w := range b.workers {
+		w.Behave(func(rw http.ResponseWriter, r *http.Request) {
+			if asked == nil {
+				asked = w
+			}
+			if asked == w {
+				first(w)(rw, r)
+				return
+			}
+			second(w)(rw, r)
+		})
+	}
+}
+
+type behaviour = func(w *standin.Worker) func(http.ResponseWriter, *http.Request)
+
+var (
+	succeed behaviour = func(w *standin.Worker) func(http.ResponseWriter, *http.Request) { return w.Succeed }
+	fail    behaviour = func(w *standin.Worker) func(http.ResponseWriter, *http.Request) { return w.Fail }
+	shed    behaviour = func(w *standin.Worker) func(http.ResponseWriter, *http.Request) { return w.Shed }
+	lose    behaviour = func(w *standin.Worker) func(http.ResponseWriter, *http.Request) { return w.Lose }
+	stall   behaviour = func(*standin.Worker) func(http.ResponseWriter, *http.Request) {
+		return func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body) // a server sees the end of a connection only then
+			<-r.Context().Done()
+		}
+	}
+)
+
+func TestWithoutConfigurationNothingIsDenied(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, 1)
+	status, _, head, err := b.call("/safe/x", "key-1", "")
+	is.NoErr(err)
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.True(head.Get("Retry-After") != "")
+	is.True(!b.gateway.Ready())
+}
+
+func TestRoutesAndKeys(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, 1)
+	b.configure("1")
+	status, text, _, err := b.call("/safe/x?y=1", "key-1", "")
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+	is.Equal(text, "answer of i-a")
+	got := b.workers[0].Requests()[0]
+	is.Equal(got.Target, "/safe/x?y=1")
+	is.Equal(got.Tenant, "o")
+	is.True(!got.HasKey)
+	status, _, _, _ = b.call("/safe/x", "key-2", "")
+	is.Equal(status, http.StatusUnauthorized)
+	status, _, _, _ = b.call("/other/x", "key-1", "")
+	is.Equal(status, http.StatusNotFound)
+	status, _, _, _ = b.call("/once/x", "key-1", strings.Repeat("x", 1001))
+	is.Equal(status, http.StatusRequestEntityTooLarge)
+	is.Equal(b.ran(), 1)
+}
+
+// While the store is silent, an unknown key may be in a configuration that is not known.
+func TestUnknownKeysAreNotDeniedWhileTheStoreIsLost(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, 1)
+	b.configure("1")
+	b.gateway.storeLost.Store(1)
+	b.gateway.born = time.Now().Add(-time.Minute)
+	status, _, _, _ := b.call("/safe/x", "key-2", "")
+	is.Equal(status, http.StatusServiceUnavailable)
+}
+
+func TestIdempotentRequestsAreRepeatedElsewhere(t *testing.T) {
+	for name, first := range map[string]behaviour{"failed": fail, "shed": shed, "lost": lose, "stalled": stall} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBed(t, 2)
+			b.configure("1")
+			b.behave(first, succeed)
+			status, _, _, err := b.call("/safe/x", "key-1", "")
+			is.NoErr(err)
+			is.Equal(status, http.StatusOK)
+			is.Equal(b.ran(), 2)
+		})
+	}
+}
+
+func TestOthersRunAtMostOnceAndPromisesAreTrue(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		first  behaviour
+		status int
+		ran    int
+	}{
+		{"failed", fail, http.StatusInternalServerError, 1},
+		{"lost", lose, http.StatusBadGateway, 1},
+		{"stalled", stall, http.StatusGatewayTimeout, 1},
+		{"shed", shed, http.StatusOK, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBed(t, 2)
+			b.configure("1")
+			b.behave(c.first, succeed)
+			status, _, _, err := b.call("/once/x", "key-1", "body")
+			is.NoErr(err)
+			is.Equal(status, c.status)
+			is.Equal(b.ran(), c.ran)
+		})
+	}
+}
+
+func TestUnsignedSuccessIsNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, 1)
+	b.configure("1")
+	b.workers[0].Behave(func(rw http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(rw, "someone else's") })
+	status, text, _, err := b.call("/once/x", "key-1", "")
+	is.NoErr(err)
+	is.Equal(status, http.StatusBadGateway)
+	is.Equal(text, "")
+}
+
+func TestAnswerOfAnEarlierRequestIsNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, 1)
+	b.configure("1")
+	b.workers[0].Behave(b.workers[0].Twice)
+	for range 5 {
+		status, text, _, err := b.call("/once/x", "key-1", "")
+		is.NoErr(err)
+		is.Equal(status, http.StatusOK)
+		is.Equal(text, "ok")
+	}
+	is.Equal(b.ran(), 5)
+}
+
+func TestStreamGoesOnElsewhere(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, 2)
+	b.configure("1")
+	b.behave(
+		func(w *standin.Worker) func(http.ResponseWriter, *http.Request) { return w.Stream(6, 3) },
+		func(w *standin.Worker) func(http.ResponseWriter, *http.Request) { return w.Stream(6, 0) },
+	)
+	status, text, _, err := b.call("/stream/x", "key-1", "")
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+	want := ""
+	for _, id := range []string{"1", "2", "3", "4", "5", "6"} {
+		want += "id: " + id + "\ndata: token " + id + "\n\n"
+	}
+	is.Equal(text, want)
+}
+
+func TestStreamThatMayNotBeResumedDoesNotLookWhole(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, 2)
+	b.configure("1")
+	b.behave(
+		func(w *standin.Worker) func(http.ResponseWriter, *http.Request) { return w.Stream(6, 3) },
+		func(w *standin.Worker) func(http.ResponseWriter, *http.Request) { return w.Stream(6, 0) },
+	)
+	_, _, _, err := b.call("/live/x", "key-1", "")
+	is.True(err != nil)
+	is.Equal(b.ran(), 1)
+}
+
+func TestNewsOfTheStoreTakesEffect(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, 2)
+	b.configure("1")
+	b.store.Put(platform.KindEvacuations, "z", struct{}{})
+	b.eventually("the zone is out", func() bool { n, _ := b.gateway.fleet.Usable("plain"); return n == 0 })
+	status, _, _, _ := b.call("/safe/x", "key-1", "")
+	is.Equal(status, http.StatusServiceUnavailable)
+	b.store.Remove(platform.KindEvacuations, "z")
+	b.eventually("the zone is back", func() bool { n, _ := b.gateway.fleet.Usable("plain"); return n == 2 })
+	leaving := b.workers[0].Entry("plain", "z")
+	leaving["state"] = "draining"
+	b.store.Put(platform.KindUpstreams, "i-a", leaving)
+	b.eventually("the worker leaves", func() bool { n, _ := b.gateway.fleet.Usable("plain"); return n == 1 })
+	b.store.PutRaw(platform.KindUpstreams, "i-b", []byte(`{"odd":true}`))
+	b.eventually("an unreadable entry names no worker", func() bool { n, _ := b.gateway.fleet.Usable("plain"); return n == 0 })
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, 1)
+	b.configure("5")
+	b.gateway.Adopt(configuration("4"), "test")
+	is.Equal(b.gateway.Version(), int64(5))
+	b.gateway.Adopt([]byte("{"), "test")
+	is.Equal(b.gateway.Version(), int64(5))
+}
+
+// An entry that starts while the store is away takes what a peer knows.
+func TestSnapshotOfAPeerServesWithoutTheStore(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, 1)
+	b.configure("3")
+	n := platform.Node{Name: "edge-2", Zone: "z"}
+	other := New(n, NewFleet(n), hclog.NewNullLogger(), metrics.NewRegistry())
+	is.True(other.wants(3))
+	other.learn(b.gateway.snapshot(), "edge-1")
+	is.Equal(other.Version(), int64(3))
+	upstreams, _ := other.fleet.Usable("plain")
+	is.Equal(upstreams, 1)
+}
+
+func TestRequestsOfCallersWhoLeftAreCancelled(t *testing.T) {
+	b := newBed(t, 1)
+	b.configure("1")
+	begun, ended := make(chan struct{}), make(chan struct{})
+	b.workers[0].Behave(func(_ http.ResponseWriter, r *http.Request) {
+		close(begun)
+		<-r.Context().Done()
+		close(ended)
+	})
+	req, err := http.NewRequest(http.MethodGet, b.server.URL+"/once/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h"
+	req.Header.Set("Authorization", "Bearer key-1")
+	client := &http.Client{Timeout: 200 * time.Millisecond}
+	go func() {
+		if _, err := client.Do(req); err == nil {
+			t.Error("the caller was answered")
+		}
+	}()
+	<-begun
+	select {
+	case <-ended:
+	case <-time.After(700 * time.Millisecond): // half a second after the caller left
+		t.Fatal("the worker was still at work")
+	}
+}
--- /dev/null
+++ b/pkg/inventory/inventory_test.go
@@ -0,0 +1,45 @@
+package inventory
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func noWarmup(string) time.Duration { return 0 }
+
+// Entries of live upstreams expire while the store is away, and come back within seconds.
+func TestUpstreamsThatVanishInAnOutageAreKeptForAWhile(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	v := New()
+	v.Put(Upstream{ID: "a"}, 0, now)
+	v.Put(Upstream{ID: "b"}, 0, now)
+	v.Put(Upstream{ID: "c", Leaving: true}, 0, now)
+	v.Outage()
+	v.Recovered(now)
+	v.Replace([]Upstream{{ID: "b"}}, noWarmup, now)
+	is.True(v.Entries()["a"].Doubtful)
+	is.True(v.Entries()["c"] == nil) // one that was leaving is gone
+	v.Put(Upstream{ID: "a"}, 0, now.Add(time.Second))
+	is.True(!v.Entries()["a"].Doubtful)
+	v.Remove("b", now.Add(time.Second))
+	v.Expire(now.Add(ReturnTime - 1))
+	is.Equal(len(v.Entries()), 2)
+	v.Expire(now.Add(ReturnTime))
+	is.Equal(len(v.Entries()), 1)
+	v.Remove("a", now.Add(ReturnTime)) // without an outage it goes at once
+	is.Equal(len(v.Entries()), 0)
+}
+
+func TestColdness(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	v := New()
+	born := time.Unix(50, 0)
+	is.True(v.Put(Upstream{ID: "a", Born: born, WarmupLeft: 3 * time.Second}, 3*time.Second, now))
+	is.True(!v.Put(Upstream{ID: "a", Born: born}, 3*time.Second, now.Add(time.Second)))
+	is.Equal(v.Entries()["a"].ColdUntil, now.Add(3*time.Second)) // an entry that says less does not warm it
+	is.True(v.Put(Upstream{ID: "a", Born: born.Add(time.Minute)}, 3*time.Second, now))
+}
--- /dev/null
+++ b/pkg/pick/pick_test.go
@@ -0,0 +1,60 @@
+package pick
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func half() float64 { return 0.5 }
+
+func TestBest(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		list []Candidate
+		want int
+	}{
+		{"none", nil, -1},
+		{"the emptier one", []Candidate{{Running: 3, Capacity: 6}, {Running: 2, Capacity: 6}}, 1},
+		{"the larger one", []Candidate{{Running: 2, Capacity: 6}, {Running: 2, Capacity: 12}}, 1},
+		{"not the one that fails", []Candidate{{Capacity: 6, Failures: 0.6}, {Running: 5, Capacity: 6}}, 1},
+		{"not the slow one", []Candidate{{Capacity: 6, Slowness: 5}, {Running: 2, Capacity: 6, Slowness: 1}}, 1},
+		{"the own zone", []Candidate{{Capacity: 6, Far: true}, {Capacity: 6}}, 1},
+		{"a full one before one that may be gone", []Candidate{{Capacity: 6, Doubtful: true}, {Running: 30, Capacity: 6}}, 1},
+		{"one that failed just now when no other is there", []Candidate{{Capacity: 6, Suspended: true}}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is.New(t).Equal(Best(c.list, half), c.want)
+		})
+	}
+}
+
+// Nine entries share a cold upstream that bears 36 starts a second; the bound is half as
+// much again and five more in any second.
+func TestColdStartsStayWithinTheBoundOverAllEntries(t *testing.T) {
+	is := is.New(t)
+	const entries, rate, bound = 9, 36.0, 36*1.5 + 5
+	buckets := make([]Bucket, entries)
+	var starts []time.Duration
+	begin := time.Unix(100, 0)
+	for at := time.Duration(0); at < 3*time.Second; at += 5 * time.Millisecond {
+		for i := range buckets {
+			if buckets[i].Take(rate/entries, begin.Add(at)) {
+				starts = append(starts, at)
+			}
+		}
+	}
+	worst := 0
+	for i := range starts {
+		n := 0
+		for _, s := range starts[i:] {
+			if s-starts[i] < time.Second {
+				n++
+			}
+		}
+		worst = max(worst, n)
+	}
+	is.True(worst <= bound)
+	is.True(worst >= 30) // and most of what it bears is used
+}
--- a/pkg/steward/loads.go
+++ b/pkg/steward/loads.go
@@ -12,7 +12,7 @@
 	loadWindow = 400 * time.Millisecond
 	// changed is the part of the choices that differ from one sample to the next from
 	// which on demand has changed; between samples of some requests each it is below.
-	changed = 0.25
+	changed = 0.2
 	// minChoices is the number of choices in a layer from which loads mean something: at
 	// 64 experts the heaviest ones are then known to a few in a hundred.
 	minChoices = 5_000
