Hold a group for moments only, and complete holds without some stewards

The hold ordered while ranks still load kept the group exposed for 0.2 s a round.

Ruled out: more holds at once (any of them would do the same).

Change: ranks without stewards are read and armed directly while a hold is in force; holds are ordered once all ranks are ready, two passes ahead; a stream that cannot end in time at the group's pace is refused at once; an entry without configuration asks callers to come back after 1.5 s.

Tests with stand-in ranks: the orphaned hold failed before, all pass.

--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -24,6 +24,9 @@
 	fence int64
 	part  int
 	at    time.Time
+	// pass is the time of a pass, and tokens what a request gains in it.
+	pass   time.Duration
+	tokens int
 }
 
 // takeLimit takes in the part that a group's leader gives and tells what there is to do.
@@ -35,7 +38,9 @@
 	if l.Part < 0 || l.Fence < g.limits[l.Service].fence {
 		return answer
 	}
-	g.limits[l.Service] = groupLimit{fence: l.Fence, part: l.Part, at: time.Now()}
+	g.limits[l.Service] = groupLimit{fence: l.Fence, part: l.Part, at: time.Now(),
+		pass: time.Duration(l.PassMillis * float64(time.Millisecond)), tokens: l.TokensPerPass,
+	}
 	if g.table.Load() != nil {
 		g.limit(l.Service)
 	}
@@ -59,3 +64,20 @@
 	}
 	g.permits.setLimit(service, max(1, int(limitSpread*float64(places)/float64(g.entries)+0.5)))
 }
+
+// writingPart is the part of the expected time of an answer that must fit into the time
+// left: estimates of lengths are right at the median only, and passes get shorter when
+// work is refused.
+const writingPart = 0.7
+
+// answerTime returns the time that an answer of so many tokens takes in the group of a
+// service at its present pace, 0 where that is not known.
+func (g *Gateway) answerTime(service string, tokens int) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l := g.limits[service]
+	if l.tokens <= 0 || time.Since(l.at) > limitLife {
+		return 0
+	}
+	return time.Duration(writingPart * float64(tokens) / float64(l.tokens) * float64(l.pass))
+}
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -15,8 +15,9 @@
 
 const (
 	// unconfiguredRetry is when a caller may come back to an entry that knows no
-	// configuration: one call of the store later.
-	unconfiguredRetry = 300 * time.Millisecond
+	// configuration. One that starts has it after a call of the store, in milliseconds; one
+	// that is asked before is most often waiting for the store's return.
+	unconfiguredRetry = 1500 * time.Millisecond
 	// staleAfter is how long the store may be silent until an unknown route or key is
 	// answered "not now" in place of "never": it may be in a newer configuration.
 	staleAfter = time.Second
@@ -155,6 +156,10 @@
 // serve waits for a permit and runs the call.
 func (c *call) serve(ctx context.Context) {
 	c.g.noteRequest(c.service, c.start)
+	if c.route.Streaming && c.g.answerTime(c.service, c.q.AnswerTokens) > c.left() {
+		c.refuse(http.StatusServiceUnavailable, c.comeBack(slowRetry), "too-slow")
+		return
+	}
 	d, err := c.g.permits.acquire(ctx, c.service, permit.Request{
 		ID: c.id, Organisation: c.organisation, Priority: -c.priority, Cost: c.cost(), Patience: c.patience(),
 	})
@@ -180,6 +185,10 @@
 	return max(1, int64(c.q.PromptTokens+writeCost*c.q.AnswerTokens))
 }
 
+// slowRetry is when a caller may come back whose answer would not end in time: a slow
+// upstream is seen, moved away from or replaced within seconds.
+const slowRetry = 1500 * time.Millisecond
+
 const (
 	// patienceOfObjective is the part of the objective that a plain request may wait.
 	patienceOfObjective = 0.5
--- a/pkg/mapswitch/switch.go
+++ b/pkg/mapswitch/switch.go
@@ -29,7 +29,7 @@
 // before that pass begins, and the arms should, as the group stands still until they have.
 const (
 	// DefaultLead serves while orders are answered at once.
-	DefaultLead = 3
+	DefaultLead = 2
 	// SafeLead leaves time for orders that must be given again.
 	SafeLead = 4
 )
@@ -40,8 +40,6 @@
 	// pass is the pass for which a hold of the target was ordered, None before.
 	pass int64
 	lead int64
-	// early lets the hold be ordered before all ranks have prepared the target.
-	early bool
 }
 
 // New returns a switch without a target.
@@ -50,11 +48,6 @@
 // SetLead sets the number of passes between the newest one and that of a change.
 func (s *Switch) SetLead(passes int64) { s.lead = passes }
 
-// SetEarly says whether the ranks will have prepared the target by the time that a pass
-// ahead begins, so that the hold can be ordered at once. If they have not, the group
-// stands still until they have.
-func (s *Switch) SetEarly(early bool) { s.early = early }
-
 // Start sets the target; a former one is given up, which is safe at any time.
 func (s *Switch) Start(t Target) {
 	s.target = &t
@@ -87,11 +80,7 @@
 		return nil, Idle
 	}
 	if !allPrepared(ranks, s.target.Version) {
-		orders := s.prepare(ranks)
-		if s.early && len(orders) == 0 {
-			return s.hold(ranks), Switching
-		}
-		return orders, Preparing
+		return s.prepare(ranks), Preparing
 	}
 	return s.hold(ranks), Switching
 }
--- a/pkg/mapswitch/world_test.go
+++ b/pkg/mapswitch/world_test.go
@@ -173,7 +173,6 @@
 	orders, phase := o.sw.Next(o.view)
 	if phase == Idle || phase == Stuck {
 		o.counter++
-		o.sw.SetEarly(w.rng.IntN(2) == 0)
 		o.sw.Start(Target{Version: o.fence*1000 + o.counter, Epoch: o.view[0].Epoch})
 	}
 	orders = w.spoil(o, orders)
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -50,6 +50,10 @@
 	Fence int64 `json:"fence"`
 	// Part is the work that the entry may have in progress; negative only asks.
 	Part int `json:"part"`
+	// PassMillis is the time of a pass of the group, in milliseconds; 0 is not known.
+	PassMillis float64 `json:"pass_ms"`
+	// TokensPerPass is what a running request gains in a pass.
+	TokensPerPass int `json:"tokens_per_pass"`
 }
 
 // LimitAnswer is what the entry has to do.
--- a/pkg/steward/leader.go
+++ b/pkg/steward/leader.go
@@ -29,8 +29,6 @@
 	listInterval = 2 * time.Second
 	// loadMargin is how much longer than expected a rank may load before it is asked again.
 	loadMargin = 150 * time.Millisecond
-	// earlyMargin is the time that a rank may take longer to load than is expected of it.
-	earlyMargin = 25 * time.Millisecond
 	// aloneAfter is how long a leader that reaches fewer than half of the ranks goes on.
 	aloneAfter = 2 * time.Second
 	// cautionTime is how long after an unanswered order switches leave time for another.
@@ -47,6 +45,9 @@
 	group  string
 	sw     *mapswitch.Switch
 	phase  mapswitch.Phase
+	// switching is set from the order of a hold until it is known to be released, also
+	// while some rank is not seen.
+	switching bool
 	loads  *Loads
 	engine *route.Engine
 	// held is the map in use, as far as it is known, with its version.
@@ -156,7 +157,7 @@
 		}
 		l.found.Store(e)
 	}
-	members, err := listMembers(ctx, l.s.store, l.s.node)
+	members, err := l.s.listed(ctx)
 	if err != nil {
 		l.s.log.Warn("members-not-listed", "error", err.Error())
 	} else {
@@ -215,6 +216,10 @@
 	l.s.mu.Unlock()
 	request := ObserveRequest{Fence: l.fence, Leader: l.s.node.Name, Members: members, Counts: counts, Lists: running == mapswitch.None}
 	answers := l.s.observeMembers(ctx, members, request)
+	if l.switching {
+		// A rank without its steward must not keep the group from going on.
+		l.s.observeDirectly(ctx, members, answers)
+	}
 	seen := map[int]Observation{}
 	newest := int64(0)
 	l.places = map[int]Member{}
@@ -273,6 +278,9 @@
 	orders, phase := l.sw.Next(ranks)
 	former := l.phase
 	l.phase = phase
+	if phase != mapswitch.Blocked {
+		l.switching = phase == mapswitch.Switching
+	}
 	switch phase {
 	case mapswitch.Idle:
 		if former != mapswitch.Idle && former != mapswitch.Blocked {
@@ -286,10 +294,13 @@
 		l.start(ranks[0].Epoch, l.held)
 		orders, phase = l.sw.Next(ranks)
 	case mapswitch.Blocked:
+		if l.switching {
+			return switchRound
+		}
 		return idleRound
 	}
 	l.phase = phase
-	l.sw.SetEarly(l.nearlyLoaded(now))
+	l.switching = phase == mapswitch.Switching
 	l.give(ctx, orders, now)
 	if phase == mapswitch.Preparing {
 		return loadRound
@@ -297,22 +308,6 @@
 	return switchRound
 }
 
-// nearlyLoaded reports whether the ranks will have loaded the target by the time that a
-// hold ordered now would stop the group.
-func (l *leader) nearlyLoaded(now time.Time) bool {
-	if len(l.accepted) < l.size || now.Sub(l.unanswered) < cautionTime {
-		return false
-	}
-	last := time.Time{}
-	for _, at := range l.accepted {
-		if at.After(last) {
-			last = at
-		}
-	}
-	ahead := time.Duration(mapswitch.DefaultLead-1) * l.passes.time()
-	return last.Add(l.loadTime + earlyMargin).Before(now.Add(ahead))
-}
-
 // runningIn returns the requests that run at the ranks.
 func runningIn(seen map[int]Observation) int {
 	n := 0
@@ -509,5 +504,9 @@
 	if m.Upstream == s.node.UpstreamAddress {
 		return s.order(ctx, r), nil
 	}
-	return peer.Call[OrderResult](ctx, s.client(m.Steward), methodOrder, r)
+	result, err := peer.Call[OrderResult](ctx, s.client(m.Steward), methodOrder, r)
+	if err != nil && (r.Order.Op == mapswitch.Arm || r.Order.Op == mapswitch.Release) {
+		return s.orderDirectly(ctx, m, r), nil
+	}
+	return result, err
 }
--- a/pkg/steward/orphan.go
+++ b/pkg/steward/orphan.go
@@ -9,7 +9,7 @@
 )
 
 // completeTime bounds one try to complete a hold.
-const completeTime = 600 * time.Millisecond
+const completeTime = 1200 * time.Millisecond
 
 // completeHold arms all ranks for a hold that no leader looks after and releases it.
 func (s *Steward) completeHold(ctx context.Context, r platform.RankReport) {
@@ -21,7 +21,7 @@
 	s.mu.Unlock()
 	if len(members) == 0 {
 		var err error
-		if members, err = listMembers(ctx, s.store, s.node); err != nil {
+		if members, err = s.listed(ctx); err != nil {
 			s.log.Warn("members-not-listed", "error", err.Error())
 			return
 		}
@@ -43,7 +43,9 @@
 func (s *Steward) look(ctx context.Context, members []Member, r platform.RankReport) ([]mapswitch.Rank, map[int]Member) {
 	ranks := make([]mapswitch.Rank, r.Size)
 	places := map[int]Member{}
-	for i, o := range s.observeMembers(ctx, members, ObserveRequest{Leader: s.node.Name}) {
+	answers := s.observeMembers(ctx, members, ObserveRequest{Leader: s.node.Name})
+	s.observeDirectly(ctx, members, answers)
+	for i, o := range answers {
 		if o != nil && o.Report.Group == r.Group && o.Report.Index < r.Size {
 			ranks[o.Report.Index] = o.Report.State
 			places[o.Report.Index] = members[i]
--- a/pkg/steward/shares.go
+++ b/pkg/steward/shares.go
@@ -30,6 +30,8 @@
 	entries []roster.Entry
 	bound   *sharing.Bound
 	next    time.Time
+	pass    time.Duration
+	tokens  int
 
 	mu      sync.Mutex
 	demands map[string]sharing.Demand
@@ -42,6 +44,7 @@
 
 // engine sets the limits of the bound.
 func (h *shares) engine(e *route.Engine, ranks int) {
+	h.tokens = e.TokensPerPass
 	h.bound = &sharing.Bound{
 		Target: passTarget, Empty: time.Duration(e.TokensPerPass) * e.StepTime,
 		Least: leastPerRank * ranks, Most: e.Batch * ranks,
@@ -66,6 +69,7 @@
 		return
 	}
 	h.next = now.Add(shareInterval)
+	h.pass = pass
 	running := runningIn(seen)
 	bound := h.bound.Update(pass, running)
 	h.mu.Lock()
@@ -98,7 +102,9 @@
 		return
 	}
 	h.busy[e.Name] = true
-	limit := roster.Limit{Service: h.s.node.UpstreamService, Fence: h.fence, Part: part}
+	limit := roster.Limit{Service: h.s.node.UpstreamService, Fence: h.fence, Part: part,
+		PassMillis: float64(h.pass) / float64(time.Millisecond), TokensPerPass: h.tokens,
+	}
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, shareTimeout)
 		defer cancel()
--- a/pkg/steward/steward.go
+++ b/pkg/steward/steward.go
@@ -41,12 +41,13 @@
 	rank        *platform.Rank
 	credentials peer.Credentials
 
+	// listed returns the ranks' places in the network, from the list of upstreams.
+	listed func(context.Context) ([]Member, error)
+
 	mu      sync.Mutex
 	fence   fence
 	members []Member
 	clients map[string]*peer.Client
-	// report is the newest report of the own rank.
-	report platform.RankReport
 }
 
 // New returns a steward of the rank beside it.
@@ -54,7 +55,8 @@
 	return &Steward{
 		node: n, log: log, metrics: m, store: s, credentials: c,
 		rank: platform.NewRank(n.UpstreamAddress, rankTimeout), clients: map[string]*peer.Client{},
-		fence: fence{heard: time.Now()},
+		listed: func(ctx context.Context) ([]Member, error) { return listMembers(ctx, s, n) },
+		fence:  fence{heard: time.Now()},
 	}
 }
 
