Let a restarted steward learn the fence while it hears a leader

Ruled out: lost connections to the restarted process (they are opened anew).

Change: the number is read in any case.

--- a/pkg/steward/group_test.go
+++ b/pkg/steward/group_test.go
@@ -197,3 +197,27 @@
 	b.eventually("the group goes on", func() bool { p, _ := b.group.Pass(); return p > pass+10 })
 	b.checkPasses()
 }
+
+// node_kill: a steward comes back while a leader goes on. It takes orders again.
+func TestARestartedStewardTakesOrdersAgain(t *testing.T) {
+	b := newBed(t)
+	b.run()
+	b.like(3)
+	b.eventually("a new map in use", b.switched)
+	const victim = 3
+	s := b.stewards[victim]
+	s.mu.Lock()
+	s.fence = fence{heard: time.Now()} // what a process has lost at its start
+	s.mu.Unlock()
+	b.eventually("it knows the newest number", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.fence.known
+	})
+	before := b.group.Versions()[0]
+	b.like(5)
+	b.like(5)
+	b.like(5)
+	b.eventually("a newer map in use", func() bool { return b.switched() && b.group.Versions()[0] > before })
+	b.checkPasses()
+}
--- a/pkg/steward/leader.go
+++ b/pkg/steward/leader.go
@@ -39,17 +39,17 @@
 
 // leader drives one group while its fencing number is the newest.
 type leader struct {
-	s      *Steward
-	fence  int64
-	size   int
-	group  string
-	sw     *mapswitch.Switch
-	phase  mapswitch.Phase
+	s     *Steward
+	fence int64
+	size  int
+	group string
+	sw    *mapswitch.Switch
+	phase mapswitch.Phase
 	// switching is set from the order of a hold until it is known to be released, also
 	// while some rank is not seen.
 	switching bool
-	loads  *Loads
-	engine *route.Engine
+	loads     *Loads
+	engine    *route.Engine
 	// held is the map in use, as far as it is known, with its version.
 	held        mapswitch.Map
 	heldVersion int64
--- a/pkg/steward/steward.go
+++ b/pkg/steward/steward.go
@@ -135,8 +135,7 @@
 			return
 		case <-tick.C:
 		}
-		silent := s.silence()
-		if silent < orphanAfter {
+		if s.fenceKnown() && s.silence() < orphanAfter {
 			continue
 		}
 		report, err := s.rank.Report(ctx)
@@ -145,6 +144,9 @@
 			continue
 		}
 		s.learnFence(ctx, report.Group)
+		if s.silence() < orphanAfter {
+			continue
+		}
 		if report.State.Held != mapswitch.None {
 			s.completeHold(ctx, report)
 		}
@@ -160,12 +162,16 @@
 	return time.Since(s.fence.heard)
 }
 
+// fenceKnown reports whether the newest fencing number was read in this life of the process.
+func (s *Steward) fenceKnown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fence.known
+}
+
 // learnFence reads the newest fencing number, once in each life of the process.
 func (s *Steward) learnFence(ctx context.Context, group string) {
-	s.mu.Lock()
-	known := s.fence.known
-	s.mu.Unlock()
-	if known {
+	if s.fenceKnown() {
 		return
 	}
 	t, _, err := readTerm(ctx, s.store, group)
