Share a group's work by what all entries have there; replace silent connections

The leader went on calling stewards over connections that were silent for good, 2.7 s without a map.

Ruled out: the bound (133 of 190 permits were in use) and pass time (60 ms).

Change: the leader tells entries the work at each rank; failures fade within seconds; ranks of a group are not told apart by the time of their answers; a steward that does not answer in time is called over a new connection. What libraries write to the standard logger becomes key=value lines.

Tests of each, failing before.

--- a/pkg/gateway/fleet.go
+++ b/pkg/gateway/fleet.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -30,8 +31,14 @@
 // sight is what the gateway has seen of one upstream.
 type sight struct {
 	running int
-	// failures is the recent part of attempts that failed.
+	// load is the work of all entries there as the leader of its group told at loadAt,
+	// and started the attempts that this entry has sent since.
+	load    int
+	loadAt  time.Time
+	started int
+	// failures is the part of attempts that failed, as it was at failedAt.
 	failures float64
+	failedAt time.Time
 	// took is the recent time to an answer.
 	took time.Duration
 	// suspended is until when the upstream is tried only when no other is there, and
@@ -44,6 +51,11 @@
 const (
 	// sampleWeight is the weight of the newest attempt in what is seen of an upstream.
 	sampleWeight = 0.15
+	// loadLife is how long a told load serves; the leader tells it ten times a second.
+	loadLife = time.Second
+	// failureMemory is the time in which a failure loses two thirds of its weight: an
+	// upstream that nobody asks cannot show that it has recovered.
+	failureMemory = 1500 * time.Millisecond
 	// firstSuspension and maxSuspension bound how long an upstream is left alone after
 	// its connection failed; it doubles with each failure in a row.
 	firstSuspension = 250 * time.Millisecond
@@ -109,6 +121,38 @@
 	return 0
 }
 
+// SetLoads takes in the work at the upstreams of a group, by address.
+func (f *Fleet) SetLoads(loads map[string]int, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, e := range f.list.Entries() {
+		if n, ok := loads[e.Address]; ok {
+			s := f.sight(id)
+			s.load, s.loadAt, s.started = n, now, 0
+		}
+	}
+}
+
+// work returns the work of all entries at an upstream: what was told and what this one has
+// started since, or, where nothing was told, as if the others had as much there as this one.
+func (s *sight) work(entries int, now time.Time) int {
+	if s.loadAt.IsZero() || now.Sub(s.loadAt) > loadLife {
+		return s.running * entries
+	}
+	return s.load + s.started
+}
+
+// failing returns the recent part of attempts that failed.
+func (s *sight) failing(now time.Time) float64 {
+	return s.failures * math.Exp(-float64(now.Sub(s.failedAt))/float64(failureMemory))
+}
+
+// sample takes in whether an attempt failed.
+func (s *sight) sample(failed float64, now time.Time) {
+	s.failures = s.failing(now) + sampleWeight*(failed-s.failing(now))
+	s.failedAt = now
+}
+
 // Target is the upstream chosen for an attempt.
 type Target struct {
 	ID             string
@@ -133,13 +177,18 @@
 		return Target{}, false
 	}
 	s.running++
+	s.started++
 	return Target{ID: e.ID, Address: e.Address, MaxConnections: f.connections(service)}, true
 }
 
 func (f *Fleet) candidates(service string, tried []string, now time.Time) ([]pick.Candidate, []string) {
 	var out []pick.Candidate
 	var ids []string
-	usual := f.usualTime(service)
+	usual := time.Duration(0)
+	if v := f.services[service]; v == nil || v.Engine == nil {
+		// Ranks of a group are all as fast as the slowest, and answers differ in length.
+		usual = f.usualTime(service)
+	}
 	for id, e := range f.list.Entries() {
 		if e.Service != service || e.Leaving || f.zonesOut[e.Zone] || slices.Contains(tried, id) {
 			continue
@@ -150,7 +199,7 @@
 			continue
 		}
 		c := pick.Candidate{
-			ID: id, Running: s.running, Capacity: e.Capacity, Failures: s.failures,
+			ID: id, Running: s.work(f.entries, now), Capacity: e.Capacity, Failures: s.failing(now),
 			Cold: cold, Doubtful: e.Doubtful, Suspended: now.Before(s.suspended), Far: e.Zone != f.zone,
 		}
 		if usual > 0 {
@@ -226,7 +275,7 @@
 	s.running--
 	switch r {
 	case Succeeded:
-		s.failures -= sampleWeight * s.failures
+		s.sample(0, now)
 		s.strikes = 0
 		s.suspended = time.Time{}
 		if s.took == 0 {
@@ -234,9 +283,9 @@
 		}
 		s.took += time.Duration(sampleWeight * float64(took-s.took))
 	case Failed:
-		s.failures += sampleWeight * (1 - s.failures)
+		s.sample(1, now)
 	case Unreachable:
-		s.failures += sampleWeight * (1 - s.failures)
+		s.sample(1, now)
 		s.suspended = now.Add(min(firstSuspension<<min(s.strikes, 8), maxSuspension))
 		s.strikes++
 	}
--- /dev/null
+++ b/pkg/gateway/fleet_test.go
@@ -0,0 +1,72 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/inventory"
+	"github.com/coltsfootpitch/coltsfootpitch/platform"
+)
+
+func newFleet(now time.Time, ids ...string) *Fleet {
+	f := NewFleet(platform.Node{Zone: "z"})
+	f.Change(func(v *inventory.Inventory, _ func(string) time.Duration) {
+		for _, id := range ids {
+			v.Put(inventory.Upstream{ID: id, Service: "s", Address: id + ":1", Zone: "z", Capacity: 12}, 0, now)
+		}
+	})
+	return f
+}
+
+// spread chooses n times and counts.
+func spread(f *Fleet, n int, now time.Time) map[string]int {
+	got := map[string]int{}
+	for range n {
+		if t, ok := f.Choose("s", nil, now); ok {
+			got[t.ID]++
+		}
+	}
+	return got
+}
+
+// zone_loss: all ranks of a group failed together, some more often than others. They must
+// share the work again within seconds, though few attempts show that they have recovered.
+func TestUpstreamsThatRecoveredShareTheWorkAgain(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	f := newFleet(now, "a", "b")
+	for range 20 {
+		f.Release("a", Failed, time.Second, now)
+		f.sight("a").running++
+	}
+	is.True(spread(f, 10, now)["a"] <= 1) // while it fails it is avoided
+	later := now.Add(6 * time.Second)
+	f.sight("a").running, f.sight("b").running = 0, 0
+	is.True(spread(f, 10, later)["a"] >= 4)
+}
+
+// burst: many entries start work on the same group and know of one another's only through
+// its leader.
+func TestWorkOfOtherEntriesCounts(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	f := newFleet(now, "a", "b")
+	f.SetLoads(map[string]int{"a:1": 10, "b:1": 4}, now)
+	got := spread(f, 6, now)
+	is.Equal(got["b"], 6)
+	is.Equal(spread(f, 10, now.Add(loadLife/2))["a"], 5)  // own starts since count too
+	is.True(spread(f, 10, now.Add(2*loadLife))["a"] >= 7) // old news do not: a has fewer of our own
+}
+
+// evacuate, zone_loss: the leader does not see every rank. One that it says nothing of must
+// not draw all work because this entry has little there.
+func TestUpstreamWithoutToldLoadIsNotTakenForEmpty(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	f := newFleet(now, "a", "b")
+	f.SetEntries(9)
+	f.SetLoads(map[string]int{"a:1": 9}, now)
+	is.True(spread(f, 8, now)["b"] <= 4)
+}
--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -31,13 +31,14 @@
 
 // takeLimit takes in the part that a group's leader gives and tells what there is to do.
 func (g *Gateway) takeLimit(l roster.Limit) roster.LimitAnswer {
-	running, waiting, _ := g.permits.state(l.Service)
+	running, waiting := g.permits.state(l.Service)
 	answer := roster.LimitAnswer{Demand: sharing.Demand{Running: running, Waiting: waiting}}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if l.Part < 0 || l.Fence < g.limits[l.Service].fence {
 		return answer
 	}
+	g.fleet.SetLoads(l.Loads, time.Now())
 	g.limits[l.Service] = groupLimit{fence: l.Fence, part: l.Part, at: time.Now(),
 		pass: time.Duration(l.PassMillis * float64(time.Millisecond)), tokens: l.TokensPerPass,
 	}
--- a/pkg/gateway/permits.go
+++ b/pkg/gateway/permits.go
@@ -101,13 +101,13 @@
 	p.wake(p.gates[service].Done(held))
 }
 
-// state returns the permits in use, the requests that wait, and the limit.
-func (p *permits) state(service string) (running, waiting, limit int) {
+// state returns the permits in use and the requests that wait.
+func (p *permits) state(service string) (running, waiting int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	g := p.gates[service]
 	if g == nil {
-		return 0, 0, 0
+		return 0, 0
 	}
-	return g.Running(), g.Waiting(), g.Limit()
+	return g.Running(), g.Waiting()
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -61,6 +61,7 @@
 	out := NewWriter(os.Stdout)
 	defer out.Close()
 	log := process.NewLog(name, c.String("log-level"), out)
+	process.CaptureStandardLog(log)
 	return serve(n, module, log)
 }
 
--- a/pkg/process/log.go
+++ b/pkg/process/log.go
@@ -24,9 +24,9 @@
 	return l
 }
 
-// captureStandardLog sends what libraries write to the standard logger through l, so
+// CaptureStandardLog sends what libraries write to the standard logger through l, so
 // that it too is one line of key=value pairs.
-func captureStandardLog(l hclog.Logger) {
+func CaptureStandardLog(l hclog.Logger) {
 	log.SetFlags(0)
 	log.SetOutput(libraryWriter{l})
 }
--- a/pkg/process/log_test.go
+++ b/pkg/process/log_test.go
@@ -27,7 +27,7 @@
 	l := NewLog("entry-1", "info", &out)
 	l.Info("request-ended", "request", "r 1", "code", 1000)
 	l.Debug("not-shown")
-	captureStandardLog(l)
+	CaptureStandardLog(l)
 	defer log.SetOutput(os.Stderr)
 	log.Print("from a library\nwith two lines")
 	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
--- a/pkg/process/main.go
+++ b/pkg/process/main.go
@@ -100,7 +100,7 @@
 
 func serve(base Common, module fx.Option) int {
 	log := NewLog(base.Name, base.LogLevel, os.Stderr)
-	captureStandardLog(log)
+	CaptureStandardLog(log)
 	if base.Credentials == (peer.CredentialSettings{}) {
 		log.Warn("no-credentials", "detail", "every process that reaches the control address is trusted")
 	}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -52,6 +52,8 @@
 	Part int `json:"part"`
 	// PassMillis is the time of a pass of the group, in milliseconds; 0 is not known.
 	PassMillis float64 `json:"pass_ms"`
+	// Loads is the work at each upstream of the group, running or queued, by address.
+	Loads map[string]int `json:"loads,omitempty"`
 	// TokensPerPass is what a running request gains in a pass.
 	TokensPerPass int `json:"tokens_per_pass"`
 }
--- a/pkg/steward/group_test.go
+++ b/pkg/steward/group_test.go
@@ -221,3 +221,30 @@
 	b.eventually("a newer map in use", func() bool { return b.switched() && b.group.Versions()[0] > before })
 	b.checkPasses()
 }
+
+// zone_loss: the connection to a steward that lost power is silent for good, while a new
+// one works.
+func TestSilentConnectionsAreReplaced(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t)
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer silent.Close()
+	accepted := make(chan struct{}, 10)
+	go func() {
+		for {
+			if _, err := silent.Accept(); err != nil {
+				return
+			}
+			accepted <- struct{}{}
+		}
+	}()
+	m := Member{Upstream: "elsewhere:1", Steward: silent.Addr().String()}
+	for range 2 {
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		_, err := b.stewards[0].observeMember(ctx, m, ObserveRequest{})
+		cancel()
+		is.True(err != nil)
+		<-accepted // each try opens a connection of its own
+	}
+}
--- a/pkg/steward/leader.go
+++ b/pkg/steward/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -260,7 +261,19 @@
 	if m.Upstream == s.node.UpstreamAddress {
 		return s.observe(ctx, r)
 	}
-	return peer.Call[Observation](ctx, s.client(m.Steward), methodObserve, r)
+	return callSteward[Observation](ctx, s, m, methodObserve, r)
+}
+
+// callSteward calls another steward. A connection on which an answer did not come in time
+// may be silent for good, as after a loss of power at its other end: the next call opens
+// another one.
+func callSteward[R any](ctx context.Context, s *Steward, m Member, method string, params any) (R, error) {
+	c := s.client(m.Steward)
+	result, err := peer.Call[R](ctx, c, method, params)
+	if errors.Is(err, context.DeadlineExceeded) {
+		c.Close()
+	}
+	return result, err
 }
 
 // round acts on what was seen and returns the time until the next look.
@@ -271,7 +284,7 @@
 		l.count(seen, now)
 	}
 	l.passes.see(ranks, now)
-	l.shares.update(ctx, l.passes.time(), seen, now)
+	l.shares.update(ctx, l.passes.time(), seen, l.places, now)
 	if !l.follow(seen, ranks) {
 		return idleRound
 	}
@@ -504,7 +517,7 @@
 	if m.Upstream == s.node.UpstreamAddress {
 		return s.order(ctx, r), nil
 	}
-	result, err := peer.Call[OrderResult](ctx, s.client(m.Steward), methodOrder, r)
+	result, err := callSteward[OrderResult](ctx, s, m, methodOrder, r)
 	if err != nil && (r.Order.Op == mapswitch.Arm || r.Order.Op == mapswitch.Release) {
 		return s.orderDirectly(ctx, m, r), nil
 	}
--- a/pkg/steward/shares.go
+++ b/pkg/steward/shares.go
@@ -32,6 +32,7 @@
 	next    time.Time
 	pass    time.Duration
 	tokens  int
+	loads   map[string]int
 
 	mu      sync.Mutex
 	demands map[string]sharing.Demand
@@ -64,7 +65,7 @@
 }
 
 // update works the bound out and tells the entries their parts, without waiting for them.
-func (h *shares) update(ctx context.Context, pass time.Duration, seen map[int]Observation, now time.Time) {
+func (h *shares) update(ctx context.Context, pass time.Duration, seen map[int]Observation, places map[int]Member, now time.Time) {
 	if h.bound == nil || now.Before(h.next) {
 		return
 	}
@@ -74,6 +75,10 @@
 	bound := h.bound.Update(pass, running)
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.loads = make(map[string]int, len(seen))
+	for i, o := range seen {
+		h.loads[places[i].Upstream] = o.Report.Running + o.Report.Queued
+	}
 	heard := make([]roster.Entry, 0, len(h.entries))
 	demands := make([]sharing.Demand, 0, len(h.entries))
 	for _, e := range h.entries {
@@ -104,6 +109,7 @@
 	h.busy[e.Name] = true
 	limit := roster.Limit{Service: h.s.node.UpstreamService, Fence: h.fence, Part: part,
 		PassMillis: float64(h.pass) / float64(time.Millisecond), TokensPerPass: h.tokens,
+		Loads: h.loads,
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, shareTimeout)
