--- a/pkg/gateway/answer.go
+++ b/pkg/gateway/answer.go
@@ -46,7 +46,7 @@
 		c.finished(0, "caller-gone")
 		return final, Neutral
 	}
-	c.delivered(v.Status, target)
+	c.delivered(v.Status)
 	if v.Status >= http.StatusInternalServerError {
 		return final, Failed
 	}
@@ -69,7 +69,7 @@
 		c.breakOff("answer-broke-off")
 	}
 	answer.Release()
-	c.delivered(v.Status, Target{})
+	c.delivered(v.Status)
 	return final, Succeeded
 }
 
@@ -84,7 +84,7 @@
 				c.begin(answer)
 			}
 			answer.Release()
-			c.delivered(http.StatusOK, target)
+			c.delivered(http.StatusOK)
 			return final, Succeeded
 		}
 		if err != nil {
@@ -150,7 +150,7 @@
 }
 
 // delivered notes a final answer of an upstream.
-func (c *call) delivered(status int, _ Target) {
+func (c *call) delivered(status int) {
 	c.g.count("answers_" + strconv.Itoa(status))
 	c.g.observe("answer", time.Since(c.start))
 	c.finished(status, "answered")
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -119,13 +119,14 @@
 // number is not known exactly at every moment.
 const retryPart = 0.75
 
-// retryWindow returns the bound on the retries to a service.
+// withdrawRetry takes one retry to a service and reports whether its bound allowed it.
 func (g *Gateway) withdrawRetry(service string, now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.window(service).Withdraw(now)
 }
 
+// noteRequest takes in a caller's request for a service.
 func (g *Gateway) noteRequest(service string, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/pkg/steward/leader.go
+++ b/pkg/steward/leader.go
@@ -2,17 +2,12 @@
 
 import (
 	"context"
-	"errors"
-	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/mapswitch"
-	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
-	"github.com/coltsfootpitch/coltsfootpitch/pkg/placement"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/route"
 	"github.com/coltsfootpitch/coltsfootpitch/platform"
 )
@@ -174,45 +169,6 @@
 	l.shares.list(ctx)
 }
 
-// listMembers returns the upstreams of the own service with their stewards.
-func listMembers(ctx context.Context, s *platform.Store, n platform.Node) ([]Member, error) {
-	list, err := s.List(ctx, platform.KindUpstreams)
-	if err != nil {
-		return nil, err
-	}
-	var out []Member
-	for _, o := range list.Objects {
-		u, err := platform.DecodeUpstream(o)
-		if err != nil || u.Service != n.UpstreamService {
-			continue
-		}
-		host, _, err := net.SplitHostPort(u.Address)
-		if err != nil {
-			continue
-		}
-		out = append(out, Member{Upstream: u.Address, Steward: n.PortAddress(host, 0)})
-	}
-	return out, nil
-}
-
-// readEngine returns the description of a service's engines, or nil where there is none.
-func readEngine(ctx context.Context, s *platform.Store, service string) (*route.Engine, error) {
-	o, err := s.Get(ctx, platform.KindConfiguration, platform.NameConfiguration)
-	if err != nil {
-		return nil, err
-	}
-	c, err := platform.DecodeConfiguration(o.Spec)
-	if err != nil {
-		return nil, err
-	}
-	for _, v := range c.Services {
-		if v.Name == service {
-			return v.Engine, nil
-		}
-	}
-	return nil, nil
-}
-
 // observeAll looks at all ranks at once. It returns what was seen by rank, and the newest
 // fencing number that any steward has seen.
 func (l *leader) observeAll(ctx context.Context, counts bool) (map[int]Observation, int64) {
@@ -243,45 +199,6 @@
 	return seen, newest
 }
 
-// observeMembers looks at members at once; the answer of one that gave none is nil.
-func (s *Steward) observeMembers(ctx context.Context, members []Member, r ObserveRequest) []*Observation {
-	ctx, cancel := context.WithTimeout(ctx, observeTimeout)
-	defer cancel()
-	out := make([]*Observation, len(members))
-	var wait sync.WaitGroup
-	for i, m := range members {
-		wait.Go(func() {
-			o, err := s.observeMember(ctx, m, r)
-			if err != nil {
-				s.log.Debug("rank-not-seen", "steward", m.Steward, "error", err.Error())
-				return
-			}
-			out[i] = &o
-		})
-	}
-	wait.Wait()
-	return out
-}
-
-func (s *Steward) observeMember(ctx context.Context, m Member, r ObserveRequest) (Observation, error) {
-	if m.Upstream == s.node.UpstreamAddress {
-		return s.observe(ctx, r)
-	}
-	return callSteward[Observation](ctx, s, m, methodObserve, r)
-}
-
-// callSteward calls another steward. A connection on which an answer did not come in time
-// may be silent for good, as after a loss of power at its other end: the next call opens
-// another one.
-func callSteward[R any](ctx context.Context, s *Steward, m Member, method string, params any) (R, error) {
-	c := s.client(m.Steward)
-	result, err := peer.Call[R](ctx, c, method, params)
-	if errors.Is(err, context.DeadlineExceeded) {
-		c.Close()
-	}
-	return result, err
-}
-
 // round acts on what was seen and returns the time until the next look.
 func (l *leader) round(ctx context.Context, seen map[int]Observation) time.Duration {
 	now := time.Now()
@@ -416,40 +333,6 @@
 	return true
 }
 
-// plan starts a new map where that pays.
-func (l *leader) plan(ranks []mapswitch.Rank, running int, now time.Time) bool {
-	loads := l.loads.Recent(now)
-	if loads == nil || l.heldVersion == mapswitch.None {
-		return false
-	}
-	g := placement.EvenGroup{Slots: l.engine.Slots, Reserve: l.engine.Reserve, Loads: loadsPerPlan, Goal: skewGoal}
-	skew := g.Skew(l.held, loads)
-	pass := max(l.passes.time(), expectedPass(l.engine, float64(running)/float64(l.size), skew))
-	l.s.log.Debug("skew", "skew", skew, "pass_time", pass.Round(time.Millisecond), "running", running)
-	if !worth(placement.EvenPlan{Before: skew, After: 1, Loaded: 1, Copies: 1}, l.engine.LoadTime, pass) {
-		return false // Even a perfect map would not pay.
-	}
-	p := g.Plan(l.held, loads)
-	if !worth(p, l.engine.LoadTime, pass) {
-		return false
-	}
-	l.s.log.Info("map-planned", "version", l.fence*versionsPerFence+l.versions+1, "skew", p.Before,
-		"skew_after", p.After, "loads", p.Loaded, "copies", p.Copies, "pass", ranks[0].Pass, "pass_time", pass.Round(time.Millisecond))
-	l.loadTime = time.Duration(p.Loaded) * l.engine.LoadTime
-	l.start(ranks[0].Epoch, p.Held)
-	return true
-}
-
-// readingFactor is how much longer a pass takes for the prompts that are read in it.
-const readingFactor = 1.3
-
-// expectedPass returns the time of a pass with a number of running requests per rank, when
-// experts are skewed.
-func expectedPass(e *route.Engine, running, skew float64) time.Duration {
-	step := float64(e.StepTime) + float64(e.StepPerRequest)*running*(1-e.ExpertShare+e.ExpertShare*skew)
-	return time.Duration(readingFactor * float64(e.TokensPerPass) * step)
-}
-
 // start makes a map the target under a version that was never used.
 func (l *leader) start(epoch int64, m mapswitch.Map) {
 	l.versions++
@@ -458,44 +341,6 @@
 	l.sw.Start(mapswitch.Target{Version: l.fence*versionsPerFence + l.versions, Map: m, Epoch: epoch})
 }
 
-const (
-	// loadsPerPlan bounds the experts that one rank loads for one map: short rounds bring
-	// the first relief soon.
-	loadsPerPlan = 2
-	// planHorizon is the time over which a better map counts: what is in demand was seen
-	// to change every few seconds.
-	planHorizon = 2500 * time.Millisecond
-	// expertPart is the part of a pass that experts take in a busy group.
-	expertPart = 0.7
-	// loadSlowdown is the part by which passes take longer while ranks load experts.
-	loadSlowdown = 0.15
-	// switchCost is the time that the group stands still for a switch.
-	switchCost = 20 * time.Millisecond
-	// copyPrice is what the copy of one expert is worth, in time of the whole group's
-	// service, by the price that operators put on the bytes.
-	copyPrice = 1400 * time.Microsecond
-	// planMargin is how often over a plan must pay for itself.
-	planMargin = 1.5
-	// skewGoal is the skew of a layer that is good enough: further copies gain less than
-	// they cost.
-	skewGoal = 1.1
-	// easyPass is the time of a pass that nobody feels: a third of the usual longest pause
-	// between events.
-	easyPass = 40 * time.Millisecond
-)
-
-// worth reports whether a plan pays for itself, given the time of a pass.
-func worth(p placement.EvenPlan, loadTime, pass time.Duration) bool {
-	if p.Before <= 0 || p.Copies == 0 {
-		return false
-	}
-	felt := min(1, max(0, float64(pass-easyPass)/float64(easyPass)))
-	saved := felt * expertPart * (p.Before - p.After) / p.Before * planHorizon.Seconds()
-	cost := loadSlowdown*float64(p.Loaded)*loadTime.Seconds() + switchCost.Seconds() +
-		float64(p.Copies)*copyPrice.Seconds()
-	return saved > planMargin*cost
-}
-
 // give passes orders to the stewards of their ranks, all at once.
 func (l *leader) give(ctx context.Context, orders []mapswitch.Order, now time.Time) {
 	results := l.s.giveOrders(ctx, orders, l.places, l.fence)
@@ -511,34 +356,3 @@
 		l.sw.SetLead(mapswitch.SafeLead)
 	}
 }
-
-// giveOrders passes orders on; the result of one whose steward gave none is nil.
-func (s *Steward) giveOrders(ctx context.Context, orders []mapswitch.Order, places map[int]Member, fence int64) []*OrderResult {
-	ctx, cancel := context.WithTimeout(ctx, observeTimeout)
-	defer cancel()
-	out := make([]*OrderResult, len(orders))
-	var wait sync.WaitGroup
-	for i, o := range orders {
-		wait.Go(func() {
-			r, err := s.giveOrder(ctx, places[o.Rank], OrderRequest{Fence: fence, Order: o})
-			if err != nil {
-				s.log.Info("order-not-passed", "rank", o.Rank, "op", o.Op.String(), "error", err.Error())
-				return
-			}
-			out[i] = &r
-		})
-	}
-	wait.Wait()
-	return out
-}
-
-func (s *Steward) giveOrder(ctx context.Context, m Member, r OrderRequest) (OrderResult, error) {
-	if m.Upstream == s.node.UpstreamAddress {
-		return s.order(ctx, r), nil
-	}
-	result, err := callSteward[OrderResult](ctx, s, m, methodOrder, r)
-	if err != nil && (r.Order.Op == mapswitch.Arm || r.Order.Op == mapswitch.Release) {
-		return s.orderDirectly(ctx, m, r), nil
-	}
-	return result, err
-}
