--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -115,13 +115,11 @@
 
 // behave sets how the workers answer: the one that is asked first by first, the other by second.
 func (b *bed) behave(first, second func(w *standin.Worker) func(http.ResponseWriter, *http.Request)) {
-	var asked *standin.Worker
+	var asked atomic.Pointer[standin.Worker]
 	for _, w := range b.workers {
 		w.Behave(func(rw http.ResponseWriter, r *http.Request) {
-			if asked == nil {
-				asked = w
-			}
-			if asked == w {
+			asked.CompareAndSwap(nil, w)
+			if asked.Load() == w {
 				first(w)(rw, r)
 				return
 			}
