Entries are ready once every upstream of the first list was asked

Cause: TestScenarios/claim_calls (KNOWN-RED, "call 0 ended with no-upstream"): an entry counted as ready when it reached any one upstream, so the one plain service was enough, and a call for the model that came before its agent had answered was refused. The scenario harness waited for no more than that. Ruled out: the load of the machine as such; the new test shows the early readiness without any load or process, and failed before the change. Change: an entry is ready when every live upstream of its first list was asked, answered or not; the gauge upstreams_reachable says how many answer, and the harness waits until every entry reaches every stand-in.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -126,6 +126,26 @@
 			return errors.Join(err, errors.New(p.Log()))
 		}
 	}
+	return f.waitUpstreams(ctx)
+}
+
+// waitUpstreams waits until every entry can reach every upstream: readiness of an entry
+// does not say so, as an upstream may come up after its agent.
+func (f *Fleet) waitUpstreams(ctx context.Context) error {
+	const pause = 20 * time.Millisecond
+	for name := range f.Callers {
+		for {
+			n, _, err := ReadMetric(f.Processes[name].Operator, "coltsfoot_upstreams_reachable")
+			if err == nil && int(n) >= len(f.Upstreams) {
+				break
+			}
+			select {
+			case <-ctx.Done():
+				return errors.Join(fmt.Errorf("%s reaches %v of %d upstreams", name, n, len(f.Upstreams)), err)
+			case <-time.After(pause):
+			}
+		}
+	}
 	return nil
 }
 
--- a/pkg/dispatch/refresh.go
+++ b/pkg/dispatch/refresh.go
@@ -54,6 +54,7 @@
 	asked := t.opts.Now()
 	r := peer.StatusRequest{News: t.news(), From: t.opts.Name, Listed: p.listed, CacheAfter: p.cacheAfter}
 	s, err := peer.Call[peer.Status](ctx, p.client, peer.MethodStatus, r)
+	defer t.asked(p.id)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		t.loseByID(p.id)
 	}
--- a/pkg/dispatch/table.go
+++ b/pkg/dispatch/table.go
@@ -33,6 +33,8 @@
 	cacheAfter int64
 	// lost is set after a failed contact until the next status.
 	lost bool
+	// asked is set once a status call has ended, whether it was answered or not.
+	asked bool
 	// slots are the places of the upstream among the candidates of its targets.
 	slots []slot
 }
@@ -45,8 +47,10 @@
 	// onVerdicts receives the verdicts that come with a status; nil before it is set.
 	onVerdicts func([]poison.Verdict)
 
-	mu       sync.Mutex
-	members  map[string]*member
+	mu      sync.Mutex
+	members map[string]*member
+	// settled is set once every upstream of the first list was asked.
+	settled  bool
 	order    []string
 	byTarget map[target]*pool
 	byKey    map[uint64]*member
@@ -83,7 +87,7 @@
 
 // NewTable returns an empty table.
 func NewTable(o TableOptions) *Table {
-	return &Table{
+	t := &Table{
 		opts:     o,
 		meters:   newDecisionMeters(o.Registry),
 		prefixes: prefix.New(prefixBlocks),
@@ -95,6 +99,10 @@
 		turn: int(xxhash.Sum64String(o.Name) >> 1),
 		self: xxhash.Sum64String(o.Name),
 	}
+	if o.Registry != nil {
+		metrics.NewRegisteredFunctionalGauge("upstreams_reachable", o.Registry, t.reachable)
+	}
+	return t
 }
 
 // SetInstances replaces the instance list and keeps what is known of the instances that stay.
@@ -299,7 +307,9 @@
 	})
 }
 
-// Ready reports whether at least one upstream can take work.
+// Ready reports whether at least one upstream can take work and every upstream of the
+// first list was asked: an entry that knows those of one service only would refuse the
+// calls of all others.
 func (t *Table) Ready() bool {
 	if t.opts.Config.View() == nil {
 		return false
@@ -307,10 +317,49 @@
 	now := t.opts.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if !t.settle() {
+		return false
+	}
+	return t.countReachable(now) > 0
+}
+
+// reachable returns the number of upstreams that can take work.
+func (t *Table) reachable() int64 {
+	now := t.opts.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.countReachable(now)
+}
+
+// countReachable counts the upstreams that can take work. Table.mu is held.
+func (t *Table) countReachable(now time.Time) (n int64) {
 	for _, m := range t.members {
 		if m.status.Reachable && now.Sub(m.seen) <= StatusAge {
-			return true
+			n++
 		}
 	}
-	return false
+	return n
+}
+
+// settle reports whether every upstream of the first list was asked. Table.mu is held.
+func (t *Table) settle() bool {
+	if t.settled {
+		return true
+	}
+	for _, m := range t.members {
+		if m.instance.Role == instancelist.Upstream && m.instance.State == instancelist.Live && !m.asked {
+			return false
+		}
+	}
+	t.settled = len(t.members) > 0
+	return t.settled
+}
+
+// asked notes that a status call of the member has ended.
+func (t *Table) asked(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if m := t.members[id]; m != nil {
+		m.asked = true
+	}
 }
--- a/pkg/dispatch/table_test.go
+++ b/pkg/dispatch/table_test.go
@@ -79,6 +79,22 @@
 	b.observe(id, s, b.now)
 }
 
+// An entry that knows an upstream of one service only would refuse the calls of the others.
+func TestReadyOnceEveryUpstreamOfTheFirstListWasAsked(t *testing.T) {
+	is := is.New(t)
+	b := newBench(0)
+	is.True(!b.Ready()) // no list
+	b.add(instancelist.Instance{ID: "plain", Role: instancelist.Upstream, Zone: "a", State: instancelist.Live, Control: "127.0.0.1:1"})
+	b.add(instancelist.Instance{ID: "model", Role: instancelist.Upstream, Zone: "a", State: instancelist.Live, Control: "127.0.0.1:2"})
+	b.status("plain", func(*peer.Status) {})
+	b.asked("plain")
+	is.True(!b.Ready()) // the other upstream was not asked
+	b.asked("model")
+	is.True(b.Ready()) // it was asked and did not answer: it keeps nobody waiting
+	b.add(instancelist.Instance{ID: "new", Role: instancelist.Upstream, Zone: "a", State: instancelist.Live, Control: "127.0.0.1:3"})
+	is.True(b.Ready()) // an upstream that is listed later does not take the entry out
+}
+
 func TestPickKeepsAwayFrom(t *testing.T) {
 	cases := []struct {
 		name   string
