Use an upstream's former life only as a last resort

Cause: after a loss of power each instance's model worker starts anew under another id at its old address, while the old id stays listed for three heartbeats. Ruled out: a stale list; the new lives were listed beside the old ones. Change: the inventory knows the latest start at each address; an entry that another one has outlived is chosen like a doubtful one, when nothing else is left (clocks of upstreams may jump, so it is not dropped).

--- a/pkg/gateway/fleet.go
+++ b/pkg/gateway/fleet.go
@@ -200,7 +200,7 @@
 		}
 		c := pick.Candidate{
 			ID: id, Running: s.work(f.entries, now), Capacity: e.Capacity, Failures: s.failing(now),
-			Cold: cold, Doubtful: e.Doubtful, Suspended: now.Before(s.suspended), Far: e.Zone != f.zone,
+			Cold: cold, Doubtful: e.Doubtful || f.list.Outlived(id), Suspended: now.Before(s.suspended), Far: e.Zone != f.zone,
 		}
 		if usual > 0 {
 			c.Slowness = float64(s.took) / float64(usual)
--- a/pkg/inventory/inventory.go
+++ b/pkg/inventory/inventory.go
@@ -46,6 +46,8 @@
 // Inventory is the list. It is not safe for concurrent use.
 type Inventory struct {
 	entries map[string]*Entry
+	// newest is the upstream with the latest start at each address.
+	newest map[string]string
 	// settled is when upstreams that expired in an outage are back.
 	settled time.Time
 	// outage is set while the store does not answer.
@@ -53,7 +55,9 @@
 }
 
 // New returns an empty list.
-func New() *Inventory { return &Inventory{entries: map[string]*Entry{}} }
+func New() *Inventory {
+	return &Inventory{entries: map[string]*Entry{}, newest: map[string]string{}}
+}
 
 // Outage notes that the store does not answer.
 func (v *Inventory) Outage() { v.outage = true }
@@ -71,7 +75,11 @@
 func (v *Inventory) Put(u Upstream, warmup time.Duration, now time.Time) bool {
 	old := v.entries[u.ID]
 	e := &Entry{Upstream: u}
+	if old != nil && old.Address != u.Address {
+		v.leaveAddress(old)
+	}
 	v.entries[u.ID] = e
+	v.takeAddress(e)
 	fresh := old == nil || !old.Born.Equal(u.Born) || old.Address != u.Address
 	if u.WarmupLeft > 0 {
 		e.ColdUntil = now.Add(u.WarmupLeft)
@@ -89,7 +97,7 @@
 		return
 	}
 	if e.Leaving || !now.Before(v.settled) {
-		delete(v.entries, id)
+		v.drop(e)
 		return
 	}
 	if !e.Doubtful {
@@ -114,13 +122,43 @@
 
 // Expire drops the doubtful upstreams whose time is up.
 func (v *Inventory) Expire(now time.Time) {
-	for id, e := range v.entries {
+	for _, e := range v.entries {
 		if e.Doubtful && !now.Before(e.dropAt) {
-			delete(v.entries, id)
+			v.drop(e)
 		}
 	}
 }
 
+func (v *Inventory) drop(e *Entry) {
+	delete(v.entries, e.ID)
+	v.leaveAddress(e)
+}
+
+// takeAddress notes the start of an upstream at its address.
+func (v *Inventory) takeAddress(e *Entry) {
+	n := v.entries[v.newest[e.Address]]
+	if n == nil || n.Address != e.Address || e.Born.After(n.Born) {
+		v.newest[e.Address] = e.ID
+	}
+}
+
+func (v *Inventory) leaveAddress(e *Entry) {
+	if v.newest[e.Address] == e.ID {
+		delete(v.newest, e.Address)
+	}
+}
+
+// Outlived reports whether another upstream started later at the address of this one, whose
+// entry is then that of a former life. Its requests would be refused.
+func (v *Inventory) Outlived(id string) bool {
+	e := v.entries[id]
+	if e == nil || e.Born.IsZero() {
+		return false
+	}
+	n := v.entries[v.newest[e.Address]]
+	return n != nil && n.Born.After(e.Born)
+}
+
 // Entries returns the entries by id. The caller must not change them.
 func (v *Inventory) Entries() map[string]*Entry { return v.entries }
 
--- a/pkg/inventory/inventory_test.go
+++ b/pkg/inventory/inventory_test.go
@@ -43,3 +43,24 @@
 	is.Equal(v.Entries()["a"].ColdUntil, now.Add(3*time.Second)) // an entry that says less does not warm it
 	is.True(v.Put(Upstream{ID: "a", Born: born.Add(time.Minute)}, 3*time.Second, now))
 }
+
+// herd_kill, srv_crash: an upstream starts anew under another id at its address, while the
+// entry of its former life is listed for some heartbeats more.
+func TestFormerLifeAtTheSameAddressIsOutlived(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	v := New()
+	v.Put(Upstream{ID: "old", Address: "a:1", Born: time.Unix(10, 0)}, 0, now)
+	v.Put(Upstream{ID: "other", Address: "b:1", Born: time.Unix(10, 0)}, 0, now)
+	is.True(!v.Outlived("old"))
+	v.Put(Upstream{ID: "new", Address: "a:1", Born: time.Unix(90, 0)}, 0, now)
+	is.True(v.Outlived("old"))
+	is.True(!v.Outlived("new"))
+	is.True(!v.Outlived("other"))
+	v.Put(Upstream{ID: "old", Address: "a:1", Born: time.Unix(10, 0)}, 0, now) // a late heartbeat
+	is.True(v.Outlived("old"))
+	v.Remove("new", now)
+	is.True(!v.Outlived("old")) // it may have been another writer's
+	v.Put(Upstream{ID: "undated", Address: "a:1"}, 0, now)
+	is.True(!v.Outlived("old")) // without a start nothing is known
+}
