Tell entries when a group stands still, and callers when it may be back

Change: the leader judges from the reports whether the group stands still and when it opens (pkg/standstill, with the forming time of the settings) and tells the entries with their parts. An entry then keeps the requests that gain from waiting and refuses the others at once with that time; a leader that falls silent for 0.5 s keeps nobody waiting. Without a leader's word, callers whom two ranks refused are asked to come back after 2 s.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/exchange"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/standstill"
 	"github.com/coltsfootpitch/coltsfootpitch/platform"
 )
 
@@ -98,7 +99,17 @@
 			status = http.StatusGatewayTimeout
 		}
 	}
-	c.refuse(status, c.comeBack(overloadRetry), reason)
+	c.refuse(status, c.comeBack(c.retryAfter()), reason)
+}
+
+// retryAfter returns when a caller may come back whose request was not served. Ranks that
+// refuse it belong to a group that stands still, and it goes on when they are all back.
+func (c *call) retryAfter() time.Duration {
+	s := c.g.table.Load().Service(c.service)
+	if s != nil && s.Engine != nil && c.sent > 0 && !c.mayHaveRun {
+		return standstill.Return
+	}
+	return overloadRetry
 }
 
 // breakOff closes the caller's connection, so that an answer that is not whole does not
--- a/pkg/gateway/heavy_test.go
+++ b/pkg/gateway/heavy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strconv"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/permit"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/roster"
 )
 
 func waitFor(t *testing.T, what string, holds func() bool) {
@@ -72,3 +74,44 @@
 	g.mu.Unlock()
 	is.True(g.answerTime("s", 100) > 8*time.Second)
 }
+
+// srv_crash, herd_kill: a rank of a group is away. Callers who gain from it wait for the
+// group to form; others are told at once when it may be back, and no attempt is wasted.
+func TestGroupThatStandsStill(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, 1)
+	b.configure("1")
+	g := b.gateway
+	b.workers[0].Behave(b.workers[0].Stream(3, 0))
+	limit := func(fence int64, part int, still bool, opens float64) {
+		g.takeLimit(roster.Limit{Service: "plain", Fence: fence, Part: part, Still: still, OpensMillis: opens})
+	}
+	limit(2, 5, false, 0)
+	limit(2, -1, true, 2000)
+	status, _, head, err := b.call("/stream/a", "key-1", "")
+	is.NoErr(err)
+	is.Equal(status, http.StatusServiceUnavailable)
+	after, err := strconv.ParseFloat(head.Get("Retry-After"), 64)
+	is.NoErr(err)
+	is.True(after >= 2)
+	is.Equal(b.ran(), 0)
+	limit(1, 5, false, 0) // a former leader opens nothing
+	status, _, _, _ = b.call("/stream/a", "key-1", "")
+	is.Equal(status, http.StatusServiceUnavailable)
+
+	limit(2, 5, true, 100)
+	served := make(chan int)
+	go func() {
+		status, _, _, _ := b.call("/stream/a", "key-1", "")
+		served <- status
+	}()
+	waitFor(t, "it waits", func() bool { _, n := g.permits.state("plain"); return n == 1 })
+	is.Equal(b.ran(), 0)
+	limit(2, 5, false, 0)
+	is.Equal(<-served, http.StatusOK)
+
+	limit(2, 5, true, 5000)
+	time.Sleep(stillLife + 10*time.Millisecond)
+	status, _, _, _ = b.call("/stream/a", "key-1", "")
+	is.Equal(status, http.StatusOK) // a leader that is not heard keeps nobody waiting
+}
--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -14,6 +14,9 @@
 	// limitSpread is how much more than an equal part of the places an entry takes, as
 	// callers spread over the entries by chance.
 	limitSpread = 1.5
+	// stillLife is how long a group counts as standing still without news of its leader,
+	// which tells it ten times a second.
+	stillLife = 500 * time.Millisecond
 	// limitLife is how long the part that a group's leader gave is kept without news;
 	// after a change of leader the next one is heard within about a second.
 	limitLife = 3 * time.Second
@@ -27,6 +30,8 @@
 	// pass is the time of a pass, and tokens what a request gains in it.
 	pass   time.Duration
 	tokens int
+	// still is when the leader last told that the group stands still; zero while it runs.
+	still time.Time
 }
 
 // takeLimit takes in the part that a group's leader gives and tells what there is to do.
@@ -35,9 +40,20 @@
 	answer := roster.LimitAnswer{Demand: sharing.Demand{Running: running, Waiting: waiting}}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if l.Part < 0 || l.Fence < g.limits[l.Service].fence {
+	known := g.limits[l.Service]
+	if l.Fence < known.fence {
 		return answer
 	}
+	if l.Still {
+		g.standStill(l, known)
+		return answer
+	}
+	if l.Part < 0 {
+		return answer
+	}
+	if !known.still.IsZero() {
+		g.log.Info("group-runs", "service", l.Service, "fence", l.Fence)
+	}
 	g.fleet.SetLoads(l.Loads, time.Now())
 	g.limits[l.Service] = groupLimit{fence: l.Fence, part: l.Part, at: time.Now(),
 		pass: time.Duration(l.PassMillis * float64(time.Millisecond)), tokens: l.TokensPerPass,
@@ -48,9 +64,38 @@
 	return answer
 }
 
+// standStill takes in that a group runs nothing: what is sent to it would be refused. The
+// caller holds g.mu.
+func (g *Gateway) standStill(l roster.Limit, known groupLimit) {
+	opens := time.Duration(l.OpensMillis * float64(time.Millisecond))
+	if known.still.IsZero() {
+		g.log.Info("group-stands-still", "service", l.Service, "fence", l.Fence, "opens", opens.Round(time.Millisecond))
+	}
+	known.fence, known.still = l.Fence, time.Now()
+	g.limits[l.Service] = known
+	g.permits.close(l.Service, opens)
+}
+
+// lookAtStill opens a service again whose group's leader has fallen silent.
+func (g *Gateway) lookAtStill(service string, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	known := g.limits[service]
+	if known.still.IsZero() || now.Sub(known.still) < stillLife {
+		return
+	}
+	g.log.Info("group-unheard", "service", service, "silence", now.Sub(known.still).Round(time.Millisecond))
+	known.still = time.Time{}
+	g.limits[service] = known
+	g.limit(service)
+}
+
 // limit sets the permits of a service: the part that the leader of its group gave, and
 // otherwise this entry's part of the places, and some more. The caller holds g.mu.
 func (g *Gateway) limit(service string) {
+	if !g.limits[service].still.IsZero() {
+		return
+	}
 	if given := g.limits[service]; !given.at.IsZero() && time.Since(given.at) < limitLife {
 		g.permits.setLimit(service, given.part)
 		return
--- a/pkg/gateway/permits.go
+++ b/pkg/gateway/permits.go
@@ -31,11 +31,23 @@
 		p.gates[service] = permit.NewGate(limit, firstHold)
 		return
 	}
-	if g.Limit() != limit {
+	if g.Limit() != limit || g.Closed() {
 		p.wake(g.SetLimit(limit))
 	}
 }
 
+// close stops all grants of a service that is expected to open again in a while.
+func (p *permits) close(service string, opens time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.gates[service]
+	if g == nil {
+		g = permit.NewGate(0, firstHold)
+		p.gates[service] = g
+	}
+	g.Close(opens)
+}
+
 func (p *permits) wake(ids []string) {
 	for _, id := range ids {
 		if c := p.waiting[id]; c != nil {
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -160,6 +160,7 @@
 		c.refuse(http.StatusServiceUnavailable, c.comeBack(slowRetry), "too-slow")
 		return
 	}
+	c.g.lookAtStill(c.service, c.start)
 	d, err := c.g.permits.acquire(ctx, c.service, permit.Request{
 		ID: c.id, Organisation: c.organisation, Priority: -c.priority, Cost: c.cost(), Patience: c.patience(),
 	})
--- a/pkg/permit/gate.go
+++ b/pkg/permit/gate.go
@@ -60,6 +60,9 @@
 	queue   *fairness.Queue
 	// hold is the mean time that a permit is held.
 	hold time.Duration
+	// closed gates grant nothing; opens is the expected time until that ends.
+	closed bool
+	opens  time.Duration
 }
 
 // NewGate returns a gate with a number of permits and an estimate of how long each is held.
@@ -81,7 +84,7 @@
 
 // Ask asks for a permit. A queued request is granted by a later Done or SetLimit.
 func (g *Gate) Ask(r Request) Decision {
-	if g.running < g.limit && g.queue.Len() == 0 {
+	if g.running < g.limit && g.queue.Len() == 0 && !g.closed {
 		g.running++
 		return Decision{Outcome: Granted}
 	}
@@ -95,6 +98,10 @@
 
 // wait returns the expected wait of a request that is added to the queue.
 func (g *Gate) wait() time.Duration {
+	if g.closed {
+		// What opens anew is empty.
+		return g.opens + time.Duration(float64(g.queue.Len())*float64(g.hold)/float64(max(g.limit, 1)))
+	}
 	if g.limit <= 0 {
 		return g.hold
 	}
@@ -112,15 +119,27 @@
 	return g.grant()
 }
 
-// SetLimit changes the number of permits and returns the requests granted.
+// SetLimit changes the number of permits, opens a closed gate and returns the requests
+// granted.
 func (g *Gate) SetLimit(limit int) []string {
 	g.limit = limit
+	g.closed = false
 	return g.grant()
 }
 
+// Close stops all grants while the service stands still. Opens is the expected time until
+// SetLimit opens the gate again: requests with the patience for it wait, others are refused.
+func (g *Gate) Close(opens time.Duration) {
+	g.closed = true
+	g.opens = opens
+}
+
+// Closed reports whether the gate is closed.
+func (g *Gate) Closed() bool { return g.closed }
+
 func (g *Gate) grant() []string {
 	var out []string
-	for g.running < g.limit {
+	for g.running < g.limit && !g.closed {
 		item, ok := g.queue.Pop()
 		if !ok {
 			break
--- a/pkg/permit/gate_test.go
+++ b/pkg/permit/gate_test.go
@@ -62,3 +62,19 @@
 	}
 	is.Equal(small, 5)
 }
+
+// srv_crash, herd_kill: a group stands still for a while known to its leader.
+func TestClosedGateKeepsWhoGainsFromWaiting(t *testing.T) {
+	is := is.New(t)
+	g := NewGate(4, time.Second)
+	g.Close(300 * time.Millisecond)
+	is.Equal(g.Ask(request("patient", "o", 500*time.Millisecond)).Outcome, Queued)
+	d := g.Ask(request("hasty", "o", 400*time.Millisecond))
+	is.Equal(d, Decision{Refused, 550 * time.Millisecond}) // one is ahead of it
+	g.Close(2 * time.Second)
+	is.Equal(g.Ask(request("late", "o", 500*time.Millisecond)).Outcome, Refused)
+	is.Equal(len(g.Done(time.Second)), 0) // an answer that ends frees nothing while it is closed
+	g.running = 0
+	is.Equal(g.SetLimit(4), []string{"patient"})
+	is.Equal(g.Ask(request("new", "o", 0)).Outcome, Granted)
+}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -50,6 +50,10 @@
 	Fence int64 `json:"fence"`
 	// Part is the work that the entry may have in progress; negative only asks.
 	Part int `json:"part"`
+	// Still is set while the group runs no passes, and OpensMillis is the expected time
+	// until it does, in milliseconds.
+	Still       bool    `json:"still,omitempty"`
+	OpensMillis float64 `json:"opens_ms,omitempty"`
 	// PassMillis is the time of a pass of the group, in milliseconds; 0 is not known.
 	PassMillis float64 `json:"pass_ms"`
 	// Loads is the work at each upstream of the group, running or queued, by address.
--- a/pkg/route/configuration.go
+++ b/pkg/route/configuration.go
@@ -86,6 +86,8 @@
 	Reserve int
 	// LoadTime is how long a rank takes to load one expert.
 	LoadTime time.Duration
+	// FormTime is how long a group takes to form once all its ranks are there.
+	FormTime time.Duration
 	// ExpertShare is the part of the work for tokens that experts do.
 	ExpertShare float64
 	// UsualPrompt and UsualAnswer are mean token counts.
--- /dev/null
+++ b/pkg/standstill/standstill_test.go
@@ -0,0 +1,34 @@
+package standstill
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/mapswitch"
+)
+
+// srv_crash, herd_kill: a rank is away for seconds, comes back, and the group forms.
+func TestGroupThatLostARank(t *testing.T) {
+	is := is.New(t)
+	c := &Clock{Form: 600 * time.Millisecond}
+	now := time.Unix(100, 0)
+	ranks := func(known int, open bool) []mapswitch.Rank {
+		out := make([]mapswitch.Rank, 4)
+		for i := range known {
+			out[i] = mapswitch.Rank{Known: true, Open: open}
+		}
+		return out
+	}
+	is.Equal(c.See(ranks(4, true), now), State{})
+	is.Equal(c.See(ranks(3, true), now), State{}) // a steward that is not heard says nothing of its rank
+	is.Equal(c.See(ranks(3, false), now), State{Still: true, Opens: Return})
+	is.Equal(c.See(ranks(4, false), now), State{Still: true, Opens: 600 * time.Millisecond})
+	is.Equal(c.See(ranks(4, false), now.Add(400*time.Millisecond)), State{Still: true, Opens: 200 * time.Millisecond})
+	is.Equal(c.See(ranks(4, false), now.Add(1600*time.Millisecond)), State{Still: true, Opens: time.Second})
+	is.Equal(c.See(ranks(3, false), now.Add(1700*time.Millisecond)), State{Still: true, Opens: Return}) // it fell again
+	is.Equal(c.See(ranks(4, false), now.Add(2*time.Second)), State{Still: true, Opens: 600 * time.Millisecond})
+	is.Equal(c.See(ranks(4, true), now.Add(3*time.Second)), State{})
+	is.Equal(c.See(nil, now), State{}) // nothing seen, nothing said
+}
--- a/pkg/steward/leader.go
+++ b/pkg/steward/leader.go
@@ -207,7 +207,7 @@
 		l.count(seen, now)
 	}
 	l.passes.see(ranks, now)
-	l.shares.update(ctx, l.passes.time(), seen, l.places, now)
+	l.shares.update(ctx, l.passes.time(), ranks, seen, l.places, now)
 	// Completing a hold needs no knowledge of the map in use; planning does.
 	known := l.follow(seen, ranks)
 	orders, phase := l.sw.Next(ranks)
--- a/pkg/steward/shares.go
+++ b/pkg/steward/shares.go
@@ -5,10 +5,12 @@
 	"sync"
 	"time"
 
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/mapswitch"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/roster"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/route"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/sharing"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/standstill"
 )
 
 const (
@@ -33,6 +35,8 @@
 	pass    time.Duration
 	tokens  int
 	loads   map[string]int
+	still   standstill.Clock
+	state   standstill.State
 
 	mu      sync.Mutex
 	demands map[string]sharing.Demand
@@ -46,6 +50,7 @@
 // engine sets the limits of the bound.
 func (h *shares) engine(e *route.Engine, ranks int) {
 	h.tokens = e.TokensPerPass
+	h.still.Form = e.FormTime
 	h.bound = &sharing.Bound{
 		Target: passTarget, Empty: time.Duration(e.TokensPerPass) * e.StepTime,
 		Least: leastPerRank * ranks, Most: e.Batch * ranks,
@@ -65,11 +70,18 @@
 }
 
 // update works the bound out and tells the entries their parts, without waiting for them.
-func (h *shares) update(ctx context.Context, pass time.Duration, seen map[int]Observation, places map[int]Member, now time.Time) {
-	if h.bound == nil || now.Before(h.next) {
+func (h *shares) update(ctx context.Context, pass time.Duration, ranks []mapswitch.Rank, seen map[int]Observation, places map[int]Member, now time.Time) {
+	if h.bound == nil {
+		return
+	}
+	state := h.still.See(ranks, now)
+	if state.Still != h.state.Still {
+		h.s.log.Info("group-state", "still", state.Still, "opens", state.Opens.Round(time.Millisecond), "seen", len(seen))
+	} else if now.Before(h.next) {
 		return
 	}
 	h.next = now.Add(shareInterval)
+	h.state = state
 	h.pass = pass
 	running := runningIn(seen)
 	bound := h.bound.Update(pass, running)
@@ -110,6 +122,7 @@
 	limit := roster.Limit{Service: h.s.node.UpstreamService, Fence: h.fence, Part: part,
 		PassMillis: float64(h.pass) / float64(time.Millisecond), TokensPerPass: h.tokens,
 		Loads: h.loads,
+		Still: h.state.Still, OpensMillis: float64(h.state.Opens) / float64(time.Millisecond),
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, shareTimeout)
