Start a group that formed anew with half of its work

A leader that had led before the fall began at the other end, with the least bound, as passes had seemed endless. Ruled out: the pass clock, which starts anew with the epoch. Change: when the group's state changes, the bound starts at half of the most.

--- a/pkg/sharing/sharing.go
+++ b/pkg/sharing/sharing.go
@@ -46,6 +46,13 @@
 	return int(b.current)
 }
 
+// freshPart is the part of the most work that a group takes with its first map, with which
+// one rank has over three times the mean.
+const freshPart = 0.5
+
+// Restart begins anew for a group that has just formed: what was measured before says nothing.
+func (b *Bound) Restart() { b.current = freshPart * float64(b.Most) }
+
 // Demand is what an entry has to do for a service.
 type Demand struct {
 	// Running is the work that it has in progress, and Waiting what waits for a permit.
--- a/pkg/sharing/sharing_test.go
+++ b/pkg/sharing/sharing_test.go
@@ -53,3 +53,15 @@
 	running, _ = b.settle(18*time.Millisecond, 400*time.Microsecond, 1000)
 	is.True(running >= 150) // the bound comes back once the map fits
 }
+
+// herd_kill: a group stood still, so that its passes seemed endless, and forms anew.
+func TestBoundOfAGroupThatFormedAnewStartsAfresh(t *testing.T) {
+	is := is.New(t)
+	b := &Bound{Target: 85 * time.Millisecond, Empty: 18 * time.Millisecond, Least: 16, Most: 192}
+	for range 10 {
+		b.Update(400*time.Millisecond, 20)
+	}
+	is.Equal(b.Update(0, 0), 16) // no work says nothing
+	b.Restart()
+	is.Equal(b.Update(0, 0), 96)
+}
--- a/pkg/steward/shares.go
+++ b/pkg/steward/shares.go
@@ -76,6 +76,7 @@
 	}
 	state := h.still.See(ranks, now)
 	if state.Still != h.state.Still {
+		h.bound.Restart()
 		h.s.log.Info("group-state", "still", state.Still, "opens", state.Opens.Round(time.Millisecond), "seen", len(seen))
 	} else if now.Before(h.next) {
 		return
