Aim for passes by the pauses that the routes of a group state

Cause: the target of 85 ms was worked out from a pause of 120 ms, which the known deployments share; another one would be held to the wrong pause. Ruled out: reading it once in the gateways; the leader sets the bound. Change: the leader reads the shortest pause of the routes that lead to its service and aims for 0.7 of it (84 ms at 120 ms).

--- a/pkg/steward/leader.go
+++ b/pkg/steward/leader.go
@@ -64,7 +64,7 @@
 	// is the engine's description once it was read.
 	listed  time.Time
 	listing atomic.Bool
-	found   atomic.Pointer[route.Engine]
+	found   atomic.Pointer[service]
 	reached time.Time
 	places  map[int]Member
 	passes  passClock
@@ -141,9 +141,9 @@
 	}
 	if l.engine == nil {
 		if e := l.found.Load(); e != nil {
-			l.engine = e
-			l.loads = NewLoads(e.Layers)
-			l.shares.engine(e, l.size)
+			l.engine = e.engine
+			l.loads = NewLoads(e.engine.Layers)
+			l.shares.engine(e.engine, l.size, e.gap)
 		}
 	}
 	return l.engine != nil && l.engine.Experts > 0
@@ -152,7 +152,7 @@
 // readStore reads the list of upstreams, the entries, and once the engine's description.
 func (l *leader) readStore(ctx context.Context) {
 	if l.found.Load() == nil {
-		e, err := readEngine(ctx, l.s.store, l.s.node.UpstreamService)
+		e, err := readService(ctx, l.s.store, l.s.node.UpstreamService)
 		if err != nil || e == nil {
 			l.s.log.Warn("engine-unknown", "service", l.s.node.UpstreamService)
 		}
--- a/pkg/steward/members.go
+++ b/pkg/steward/members.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"slices"
+	"time"
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/route"
 	"github.com/coltsfootpitch/coltsfootpitch/platform"
@@ -29,8 +31,15 @@
 	return out, nil
 }
 
-// readEngine returns the description of a service's engines, or nil where there is none.
-func readEngine(ctx context.Context, s *platform.Store, service string) (*route.Engine, error) {
+// service is what a leader needs to know of the service of its group.
+type service struct {
+	engine *route.Engine
+	// gap is the shortest of the pauses between events that its routes aim for.
+	gap time.Duration
+}
+
+// readService returns the description of a service, or nil where it has no engines.
+func readService(ctx context.Context, s *platform.Store, name string) (*service, error) {
 	o, err := s.Get(ctx, platform.KindConfiguration, platform.NameConfiguration)
 	if err != nil {
 		return nil, err
@@ -40,9 +49,24 @@
 		return nil, err
 	}
 	for _, v := range c.Services {
-		if v.Name == service {
-			return v.Engine, nil
+		if v.Name == name && v.Engine != nil {
+			return &service{engine: v.Engine, gap: shortestGap(c.Routes, name)}, nil
 		}
 	}
 	return nil, nil
 }
+
+// shortestGap returns the shortest of the pauses that the routes of a service aim for.
+func shortestGap(routes []route.Route, service string) time.Duration {
+	shortest := time.Duration(0)
+	for _, r := range routes {
+		leads := slices.ContainsFunc(r.Backends, func(b route.Backend) bool { return b.Service == service })
+		if leads && r.EventGap > 0 && (shortest == 0 || r.EventGap < shortest) {
+			shortest = r.EventGap
+		}
+	}
+	if shortest == 0 {
+		return usualGap
+	}
+	return shortest
+}
--- a/pkg/steward/shares.go
+++ b/pkg/steward/shares.go
@@ -18,9 +18,11 @@
 	shareInterval = 100 * time.Millisecond
 	// shareTimeout bounds the call of an entry.
 	shareTimeout = 150 * time.Millisecond
-	// passTarget is the time of a pass to aim for: the usual longest pause between events
-	// is 120 ms, and passes in which long prompts are read take half as long again.
-	passTarget = 85 * time.Millisecond
+	// passPart is the time of a pass to aim for as a part of the longest pause that callers
+	// aim for: passes in which long prompts are read take half as long again.
+	passPart = 0.7
+	// usualGap is the pause aimed for where no route says one.
+	usualGap = 120 * time.Millisecond
 	// leastPerRank is the running requests per rank that are always allowed.
 	leastPerRank = 2
 )
@@ -47,12 +49,13 @@
 	return &shares{s: s, fence: fence, demands: map[string]sharing.Demand{}, busy: map[string]bool{}}
 }
 
-// engine sets the limits of the bound.
-func (h *shares) engine(e *route.Engine, ranks int) {
+// engine takes in the engines of the group, its ranks and the longest pause between events
+// that callers aim for.
+func (h *shares) engine(e *route.Engine, ranks int, gap time.Duration) {
 	h.tokens = e.TokensPerPass
 	h.still.Form = e.FormTime
 	h.bound = &sharing.Bound{
-		Target: passTarget, Empty: time.Duration(e.TokensPerPass) * e.StepTime,
+		Target: time.Duration(passPart * float64(gap)), Empty: time.Duration(e.TokensPerPass) * e.StepTime,
 		Least: leastPerRank * ranks, Most: e.Batch * ranks,
 	}
 }
