Serve requests that can still be on time before late ones

Change: a gate keeps the requests that can still meet their objective apart from the others, which are served when none of the former waits. What is on time follows from the objective and the usual time to a first event. Both parts keep the order of weights and priorities.

--- a/pkg/gateway/answer.go
+++ b/pkg/gateway/answer.go
@@ -98,6 +98,7 @@
 		if !c.began {
 			c.begin(answer)
 			c.first = time.Since(c.start)
+			c.g.permits.noteBegin(c.service, c.first-c.waited)
 			c.g.observe("first_event", c.first)
 		}
 		if !c.send(control, event) {
--- a/pkg/gateway/permits.go
+++ b/pkg/gateway/permits.go
@@ -13,10 +13,12 @@
 	mu      sync.Mutex
 	gates   map[string]*permit.Gate
 	waiting map[string]chan struct{}
+	// begins is the recent time from a permit to the first event of a stream.
+	begins map[string]time.Duration
 }
 
 func newPermits() *permits {
-	return &permits{gates: map[string]*permit.Gate{}, waiting: map[string]chan struct{}{}}
+	return &permits{gates: map[string]*permit.Gate{}, waiting: map[string]chan struct{}{}, begins: map[string]time.Duration{}}
 }
 
 // firstHold is how long a permit is held until it was measured: about a usual answer.
@@ -32,7 +34,7 @@
 		return
 	}
 	if g.Limit() != limit || g.Closed() {
-		p.wake(g.SetLimit(limit))
+		p.wake(g.SetLimit(limit, time.Now()))
 	}
 }
 
@@ -87,7 +89,7 @@
 	if g == nil {
 		return nil, permit.Decision{Outcome: permit.Refused, Wait: firstHold}
 	}
-	d := g.Ask(r)
+	d := g.Ask(r, time.Now())
 	if d.Outcome != permit.Queued {
 		return nil, d
 	}
@@ -106,11 +108,29 @@
 	return p.gates[service].Abandon(id)
 }
 
+// noteBegin takes in the time from a permit to the first event of a stream.
+func (p *permits) noteBegin(service string, took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	b, ok := p.begins[service]
+	if !ok {
+		b = took
+	}
+	p.begins[service] = b + time.Duration(sampleWeight*float64(took-b))
+}
+
+// begin returns the recent time from a permit to the first event of a stream.
+func (p *permits) begin(service string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.begins[service]
+}
+
 // release gives a permit back that was held for a time.
 func (p *permits) release(service string, held time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.wake(p.gates[service].Done(held))
+	p.wake(p.gates[service].Done(held, time.Now()))
 }
 
 // state returns the permits in use and the requests that wait.
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -162,7 +162,7 @@
 	}
 	c.g.lookAtStill(c.service, c.start)
 	d, err := c.g.permits.acquire(ctx, c.service, permit.Request{
-		ID: c.id, Organisation: c.organisation, Priority: -c.priority, Cost: c.cost(), Patience: c.patience(),
+		ID: c.id, Organisation: c.organisation, Priority: -c.priority, Cost: c.cost(), Patience: c.patience(), OnTime: c.onTime(),
 	})
 	c.waited = time.Since(c.start)
 	c.g.observe("wait", c.waited)
@@ -206,6 +206,14 @@
 	return min(max(time.Duration(patienceOfObjective*float64(c.route.Objective)), 50*time.Millisecond), c.left()/2)
 }
 
+// onTime returns the longest wait after which the call can still meet its objective.
+func (c *call) onTime() time.Duration {
+	if c.route.Streaming {
+		return c.route.Objective - c.g.permits.begin(c.service)
+	}
+	return c.patience()
+}
+
 // comeBack spreads the return of refused callers.
 func (c *call) comeBack(wait time.Duration) time.Duration {
 	const jitter = 0.5
--- a/pkg/permit/gate.go
+++ b/pkg/permit/gate.go
@@ -24,6 +24,8 @@
 	Cost int64
 	// Patience is the longest wait that is of use to the caller.
 	Patience time.Duration
+	// OnTime is the longest wait after which the answer still meets the objective.
+	OnTime time.Duration
 }
 
 // Outcome is the answer to a request for a permit.
@@ -57,7 +59,11 @@
 type Gate struct {
 	limit   int
 	running int
-	queue   *fairness.Queue
+	// queue holds the requests that can still be served on time, and late the others.
+	queue *fairness.Queue
+	late  *fairness.Queue
+	// due is until when the requests in queue must start to be on time.
+	due map[string]time.Time
 	// hold is the mean time that a permit is held.
 	hold time.Duration
 	// closed gates grant nothing; opens is the expected time until that ends.
@@ -67,14 +73,15 @@
 
 // NewGate returns a gate with a number of permits and an estimate of how long each is held.
 func NewGate(limit int, hold time.Duration) *Gate {
-	return &Gate{limit: limit, hold: hold, queue: fairness.New(fairness.Options{Items: queueItems})}
+	o := fairness.Options{Items: queueItems}
+	return &Gate{limit: limit, hold: hold, queue: fairness.New(o), late: fairness.New(o), due: map[string]time.Time{}}
 }
 
 // Running and Waiting return the permits in use and the requests that wait for one.
 func (g *Gate) Running() int { return g.running }
 
 // Waiting returns the requests that wait.
-func (g *Gate) Waiting() int { return g.queue.Len() }
+func (g *Gate) Waiting() int { return g.queue.Len() + g.late.Len() }
 
 // Limit returns the number of permits.
 func (g *Gate) Limit() int { return g.limit }
@@ -83,16 +90,17 @@
 func (g *Gate) Hold() time.Duration { return g.hold }
 
 // Ask asks for a permit. A queued request is granted by a later Done or SetLimit.
-func (g *Gate) Ask(r Request) Decision {
-	if g.running < g.limit && g.queue.Len() == 0 && !g.closed {
+func (g *Gate) Ask(r Request, now time.Time) Decision {
+	if g.running < g.limit && g.Waiting() == 0 && !g.closed {
 		g.running++
 		return Decision{Outcome: Granted}
 	}
 	wait := g.wait()
-	if wait > r.Patience || g.queue.Len() >= queueItems {
+	if wait > r.Patience || g.Waiting() >= queueItems {
 		return Decision{Outcome: Refused, Wait: max(wait, minReturn)}
 	}
 	g.queue.Push(fairness.Item{ID: r.ID, Organisation: r.Organisation, Priority: r.Priority, Cost: r.Cost})
+	g.due[r.ID] = now.Add(r.OnTime)
 	return Decision{Outcome: Queued, Wait: wait}
 }
 
@@ -110,21 +118,24 @@
 }
 
 // Abandon removes a waiting request. It reports false when the request was granted.
-func (g *Gate) Abandon(id string) bool { return g.queue.Remove(id) }
+func (g *Gate) Abandon(id string) bool {
+	delete(g.due, id)
+	return g.queue.Remove(id) || g.late.Remove(id)
+}
 
 // Done returns a permit that was held for a time, and returns the requests granted.
-func (g *Gate) Done(held time.Duration) []string {
+func (g *Gate) Done(held time.Duration, now time.Time) []string {
 	g.running--
 	g.hold += time.Duration(holdWeight * float64(held-g.hold))
-	return g.grant()
+	return g.grant(now)
 }
 
 // SetLimit changes the number of permits, opens a closed gate and returns the requests
 // granted.
-func (g *Gate) SetLimit(limit int) []string {
+func (g *Gate) SetLimit(limit int, now time.Time) []string {
 	g.limit = limit
 	g.closed = false
-	return g.grant()
+	return g.grant(now)
 }
 
 // Close stops all grants while the service stands still. Opens is the expected time until
@@ -137,10 +148,10 @@
 // Closed reports whether the gate is closed.
 func (g *Gate) Closed() bool { return g.closed }
 
-func (g *Gate) grant() []string {
+func (g *Gate) grant(now time.Time) []string {
 	var out []string
 	for g.running < g.limit && !g.closed {
-		item, ok := g.queue.Pop()
+		item, ok := g.next(now)
 		if !ok {
 			break
 		}
@@ -149,3 +160,20 @@
 	}
 	return out
 }
+
+// next takes the request whose turn it is. One that has become late gives way to those that
+// can be on time: it would make them late too, and gains little from being served sooner.
+func (g *Gate) next(now time.Time) (fairness.Item, bool) {
+	for {
+		item, ok := g.queue.Pop()
+		if !ok {
+			return g.late.Pop()
+		}
+		due := g.due[item.ID]
+		delete(g.due, item.ID)
+		if !now.After(due) {
+			return item, true
+		}
+		g.late.Push(item)
+	}
+}
--- a/pkg/permit/gate_test.go
+++ b/pkg/permit/gate_test.go
@@ -1,6 +1,7 @@
 package permit
 
 import (
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -8,20 +9,23 @@
 	"github.com/matryer/is"
 )
 
+// at is the time of tests in which none passes.
+var at = time.Unix(100, 0)
+
 func request(id, organisation string, patience time.Duration) Request {
-	return Request{ID: id, Organisation: organisation, Cost: 100, Patience: patience}
+	return Request{ID: id, Organisation: organisation, Cost: 100, Patience: patience, OnTime: patience}
 }
 
 func TestPermitsWaitInTurnAndAreRefusedWhenHopeless(t *testing.T) {
 	is := is.New(t)
 	g := NewGate(2, time.Second)
-	is.Equal(g.Ask(request("a", "o", 0)).Outcome, Granted)
-	is.Equal(g.Ask(request("b", "o", 0)).Outcome, Granted)
-	d := g.Ask(request("c", "o", 600*time.Millisecond))
+	is.Equal(g.Ask(request("a", "o", 0), at).Outcome, Granted)
+	is.Equal(g.Ask(request("b", "o", 0), at).Outcome, Granted)
+	d := g.Ask(request("c", "o", 600*time.Millisecond), at)
 	is.Equal(d, Decision{Queued, 500 * time.Millisecond})
-	d = g.Ask(request("d", "o", 600*time.Millisecond))
+	d = g.Ask(request("d", "o", 600*time.Millisecond), at)
 	is.Equal(d, Decision{Refused, time.Second}) // the caller may come back when the queue has drained
-	is.Equal(g.Done(time.Second), []string{"c"})
+	is.Equal(g.Done(time.Second, at), []string{"c"})
 	is.Equal(g.Running(), 2)
 	is.True(!g.Abandon("c")) // it was granted
 }
@@ -29,13 +33,13 @@
 func TestLimitsChangeWhileWorkRuns(t *testing.T) {
 	is := is.New(t)
 	g := NewGate(1, time.Second)
-	g.Ask(request("a", "o", 0))
+	g.Ask(request("a", "o", 0), at)
 	for i := range 3 {
-		is.Equal(g.Ask(request(strconv.Itoa(i), "o", time.Minute)).Outcome, Queued)
+		is.Equal(g.Ask(request(strconv.Itoa(i), "o", time.Minute), at).Outcome, Queued)
 	}
-	is.Equal(g.SetLimit(3), []string{"0", "1"})
-	is.Equal(len(g.SetLimit(0)), 0)
-	is.Equal(len(g.Done(time.Second)), 0) // two still run above the limit
+	is.Equal(g.SetLimit(3, at), []string{"0", "1"})
+	is.Equal(len(g.SetLimit(0, at)), 0)
+	is.Equal(len(g.Done(time.Second, at)), 0) // two still run above the limit
 	is.Equal(g.Running(), 2)
 	is.True(g.Abandon("2"))
 	is.Equal(g.Waiting(), 0)
@@ -45,16 +49,16 @@
 func TestBurstOfOneOrganisationDoesNotStarveAnother(t *testing.T) {
 	is := is.New(t)
 	g := NewGate(1, 10*time.Millisecond)
-	g.Ask(request("first", "large", 0))
+	g.Ask(request("first", "large", 0), at)
 	for i := range 50 {
-		g.Ask(request("large-"+strconv.Itoa(i), "large", time.Minute))
+		g.Ask(request("large-"+strconv.Itoa(i), "large", time.Minute), at)
 	}
 	for i := range 5 {
-		g.Ask(request("small-"+strconv.Itoa(i), "small", time.Minute))
+		g.Ask(request("small-"+strconv.Itoa(i), "small", time.Minute), at)
 	}
 	small := 0
 	for range 12 {
-		for _, id := range g.Done(10 * time.Millisecond) {
+		for _, id := range g.Done(10*time.Millisecond, at) {
 			if id[0] == 's' {
 				small++
 			}
@@ -68,13 +72,59 @@
 	is := is.New(t)
 	g := NewGate(4, time.Second)
 	g.Close(300 * time.Millisecond)
-	is.Equal(g.Ask(request("patient", "o", 500*time.Millisecond)).Outcome, Queued)
-	d := g.Ask(request("hasty", "o", 400*time.Millisecond))
+	is.Equal(g.Ask(request("patient", "o", 500*time.Millisecond), at).Outcome, Queued)
+	d := g.Ask(request("hasty", "o", 400*time.Millisecond), at)
 	is.Equal(d, Decision{Refused, 550 * time.Millisecond}) // one is ahead of it
 	g.Close(2 * time.Second)
-	is.Equal(g.Ask(request("late", "o", 500*time.Millisecond)).Outcome, Refused)
-	is.Equal(len(g.Done(time.Second)), 0) // an answer that ends frees nothing while it is closed
+	is.Equal(g.Ask(request("late", "o", 500*time.Millisecond), at).Outcome, Refused)
+	is.Equal(len(g.Done(time.Second, at)), 0) // an answer that ends frees nothing while it is closed
 	g.running = 0
-	is.Equal(g.SetLimit(4), []string{"patient"})
-	is.Equal(g.Ask(request("new", "o", 0)).Outcome, Granted)
+	is.Equal(g.SetLimit(4, at), []string{"patient"})
+	is.Equal(g.Ask(request("new", "o", 0), at).Outcome, Granted)
+}
+
+// burst, expert_shift: more comes than the group can run, for seconds. In the order of
+// arrival everybody would wait too long; those who still can be on time go first.
+func TestLateRequestsGiveWay(t *testing.T) {
+	is := is.New(t)
+	g := NewGate(1, 100*time.Millisecond)
+	g.Ask(request("first", "o", 0), at)
+	ask := func(id string, now time.Time) {
+		r := request(id, "o", time.Minute)
+		r.OnTime = 300 * time.Millisecond
+		is.Equal(g.Ask(r, now).Outcome, Queued)
+	}
+	ask("old-1", at)
+	ask("old-2", at)
+	later := at.Add(400 * time.Millisecond)
+	ask("new-1", later)
+	ask("new-2", later)
+	is.Equal(g.Waiting(), 4)
+	is.Equal(g.Done(time.Second, later), []string{"new-1"})
+	is.Equal(g.Done(time.Second, later), []string{"new-2"})
+	is.True(g.Abandon("old-1")) // its caller left
+	is.Equal(g.Waiting(), 1)
+	is.Equal(g.Done(time.Second, later), []string{"old-2"}) // late ones are served once nobody else waits
+	is.Equal(len(g.Done(time.Second, later)), 0)
+	is.Equal(g.Waiting(), 0)
+}
+
+// Late requests of one organisation are in turn with those of the others.
+func TestLateRequestsShareFairly(t *testing.T) {
+	is := is.New(t)
+	g := NewGate(1, time.Millisecond)
+	g.Ask(request("first", "large", 0), at)
+	for i := range 40 {
+		r := request("large-"+strconv.Itoa(i), "large", time.Minute)
+		r.OnTime = 0
+		g.Ask(r, at)
+	}
+	r := request("small", "small", time.Minute)
+	r.OnTime = 0
+	g.Ask(r, at)
+	served := false
+	for range 4 {
+		served = served || slices.Contains(g.Done(time.Millisecond, at.Add(time.Second)), "small")
+	}
+	is.True(served)
 }
