Spare slow ranks in maps and in the choice of upstreams

Cause: a pass lasts as long as its slowest rank, but plans weighed a rank's load by the choices of its experts only, and entries sent a slow rank as much as the others. Ruled out: missing knowledge; each rank's report states its pace. Change: the pace of a rank from 1.1 on multiplies its load in plans (moving experts off it) and its score at the entries, which hear it from the leader.

--- a/pkg/gateway/fleet.go
+++ b/pkg/gateway/fleet.go
@@ -33,8 +33,10 @@
 	running int
 	// load is the work of all entries there as the leader of its group told at loadAt,
 	// and started the attempts that this entry has sent since.
-	load    int
-	loadAt  time.Time
+	load   int
+	loadAt time.Time
+	// pace is how much longer than usual the upstream takes, as told with the load.
+	pace    float64
 	started int
 	// failures is the part of attempts that failed, as it was at failedAt.
 	failures float64
@@ -121,14 +123,15 @@
 	return 0
 }
 
-// SetLoads takes in the work at the upstreams of a group, by address.
-func (f *Fleet) SetLoads(loads map[string]int, now time.Time) {
+// SetLoads takes in the work at the upstreams of a group, and how much longer than usual
+// the slow ones take, both by address.
+func (f *Fleet) SetLoads(loads map[string]int, paces map[string]float64, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for id, e := range f.list.Entries() {
 		if n, ok := loads[e.Address]; ok {
 			s := f.sight(id)
-			s.load, s.loadAt, s.started = n, now, 0
+			s.load, s.loadAt, s.started, s.pace = n, now, 0, paces[e.Address]
 		}
 	}
 }
@@ -202,6 +205,9 @@
 			ID: id, Running: s.work(f.entries, now), Capacity: e.Capacity, Failures: s.failing(now),
 			Cold: cold, Doubtful: e.Doubtful || f.list.Outlived(id), Suspended: now.Before(s.suspended), Far: e.Zone != f.zone,
 		}
+		if now.Sub(s.loadAt) <= loadLife {
+			c.Slowness = s.pace
+		}
 		if usual > 0 {
 			c.Slowness = float64(s.took) / float64(usual)
 		}
--- a/pkg/gateway/fleet_test.go
+++ b/pkg/gateway/fleet_test.go
@@ -53,7 +53,7 @@
 	is := is.New(t)
 	now := time.Unix(100, 0)
 	f := newFleet(now, "a", "b")
-	f.SetLoads(map[string]int{"a:1": 10, "b:1": 4}, now)
+	f.SetLoads(map[string]int{"a:1": 10, "b:1": 4}, nil, now)
 	got := spread(f, 6, now)
 	is.Equal(got["b"], 6)
 	is.Equal(spread(f, 10, now.Add(loadLife/2))["a"], 5)  // own starts since count too
@@ -67,6 +67,18 @@
 	now := time.Unix(100, 0)
 	f := newFleet(now, "a", "b")
 	f.SetEntries(9)
-	f.SetLoads(map[string]int{"a:1": 9}, now)
+	f.SetLoads(map[string]int{"a:1": 9}, nil, now)
 	is.True(spread(f, 8, now)["b"] <= 4)
 }
+
+// srv_slow: a pass lasts as long as its slowest rank, so a slow rank gets less of the work.
+func TestSlowRankGetsLess(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	f := newFleet(now, "a", "b")
+	f.SetLoads(map[string]int{"a:1": 0, "b:1": 0}, map[string]float64{"a:1": 4}, now)
+	got := spread(f, 10, now)
+	is.Equal(got["a"], 2)
+	f.SetLoads(map[string]int{"a:1": 0, "b:1": 0}, nil, now)
+	is.Equal(spread(f, 10, now)["a"], 5) // it recovered
+}
--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -54,7 +54,7 @@
 	if !known.still.IsZero() {
 		g.log.Info("group-runs", "service", l.Service, "fence", l.Fence)
 	}
-	g.fleet.SetLoads(l.Loads, time.Now())
+	g.fleet.SetLoads(l.Loads, l.Paces, time.Now())
 	g.limits[l.Service] = groupLimit{fence: l.Fence, part: l.Part, at: time.Now(),
 		pass: time.Duration(l.PassMillis * float64(time.Millisecond)), tokens: l.TokensPerPass,
 	}
--- a/pkg/placement/even.go
+++ b/pkg/placement/even.go
@@ -14,6 +14,16 @@
 	Loads int
 	// Goal is the skew of a layer at which it is good enough.
 	Goal float64
+	// Pace is how much longer than usual each rank takes for the same work; nil means that
+	// none is slow. The load of a rank is its work times its pace.
+	Pace []float64
+}
+
+func (g EvenGroup) pace(rank int) float64 {
+	if rank < len(g.Pace) && g.Pace[rank] > 0 {
+		return g.Pace[rank]
+	}
+	return 1
 }
 
 // EvenPlan is the result of EvenGroup.Plan.
@@ -132,7 +142,7 @@
 	}
 	for e, ranks := range l.where {
 		for _, r := range ranks {
-			l.load[r] += loads[e] / float64(len(ranks))
+			l.load[r] += g.pace(r) * loads[e] / float64(len(ranks))
 		}
 	}
 	return l
@@ -305,8 +315,8 @@
 // exchange moves the part of a replica from one rank to another.
 func (l *evenLayer) exchange(e, from, to int, sign float64) {
 	part := sign * l.weight[e] / float64(len(l.where[e]))
-	l.load[from] -= part
-	l.load[to] += part
+	l.load[from] -= l.group.pace(from) * part
+	l.load[to] += l.group.pace(to) * part
 }
 
 // spread adds (change 1) or takes (change -1) the replica of an expert on a rank and
@@ -317,13 +327,13 @@
 	part := l.weight[e] / float64(copies+change)
 	for _, r := range l.where[e] {
 		if r == rank {
-			l.load[r] -= sign * old
+			l.load[r] -= sign * l.group.pace(r) * old
 			continue
 		}
-		l.load[r] += sign * (part - old)
+		l.load[r] += sign * l.group.pace(r) * (part - old)
 	}
 	if change > 0 {
-		l.load[rank] += sign * part
+		l.load[rank] += sign * l.group.pace(rank) * part
 	}
 }
 
--- a/pkg/placement/even_test.go
+++ b/pkg/placement/even_test.go
@@ -113,6 +113,35 @@
 	is.True(p.After <= 1.2)
 }
 
+// srv_slow: a pass lasts as long as its slowest rank. Three of sixteen ranks take three
+// times as long; experts move away from them until the others are the slowest.
+func TestEvenPlanMovesExpertsOffSlowRanks(t *testing.T) {
+	is := is.New(t)
+	const ranks, experts = 16, 64
+	loads := make([][]float64, 4)
+	for i := range loads {
+		loads[i] = make([]float64, experts)
+		for e := range loads[i] {
+			loads[i][(e*7+i*13)%experts] = 1 + 20/float64(1+e)
+		}
+	}
+	pace := make([]float64, ranks)
+	for r := range pace {
+		pace[r] = 1
+	}
+	pace[2], pace[7], pace[11] = 3, 3, 3
+	g := EvenGroup{Slots: 5, Reserve: 2, Loads: 2, Goal: 1.1, Pace: pace}
+	held := inTurn(4, experts, ranks)
+	is.True(g.Skew(held, loads) > 3)
+	for range 8 {
+		before := held
+		p := g.Plan(held, loads)
+		held = p.Held
+		checkEven(t, g, before, held, loads)
+	}
+	is.True(g.Skew(held, loads) < 1.5)
+}
+
 func BenchmarkEvenPlan(b *testing.B) {
 	loads := make([][]float64, 4)
 	for i := range loads {
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -58,6 +58,8 @@
 	PassMillis float64 `json:"pass_ms"`
 	// Loads is the work at each upstream of the group, running or queued, by address.
 	Loads map[string]int `json:"loads,omitempty"`
+	// Paces are how much longer than usual the slow upstreams of the group take, by address.
+	Paces map[string]float64 `json:"paces,omitempty"`
 	// TokensPerPass is what a running request gains in a pass.
 	TokensPerPass int `json:"tokens_per_pass"`
 }
--- a/pkg/steward/leader.go
+++ b/pkg/steward/leader.go
@@ -67,8 +67,10 @@
 	found   atomic.Pointer[service]
 	reached time.Time
 	places  map[int]Member
-	passes  passClock
-	shares  *shares
+	// paces are how much longer than usual each rank takes; see slowPace.
+	paces  []float64
+	passes passClock
+	shares *shares
 	// unanswered is when an order was last not answered.
 	unanswered time.Time
 }
@@ -206,6 +208,7 @@
 	if l.phase == mapswitch.Idle || l.phase == mapswitch.Blocked {
 		l.count(seen, now)
 	}
+	l.paces = pacesOf(seen, l.size)
 	l.passes.see(ranks, now)
 	l.shares.update(ctx, l.passes.time(), ranks, seen, l.places, now)
 	// Completing a hold needs no knowledge of the map in use; planning does.
@@ -257,6 +260,22 @@
 	return false
 }
 
+// slowPace is the pace from which on a rank counts as slow: less is not worth moving experts
+// for, as the goal of a plan leaves as much.
+const slowPace = 1.1
+
+// pacesOf returns the paces of all ranks; those that are not known to be slow have 1.
+func pacesOf(seen map[int]Observation, size int) []float64 {
+	out := make([]float64, size)
+	for i := range out {
+		out[i] = 1
+		if o, ok := seen[i]; ok && o.Report.Pace >= slowPace {
+			out[i] = o.Report.Pace
+		}
+	}
+	return out
+}
+
 // runningIn returns the requests that run at the ranks.
 func runningIn(seen map[int]Observation) int {
 	n := 0
--- a/pkg/steward/plan.go
+++ b/pkg/steward/plan.go
@@ -40,7 +40,7 @@
 	if loads == nil || l.heldVersion == mapswitch.None {
 		return false
 	}
-	g := placement.EvenGroup{Slots: l.engine.Slots, Reserve: l.engine.Reserve, Loads: loadsPerPlan, Goal: skewGoal}
+	g := placement.EvenGroup{Slots: l.engine.Slots, Reserve: l.engine.Reserve, Loads: loadsPerPlan, Goal: skewGoal, Pace: l.paces}
 	skew := g.Skew(l.held, loads)
 	pass := max(l.passes.time(), expectedPass(l.engine, float64(running)/float64(l.size), skew))
 	l.s.log.Debug("skew", "skew", skew, "pass_time", pass.Round(time.Millisecond), "running", running)
--- a/pkg/steward/shares.go
+++ b/pkg/steward/shares.go
@@ -37,6 +37,7 @@
 	pass    time.Duration
 	tokens  int
 	loads   map[string]int
+	paces   map[string]float64
 	still   standstill.Clock
 	state   standstill.State
 
@@ -92,8 +93,12 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.loads = make(map[string]int, len(seen))
+	h.paces = map[string]float64{}
 	for i, o := range seen {
 		h.loads[places[i].Upstream] = o.Report.Running + o.Report.Queued
+		if o.Report.Pace >= slowPace {
+			h.paces[places[i].Upstream] = o.Report.Pace
+		}
 	}
 	heard := make([]roster.Entry, 0, len(h.entries))
 	demands := make([]sharing.Demand, 0, len(h.entries))
@@ -125,7 +130,7 @@
 	h.busy[e.Name] = true
 	limit := roster.Limit{Service: h.s.node.UpstreamService, Fence: h.fence, Part: part,
 		PassMillis: float64(h.pass) / float64(time.Millisecond), TokensPerPass: h.tokens,
-		Loads: h.loads,
+		Loads: h.loads, Paces: h.paces,
 		Still: h.state.Still, OpensMillis: float64(h.state.Opens) / float64(time.Millisecond),
 	}
 	go func() {
