Aim for longer passes while a rank is slow

Cause: the bound took the time of an empty pass for constant. With a rank that takes three or four times as long it is 55 to 73 ms of the 84 aimed for, so the bound fell to its least and the group was left nearly idle while callers bear 120 ms. Change: the aim is the empty pass, times the pace of the slowest rank, and 0.65 of what is left of the pause that callers bear (84 ms as before where none is slow).

--- a/pkg/sharing/sharing.go
+++ b/pkg/sharing/sharing.go
@@ -13,8 +13,8 @@
 
 // Bound is the work that a group may have in progress. It is not safe for concurrent use.
 type Bound struct {
-	// Target is the time of a pass to aim for.
-	Target time.Duration
+	// Gap is the longest pass that callers bear.
+	Gap time.Duration
 	// Empty is the time of a pass without any work.
 	Empty time.Duration
 	// Least and Most limit the bound.
@@ -25,6 +25,12 @@
 }
 
 const (
+	// targetPart is the part of what work may add to a pass that is aimed for: passes in
+	// which long prompts are read take half as long again.
+	targetPart = 0.65
+	// slowestPart is the least that work may add, as a part of the gap, in a group whose
+	// slowest rank alone takes nearly as long as callers bear: it serves late, but serves.
+	slowestPart = 0.3
 	// boundRise is the part by which the bound grows at most in one update, so that it
 	// does not overshoot while a pass has not felt the last change yet.
 	boundRise = 0.15
@@ -32,14 +38,17 @@
 	boundFall = 0.25
 )
 
-// Update takes in the newest time of a pass and the work in progress meanwhile, and
-// returns the new bound. Passes get longer in proportion to the work.
-func (b *Bound) Update(pass time.Duration, running int) int {
+// Update takes in the newest time of a pass, the work in progress meanwhile, and how much
+// longer than usual the slowest rank takes; 1 is usual. It returns the new bound. Passes get
+// longer in proportion to the work.
+func (b *Bound) Update(pass time.Duration, running int, pace float64) int {
 	if b.current == 0 {
 		b.current = float64(b.Most)
 	}
-	if pass > b.Empty && running > 0 {
-		fits := float64(running) * float64(b.Target-b.Empty) / float64(pass-b.Empty)
+	empty := time.Duration(float64(b.Empty) * max(pace, 1))
+	if pass > empty && running > 0 {
+		may := max(targetPart*float64(b.Gap-empty), slowestPart*float64(b.Gap))
+		fits := float64(running) * may / float64(pass-empty)
 		b.current = min(max(fits, b.current*(1-boundFall)), b.current*(1+boundRise))
 	}
 	b.current = min(max(b.current, float64(b.Least)), float64(b.Most))
--- a/pkg/sharing/sharing_test.go
+++ b/pkg/sharing/sharing_test.go
@@ -34,34 +34,46 @@
 }
 
 // group is a group whose pass takes a time for each running request.
-func (b *Bound) settle(empty, each time.Duration, offered int) (running int, pass time.Duration) {
+func (b *Bound) settle(empty, each time.Duration, offered int, pace float64) (running int, pass time.Duration) {
 	for range 60 {
 		pass = empty + time.Duration(running)*each
-		running = min(offered, b.Update(pass, running))
+		running = min(offered, b.Update(pass, running, pace))
 	}
 	return running, pass
 }
 
 func TestBoundKeepsPassesWithinTheTarget(t *testing.T) {
 	is := is.New(t)
-	b := &Bound{Target: 85 * time.Millisecond, Empty: 18 * time.Millisecond, Least: 16, Most: 192}
-	_, pass := b.settle(18*time.Millisecond, 400*time.Microsecond, 1000)
+	b := &Bound{Gap: 120 * time.Millisecond, Empty: 18 * time.Millisecond, Least: 16, Most: 192}
+	_, pass := b.settle(18*time.Millisecond, 400*time.Microsecond, 1000, 1)
 	is.True(pass <= 90*time.Millisecond) // balanced: the bound is above what is needed
-	running, pass := b.settle(18*time.Millisecond, time.Millisecond, 1000)
+	running, pass := b.settle(18*time.Millisecond, time.Millisecond, 1000, 1)
 	is.True(pass <= 90*time.Millisecond) // one expert in demand slows every request
 	is.True(running >= 60)               // and the group is not left idle
-	running, _ = b.settle(18*time.Millisecond, 400*time.Microsecond, 1000)
+	running, _ = b.settle(18*time.Millisecond, 400*time.Microsecond, 1000, 1)
 	is.True(running >= 150) // the bound comes back once the map fits
 }
 
 // herd_kill: a group stood still, so that its passes seemed endless, and forms anew.
 func TestBoundOfAGroupThatFormedAnewStartsAfresh(t *testing.T) {
 	is := is.New(t)
-	b := &Bound{Target: 85 * time.Millisecond, Empty: 18 * time.Millisecond, Least: 16, Most: 192}
+	b := &Bound{Gap: 120 * time.Millisecond, Empty: 18 * time.Millisecond, Least: 16, Most: 192}
 	for range 10 {
-		b.Update(400*time.Millisecond, 20)
+		b.Update(400*time.Millisecond, 20, 1)
 	}
-	is.Equal(b.Update(0, 0), 16) // no work says nothing
+	is.Equal(b.Update(0, 0, 1), 16) // no work says nothing
 	b.Restart()
-	is.Equal(b.Update(0, 0), 96)
+	is.Equal(b.Update(0, 0, 1), 96)
+}
+
+// srv_slow: the slowest rank takes three times as long, with work or without. Callers still
+// bear passes of 120 ms, and the group must not be left idle to keep them shorter.
+func TestBoundOfAGroupWithASlowRank(t *testing.T) {
+	is := is.New(t)
+	b := &Bound{Gap: 120 * time.Millisecond, Empty: 18 * time.Millisecond, Least: 16, Most: 192}
+	running, pass := b.settle(3*18*time.Millisecond, 500*time.Microsecond, 1000, 3)
+	is.True(pass <= 120*time.Millisecond)
+	is.True(running >= 80)
+	running, _ = b.settle(7*18*time.Millisecond, 500*time.Microsecond, 1000, 7)
+	is.True(running >= 60) // nobody is on time, but all are served
 }
--- a/pkg/steward/shares.go
+++ b/pkg/steward/shares.go
@@ -18,9 +18,6 @@
 	shareInterval = 100 * time.Millisecond
 	// shareTimeout bounds the call of an entry.
 	shareTimeout = 150 * time.Millisecond
-	// passPart is the time of a pass to aim for as a part of the longest pause that callers
-	// aim for: passes in which long prompts are read take half as long again.
-	passPart = 0.7
 	// usualGap is the pause aimed for where no route says one.
 	usualGap = 120 * time.Millisecond
 	// leastPerRank is the running requests per rank that are always allowed.
@@ -56,7 +53,7 @@
 	h.tokens = e.TokensPerPass
 	h.still.Form = e.FormTime
 	h.bound = &sharing.Bound{
-		Target: time.Duration(passPart * float64(gap)), Empty: time.Duration(e.TokensPerPass) * e.StepTime,
+		Gap: gap, Empty: time.Duration(e.TokensPerPass) * e.StepTime,
 		Least: leastPerRank * ranks, Most: e.Batch * ranks,
 	}
 }
@@ -89,7 +86,6 @@
 	h.state = state
 	h.pass = pass
 	running := runningIn(seen)
-	bound := h.bound.Update(pass, running)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.loads = make(map[string]int, len(seen))
@@ -100,6 +96,7 @@
 			h.paces[places[i].Upstream] = o.Report.Pace
 		}
 	}
+	bound := h.bound.Update(pass, running, slowest(h.paces))
 	heard := make([]roster.Entry, 0, len(h.entries))
 	demands := make([]sharing.Demand, 0, len(h.entries))
 	for _, e := range h.entries {
@@ -150,3 +147,12 @@
 		h.demands[e.Name] = answer.Demand
 	}()
 }
+
+// slowest returns the highest pace.
+func slowest(paces map[string]float64) float64 {
+	worst := 1.0
+	for _, p := range paces {
+		worst = max(worst, p)
+	}
+	return worst
+}
