Let late requests take half of the room only, and know those that come back

Cause: after an outage the requests that were asked to come back arrived within a second, all late already, and filled the group beside the new ones. Change: late requests start only while less than half of the permits are in use, and are refused at once where that takes too long. Requests whose caller has clearly less time left than its organisation usually states on the route count as late from the start.

--- /dev/null
+++ b/pkg/gateway/ages_test.go
@@ -0,0 +1,22 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Callers state the time they have left, which differs a little among new requests.
+func TestRequestsThatComeBackAreKnown(t *testing.T) {
+	is := is.New(t)
+	var a ages
+	now := time.Unix(100, 0)
+	is.True(!a.returned("r o", 7*time.Second, now)) // the first says nothing
+	is.True(!a.returned("r o", 8*time.Second, now))
+	is.True(!a.returned("r o", 6800*time.Millisecond, now))
+	is.True(a.returned("r o", 5900*time.Millisecond, now))
+	is.True(!a.returned("r p", 2*time.Second, now)) // another organisation states less
+	is.True(!a.returned("r o", 0, now))             // none is stated
+	is.True(!a.returned("r o", 3*time.Second, now.Add(usualLife+time.Second)))
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -20,6 +20,7 @@
 	log      hclog.Logger
 	metrics  metrics.Registry
 	fleet    *Fleet
+	ages     ages
 	permits  *permits
 	pool     *exchange.Pool
 	table    atomic.Pointer[route.Table]
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -208,10 +208,13 @@
 
 // onTime returns the longest wait after which the call can still meet its objective.
 func (c *call) onTime() time.Duration {
-	if c.route.Streaming {
-		return c.route.Objective - c.g.permits.begin(c.service)
+	if !c.route.Streaming {
+		return c.patience()
+	}
+	if c.g.ages.returned(c.route.Name+" "+c.organisation, c.q.Deadline, c.start) {
+		return 0
 	}
-	return c.patience()
+	return c.route.Objective - c.g.permits.begin(c.service)
 }
 
 // comeBack spreads the return of refused callers.
--- a/pkg/permit/gate.go
+++ b/pkg/permit/gate.go
@@ -24,7 +24,8 @@
 	Cost int64
 	// Patience is the longest wait that is of use to the caller.
 	Patience time.Duration
-	// OnTime is the longest wait after which the answer still meets the objective.
+	// OnTime is the longest wait after which the answer still meets the objective; 0 is for
+	// a request that cannot any more.
 	OnTime time.Duration
 }
 
@@ -51,6 +52,10 @@
 	queueItems = 512
 	// holdWeight is the weight of the newest sample in the mean time a permit is held.
 	holdWeight = 0.05
+	// lateShare is the part of the permits up to which late requests are served: answers get
+	// slower with all work, and those that can be on time must not be late for the others.
+	// From 0.4 to 0.6 measured the same on days with outages, 0.8 as much less as without.
+	lateShare = 0.5
 	// minReturn is the shortest time after which a refused caller is asked to come back.
 	minReturn = 200 * time.Millisecond
 )
@@ -91,30 +96,50 @@
 
 // Ask asks for a permit. A queued request is granted by a later Done or SetLimit.
 func (g *Gate) Ask(r Request, now time.Time) Decision {
-	if g.running < g.limit && g.Waiting() == 0 && !g.closed {
+	if g.queue.Len() == 0 && g.hasRoom(r.OnTime > 0) && (r.OnTime > 0 || g.late.Len() == 0) {
 		g.running++
 		return Decision{Outcome: Granted}
 	}
-	wait := g.wait()
+	wait := g.wait(r.OnTime > 0)
 	if wait > r.Patience || g.Waiting() >= queueItems {
 		return Decision{Outcome: Refused, Wait: max(wait, minReturn)}
 	}
-	g.queue.Push(fairness.Item{ID: r.ID, Organisation: r.Organisation, Priority: r.Priority, Cost: r.Cost})
+	item := fairness.Item{ID: r.ID, Organisation: r.Organisation, Priority: r.Priority, Cost: r.Cost}
+	if r.OnTime <= 0 {
+		g.late.Push(item)
+		return Decision{Outcome: Queued, Wait: wait}
+	}
+	g.queue.Push(item)
 	g.due[r.ID] = now.Add(r.OnTime)
 	return Decision{Outcome: Queued, Wait: wait}
 }
 
-// wait returns the expected wait of a request that is added to the queue.
-func (g *Gate) wait() time.Duration {
+// hasRoom reports whether a request may start that is on time, or one that is late.
+func (g *Gate) hasRoom(onTime bool) bool {
+	room := float64(g.limit)
+	if !onTime {
+		room *= lateShare
+	}
+	return !g.closed && float64(g.running) < room
+}
+
+// wait returns the expected wait of a request that is added to the queue, among those on time
+// or the late ones.
+func (g *Gate) wait(onTime bool) time.Duration {
+	ahead, room := g.queue.Len()+1, float64(g.limit)
+	if !onTime {
+		ahead += g.late.Len()
+		room *= lateShare
+	}
 	if g.closed {
 		// What opens anew is empty.
-		return g.opens + time.Duration(float64(g.queue.Len())*float64(g.hold)/float64(max(g.limit, 1)))
+		return g.opens + time.Duration(float64(ahead-1)*float64(g.hold)/max(room, 1))
 	}
 	if g.limit <= 0 {
 		return g.hold
 	}
-	ahead := g.queue.Len() + 1 + max(0, g.running-g.limit)
-	return time.Duration(float64(ahead) * float64(g.hold) / float64(g.limit))
+	ahead += int(max(0, float64(g.running)-room))
+	return time.Duration(float64(ahead) * float64(g.hold) / room)
 }
 
 // Abandon removes a waiting request. It reports false when the request was granted.
@@ -150,7 +175,7 @@
 
 func (g *Gate) grant(now time.Time) []string {
 	var out []string
-	for g.running < g.limit && !g.closed {
+	for g.hasRoom(true) {
 		item, ok := g.next(now)
 		if !ok {
 			break
@@ -167,6 +192,9 @@
 	for {
 		item, ok := g.queue.Pop()
 		if !ok {
+			if !g.hasRoom(false) {
+				return fairness.Item{}, false
+			}
 			return g.late.Pop()
 		}
 		due := g.due[item.ID]
