Keep no room for others where no request can be on time

Every stream is late, yet the gates let in half of the work, to keep room for requests that could be on time, and refused the rest. Ruled out: a limit on the measured pass; passes over 120 ms for a second after a shift are where late requests do most harm. Change: the leader tells the time of an empty pass at the pace of the slowest rank; where that is no shorter than the pause that callers aim for, all requests are alike.

--- a/pkg/gateway/heavy_test.go
+++ b/pkg/gateway/heavy_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/permit"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/roster"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/route"
+	"github.com/coltsfootpitch/coltsfootpitch/platform"
 )
 
 func waitFor(t *testing.T, what string, holds func() bool) {
@@ -115,3 +117,22 @@
 	status, _, _, _ = b.call("/stream/a", "key-1", "")
 	is.Equal(status, http.StatusOK) // a leader that is not heard keeps nobody waiting
 }
+
+// srv_slow: a rank so slow that no stream of its group can be on time. Then there is nobody to
+// keep room for, and late requests get all of it.
+func TestNobodyGivesWayWhereAllAreLate(t *testing.T) {
+	is := is.New(t)
+	g := newBed(t, 0).gateway
+	at := func(left time.Duration) time.Duration {
+		c := &call{g: g, service: "s", start: time.Now(), end: time.Now().Add(left),
+			q:     &platform.Request{Deadline: left},
+			route: &route.Route{Name: "r", Streaming: true, Objective: 500 * time.Millisecond, EventGap: 120 * time.Millisecond}}
+		return c.onTime()
+	}
+	is.True(at(8*time.Second) > 0)
+	is.Equal(at(5*time.Second), time.Duration(0)) // it came back
+	g.takeLimit(roster.Limit{Service: "s", Fence: 1, Part: 5, EmptyMillis: 60})
+	is.Equal(at(5*time.Second), time.Duration(0)) // slow, but not hopeless
+	g.takeLimit(roster.Limit{Service: "s", Fence: 1, Part: 5, EmptyMillis: 218})
+	is.True(at(5*time.Second) > 0)
+}
--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -30,6 +30,8 @@
 	// pass is the time of a pass, and tokens what a request gains in it.
 	pass   time.Duration
 	tokens int
+	// empty is the time of a pass without any work.
+	empty time.Duration
 	// still is when the leader last told that the group stands still; zero while it runs.
 	still time.Time
 }
@@ -57,6 +59,7 @@
 	g.fleet.SetLoads(l.Loads, l.Paces, time.Now())
 	g.limits[l.Service] = groupLimit{fence: l.Fence, part: l.Part, at: time.Now(),
 		pass: time.Duration(l.PassMillis * float64(time.Millisecond)), tokens: l.TokensPerPass,
+		empty: time.Duration(l.EmptyMillis * float64(time.Millisecond)),
 	}
 	if g.table.Load() != nil {
 		g.limit(l.Service)
@@ -111,6 +114,15 @@
 	g.permits.setLimit(service, max(1, int(limitSpread*float64(places)/float64(g.entries)+0.5)))
 }
 
+// allLate reports whether even an idle group of a service would make events wait longer than
+// a pause that callers aim for, so that no request can be on time.
+func (g *Gateway) allLate(service string, gap time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l := g.limits[service]
+	return gap > 0 && l.empty >= gap && time.Since(l.at) < limitLife
+}
+
 // writingPart is the part of the expected time of an answer that must fit into the time
 // left: estimates of lengths are right at the median only, and passes get shorter when
 // work is refused.
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -208,7 +208,7 @@
 
 // onTime returns the longest wait after which the call can still meet its objective.
 func (c *call) onTime() time.Duration {
-	if !c.route.Streaming {
+	if !c.route.Streaming || c.g.allLate(c.service, c.route.EventGap) {
 		return c.patience()
 	}
 	if c.g.ages.returned(c.route.Name+" "+c.organisation, c.q.Deadline, c.start) {
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -56,6 +56,8 @@
 	OpensMillis float64 `json:"opens_ms,omitempty"`
 	// PassMillis is the time of a pass of the group, in milliseconds; 0 is not known.
 	PassMillis float64 `json:"pass_ms"`
+	// EmptyMillis is the time of a pass without any work, at the pace of the slowest rank.
+	EmptyMillis float64 `json:"empty_ms"`
 	// Loads is the work at each upstream of the group, running or queued, by address.
 	Loads map[string]int `json:"loads,omitempty"`
 	// Paces are how much longer than usual the slow upstreams of the group take, by address.
--- a/pkg/sharing/sharing.go
+++ b/pkg/sharing/sharing.go
@@ -45,7 +45,7 @@
 	if b.current == 0 {
 		b.current = float64(b.Most)
 	}
-	empty := time.Duration(float64(b.Empty) * max(pace, 1))
+	empty := b.EmptyPass(pace)
 	if pass > empty && running > 0 {
 		may := max(targetPart*float64(b.Gap-empty), slowestPart*float64(b.Gap))
 		fits := float64(running) * may / float64(pass-empty)
@@ -55,6 +55,11 @@
 	return int(b.current)
 }
 
+// EmptyPass returns the time of a pass without any work when the slowest rank has a pace.
+func (b *Bound) EmptyPass(pace float64) time.Duration {
+	return time.Duration(float64(b.Empty) * max(pace, 1))
+}
+
 // freshPart is the part of the most work that a group takes with its first map, with which
 // one rank has over three times the mean.
 const freshPart = 0.5
--- a/pkg/steward/shares.go
+++ b/pkg/steward/shares.go
@@ -127,7 +127,8 @@
 	h.busy[e.Name] = true
 	limit := roster.Limit{Service: h.s.node.UpstreamService, Fence: h.fence, Part: part,
 		PassMillis: float64(h.pass) / float64(time.Millisecond), TokensPerPass: h.tokens,
-		Loads: h.loads, Paces: h.paces,
+		EmptyMillis: float64(h.bound.EmptyPass(slowest(h.paces))) / float64(time.Millisecond),
+		Loads:       h.loads, Paces: h.paces,
 		Still: h.state.Still, OpensMillis: float64(h.state.Opens) / float64(time.Millisecond),
 	}
 	go func() {
