Test the two checks of the fence that no test noticed

Cause: in pkg/fence the comparison of the incarnation and that of the start-by time could be replaced by false while the whole suite stayed green. Ruled out: that other tests catch them; they were removed one by one. Change: a test for each, which fails when its check is removed. Measured: go test ./pkg/fence with each removal failed in its test only.

--- a/pkg/fence/fence_test.go
+++ b/pkg/fence/fence_test.go
@@ -47,6 +47,32 @@
 	is.Equal(f.Admit(m, 5*time.Second, budget), code.Tombstoned)
 }
 
+// A message for a former life of the agent says nothing to this one: what it was meant for
+// may have run there.
+func TestMessagesForAnotherIncarnationDoNothing(t *testing.T) {
+	is := is.New(t)
+	f := New(Options{Incarnation: "b"})
+	m := message("x", 0) // meant for incarnation a
+	is.Equal(f.Admit(m, 0, budget), code.StaleIncarnation)
+	is.Equal(f.Start(m.Key, 0), code.DeadlineExceeded)
+	is.Equal(f.Reject(m, 0, code.ZoneOut), code.StaleIncarnation) // "not run" would be a guess
+	is.Equal(f.Len(), 0)
+}
+
+// An attempt that waited for its start longer than its budget must not run: its caller may
+// have been told that it did not.
+func TestStartAfterTheBudgetIsRefusedForGood(t *testing.T) {
+	is := is.New(t)
+	f := New(Options{Incarnation: "a"})
+	m := message("x", time.Second)
+	is.Equal(f.Admit(m, time.Second, budget), code.OK)
+	is.Equal(f.Start(m.Key, time.Second+budget+1), code.StartBudgetExpired)
+	is.Equal(f.Start(m.Key, time.Second+budget), code.Tombstoned) // also by an earlier clock
+	n := message("y", time.Second)
+	is.Equal(f.Admit(n, time.Second, budget), code.OK)
+	is.Equal(f.Start(n.Key, time.Second+budget), code.OK) // the last moment counts
+}
+
 func TestRefusalIsFinalForEveryCopy(t *testing.T) {
 	is := is.New(t)
 	f := New(Options{Incarnation: "a"})
