Refuse waiting requests at once when they become hopeless

Cause: requests that waited for a group to form kept waiting up to 1.3 s when it fell once more; a request known to be hopeless is to be refused at once. Ruled out: the timers of their patience, which end later by design. Change: closing a gate for longer than a request will wait refuses it with the expected time.

--- a/pkg/gateway/heavy_test.go
+++ b/pkg/gateway/heavy_test.go
@@ -136,3 +136,31 @@
 	g.takeLimit(roster.Limit{Service: "s", Fence: 1, Part: 5, EmptyMillis: 218})
 	is.True(at(5*time.Second) > 0)
 }
+
+// herd_kill: requests wait for a group that is about to form when one more rank falls. They
+// are refused at that moment and not at the end of their patience.
+func TestWaitingRequestsAreRefusedOnceHopeless(t *testing.T) {
+	is := is.New(t)
+	p := newPermits()
+	for _, service := range []string{"s", "other"} {
+		p.setLimit(service, 20)
+		p.close(service, 100*time.Millisecond)
+	}
+	decided := make(chan permit.Decision, 2)
+	ask := func(id, service string, patience time.Duration) {
+		d, _ := p.acquire(t.Context(), service, permit.Request{ID: id, Organisation: "o", Cost: 1, Patience: patience, OnTime: time.Minute})
+		decided <- d
+	}
+	go ask("hasty", "s", time.Second)
+	go ask("patient", "s", time.Minute)
+	go ask("elsewhere", "other", time.Second)
+	waitFor(t, "all wait", func() bool { _, n := p.state("s"); _, m := p.state("other"); return n == 2 && m == 1 })
+	begun := time.Now()
+	p.close("s", 2*time.Second)
+	is.Equal(<-decided, permit.Decision{Outcome: permit.Refused, Wait: 2 * time.Second})
+	is.True(time.Since(begun) < 500*time.Millisecond)
+	_, waiting := p.state("s")
+	is.Equal(waiting, 1)
+	p.setLimit("s", 1)
+	is.Equal((<-decided).Outcome, permit.Granted)
+}
--- a/pkg/gateway/permits.go
+++ b/pkg/gateway/permits.go
@@ -12,13 +12,22 @@
 type permits struct {
 	mu      sync.Mutex
 	gates   map[string]*permit.Gate
-	waiting map[string]chan struct{}
+	waiting map[string]*waiter
 	// begins is the recent time from a permit to the first event of a stream.
 	begins map[string]time.Duration
 }
 
 func newPermits() *permits {
-	return &permits{gates: map[string]*permit.Gate{}, waiting: map[string]chan struct{}{}, begins: map[string]time.Duration{}}
+	return &permits{gates: map[string]*permit.Gate{}, waiting: map[string]*waiter{}, begins: map[string]time.Duration{}}
+}
+
+// waiter is a request that waits for a permit until a time.
+type waiter struct {
+	service string
+	until   time.Time
+	// granted is closed when the permit is there, and hopeless once it can't be in time.
+	granted  chan struct{}
+	hopeless chan struct{}
 }
 
 // firstHold is how long a permit is held until it was measured: about a usual answer.
@@ -48,12 +57,19 @@
 		p.gates[service] = g
 	}
 	g.Close(opens)
+	for id, w := range p.waiting {
+		if w.service == service && w.until.Before(time.Now().Add(opens)) {
+			g.Abandon(id)
+			close(w.hopeless)
+			delete(p.waiting, id)
+		}
+	}
 }
 
 func (p *permits) wake(ids []string) {
 	for _, id := range ids {
-		if c := p.waiting[id]; c != nil {
-			close(c)
+		if w := p.waiting[id]; w != nil {
+			close(w.granted)
 			delete(p.waiting, id)
 		}
 	}
@@ -62,27 +78,40 @@
 // acquire waits for a permit. The decision is Granted or Refused; the error is that of
 // ctx when the caller left while it waited.
 func (p *permits) acquire(ctx context.Context, service string, r permit.Request) (permit.Decision, error) {
-	granted, d := p.ask(service, r)
+	w, d := p.ask(service, r)
 	if d.Outcome != permit.Queued {
 		return d, nil
 	}
 	timer := time.NewTimer(r.Patience)
 	defer timer.Stop()
 	select {
-	case <-granted:
+	case <-w.granted:
 		return permit.Decision{Outcome: permit.Granted}, nil
+	case <-w.hopeless:
+		return permit.Decision{Outcome: permit.Refused, Wait: p.opens(service)}, nil
 	case <-timer.C:
 		d.Outcome = permit.Refused
 	case <-ctx.Done():
 	}
 	if !p.abandon(service, r.ID) {
-		// The permit was granted at the same moment.
-		return permit.Decision{Outcome: permit.Granted}, nil
+		// It was decided at the same moment.
+		select {
+		case <-w.granted:
+			return permit.Decision{Outcome: permit.Granted}, nil
+		default:
+		}
 	}
 	return d, ctx.Err()
 }
 
-func (p *permits) ask(service string, r permit.Request) (chan struct{}, permit.Decision) {
+// opens returns when a closed service is expected to open, for those that come back.
+func (p *permits) opens(service string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.gates[service].Opens()
+}
+
+func (p *permits) ask(service string, r permit.Request) (*waiter, permit.Decision) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	g := p.gates[service]
@@ -93,9 +122,12 @@
 	if d.Outcome != permit.Queued {
 		return nil, d
 	}
-	c := make(chan struct{})
-	p.waiting[r.ID] = c
-	return c, d
+	w := &waiter{
+		service: service, until: time.Now().Add(r.Patience),
+		granted: make(chan struct{}), hopeless: make(chan struct{}),
+	}
+	p.waiting[r.ID] = w
+	return w, d
 }
 
 func (p *permits) abandon(service, id string) bool {
--- a/pkg/permit/gate.go
+++ b/pkg/permit/gate.go
@@ -170,6 +170,9 @@
 	g.opens = opens
 }
 
+// Opens returns the expected time until a closed gate opens.
+func (g *Gate) Opens() time.Duration { return g.opens }
+
 // Closed reports whether the gate is closed.
 func (g *Gate) Closed() bool { return g.closed }
 
