Tell the groups of one service apart

Cause: bounds, fencing numbers and standing still were kept by service. With two groups the leader with the higher number made the other's stewards refuse their own leader, gateways kept one leader's part only, and one group that stood still closed the service. Ruled out: that the ranks' reports suffice; the new tests failed before (no new map in the group with the lower number). Change: a leader's calls name its group and stewards of others say only theirs; ranks of other groups are asked again only as often as the list is read; a steward whose rank moved to another group forgets its fence. Gateways add up the parts, send nothing to ranks of a group that stands still while another runs, and close a service when all its groups do.

--- a/pkg/gateway/fleet.go
+++ b/pkg/gateway/fleet.go
@@ -35,6 +35,8 @@
 	// and started the attempts that this entry has sent since.
 	load   int
 	loadAt time.Time
+	// still is until when the upstream's group is taken to stand still.
+	still time.Time
 	// pace is how much longer than usual the upstream takes, as told with the load.
 	pace    float64
 	started int
@@ -131,7 +133,19 @@
 	for id, e := range f.list.Entries() {
 		if n, ok := loads[e.Address]; ok {
 			s := f.sight(id)
-			s.load, s.loadAt, s.started, s.pace = n, now, 0, paces[e.Address]
+			s.load, s.loadAt, s.started, s.pace, s.still = n, now, 0, paces[e.Address], time.Time{}
+		}
+	}
+}
+
+// SetStill leaves upstreams of a group that stands still, by address, as a last resort until a
+// time: another group of the service may run.
+func (f *Fleet) SetStill(loads map[string]int, until time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, e := range f.list.Entries() {
+		if _, ok := loads[e.Address]; ok {
+			f.sight(id).still = until
 		}
 	}
 }
@@ -203,7 +217,7 @@
 		}
 		c := pick.Candidate{
 			ID: id, Running: s.work(f.entries, now), Capacity: e.Capacity, Failures: s.failing(now),
-			Cold: cold, Doubtful: e.Doubtful || f.list.Outlived(id), Suspended: now.Before(s.suspended), Far: e.Zone != f.zone,
+			Cold: cold, Doubtful: e.Doubtful || f.list.Outlived(id), Suspended: now.Before(s.suspended) || now.Before(s.still), Far: e.Zone != f.zone,
 		}
 		if now.Sub(s.loadAt) <= loadLife {
 			c.Slowness = s.pace
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -34,8 +34,9 @@
 	storeLost atomic.Int64
 	born      time.Time
 
-	mu      sync.Mutex
-	limits  map[string]groupLimit
+	mu sync.Mutex
+	// limits are what the leaders of groups told, by service and group.
+	limits  map[string]map[string]groupLimit
 	retries map[string]*retry.Window
 	entries int
 }
@@ -50,7 +51,7 @@
 func New(n platform.Node, f *Fleet, log hclog.Logger, m metrics.Registry) *Gateway {
 	return &Gateway{
 		node: n, log: log, metrics: m, fleet: f, permits: newPermits(), pool: exchange.NewPool(),
-		limits: map[string]groupLimit{}, retries: map[string]*retry.Window{}, entries: 1, born: time.Now(),
+		limits: map[string]map[string]groupLimit{}, retries: map[string]*retry.Window{}, entries: 1, born: time.Now(),
 	}
 }
 
--- a/pkg/gateway/heavy_test.go
+++ b/pkg/gateway/heavy_test.go
@@ -68,11 +68,11 @@
 	g := b.gateway
 	is.Equal(g.answerTime("s", 100), time.Duration(0)) // nothing was told
 	g.mu.Lock()
-	g.limits["s"] = groupLimit{at: time.Now(), pass: 60 * time.Millisecond, tokens: 4}
+	g.limits["s"] = map[string]groupLimit{"g": {at: time.Now(), pass: 60 * time.Millisecond, tokens: 4}}
 	g.mu.Unlock()
 	is.True(g.answerTime("s", 100) < 2*time.Second)
 	g.mu.Lock()
-	g.limits["s"] = groupLimit{at: time.Now(), pass: 600 * time.Millisecond, tokens: 4}
+	g.limits["s"] = map[string]groupLimit{"g": {at: time.Now(), pass: 600 * time.Millisecond, tokens: 4}}
 	g.mu.Unlock()
 	is.True(g.answerTime("s", 100) > 8*time.Second)
 }
@@ -164,3 +164,46 @@
 	p.setLimit("s", 1)
 	is.Equal((<-decided).Outcome, permit.Granted)
 }
+
+// srv_crash: one of two groups of a service stands still. Its work goes to the other, and the
+// service is closed only while both do.
+func TestGroupsOfOneServiceAddUp(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, 2)
+	b.configure("1")
+	g := b.gateway
+	tell := func(group string, fence int64, part int, still bool) {
+		worker := b.workers[0]
+		if group == "b" {
+			worker = b.workers[1]
+		}
+		g.takeLimit(roster.Limit{Service: "plain", Group: group, Fence: fence, Part: part, Still: still, OpensMillis: 2000,
+			Loads: map[string]int{worker.Address(): 0}})
+	}
+	limit := func() (int, bool) {
+		g.permits.mu.Lock()
+		defer g.permits.mu.Unlock()
+		return g.permits.gates["plain"].Limit(), g.permits.gates["plain"].Closed()
+	}
+	tell("a", 9, 5, false)
+	tell("b", 1, 7, false)
+	n, closed := limit()
+	is.Equal(n, 12) // a number of one group says nothing of the other
+	is.True(!closed)
+	tell("a", 9, 5, true)
+	n, closed = limit()
+	is.Equal(n, 7)
+	is.True(!closed)
+	for range 4 {
+		target, ok := g.fleet.Choose("plain", nil, time.Now())
+		is.True(ok)
+		is.Equal(target.ID, b.workers[1].ID)
+	}
+	tell("b", 1, 7, true)
+	_, closed = limit()
+	is.True(closed)
+	tell("a", 9, 5, false)
+	n, closed = limit()
+	is.Equal(n, 5)
+	is.True(!closed)
+}
--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -32,78 +32,108 @@
 	tokens int
 	// empty is the time of a pass without any work.
 	empty time.Duration
-	// still is when the leader last told that the group stands still; zero while it runs.
-	still time.Time
+	// stands is set while the group stands still, as its leader last told at still, and opens
+	// is the expected time until it runs again.
+	stands bool
+	still  time.Time
+	opens  time.Duration
 }
 
+// fresh reports whether the leader of a running group was heard lately.
+func (l groupLimit) fresh() bool { return !l.at.IsZero() && time.Since(l.at) < limitLife }
+
 // takeLimit takes in the part that a group's leader gives and tells what there is to do.
 func (g *Gateway) takeLimit(l roster.Limit) roster.LimitAnswer {
 	running, waiting := g.permits.state(l.Service)
 	answer := roster.LimitAnswer{Demand: sharing.Demand{Running: running, Waiting: waiting}}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	known := g.limits[l.Service]
-	if l.Fence < known.fence {
+	known := g.limits[l.Service][l.Group]
+	if l.Fence < known.fence || l.Part < 0 && !l.Still {
 		return answer
 	}
-	if l.Still {
-		g.standStill(l, known)
-		return answer
-	}
-	if l.Part < 0 {
-		return answer
-	}
-	if !known.still.IsZero() {
-		g.log.Info("group-runs", "service", l.Service, "fence", l.Fence)
-	}
-	g.fleet.SetLoads(l.Loads, l.Paces, time.Now())
-	g.limits[l.Service] = groupLimit{fence: l.Fence, part: l.Part, at: time.Now(),
-		pass: time.Duration(l.PassMillis * float64(time.Millisecond)), tokens: l.TokensPerPass,
-		empty: time.Duration(l.EmptyMillis * float64(time.Millisecond)),
-	}
-	if g.table.Load() != nil {
-		g.limit(l.Service)
+	if g.limits[l.Service] == nil {
+		g.limits[l.Service] = map[string]groupLimit{}
 	}
+	g.limits[l.Service][l.Group] = g.heard(l, known, time.Now())
+	g.limit(l.Service)
 	return answer
 }
 
-// standStill takes in that a group runs nothing: what is sent to it would be refused. The
-// caller holds g.mu.
-func (g *Gateway) standStill(l roster.Limit, known groupLimit) {
-	opens := time.Duration(l.OpensMillis * float64(time.Millisecond))
-	if known.still.IsZero() {
-		g.log.Info("group-stands-still", "service", l.Service, "fence", l.Fence, "opens", opens.Round(time.Millisecond))
+// heard returns what is known of a group after news of its leader. The caller holds g.mu.
+func (g *Gateway) heard(l roster.Limit, known groupLimit, now time.Time) groupLimit {
+	if l.Still {
+		known.fence, known.still, known.opens = l.Fence, now, milliseconds(l.OpensMillis)
+		if !known.stands {
+			known.stands = true
+			g.log.Info("group-stands-still", "service", l.Service, "group", l.Group, "fence", l.Fence, "opens", known.opens.Round(time.Millisecond))
+		}
+		g.fleet.SetStill(l.Loads, now.Add(stillLife))
+		return known
+	}
+	if known.stands {
+		g.log.Info("group-runs", "service", l.Service, "group", l.Group, "fence", l.Fence)
+	}
+	g.fleet.SetLoads(l.Loads, l.Paces, now)
+	return groupLimit{
+		fence: l.Fence, part: l.Part, at: now, tokens: l.TokensPerPass,
+		pass: milliseconds(l.PassMillis), empty: milliseconds(l.EmptyMillis),
 	}
-	known.fence, known.still = l.Fence, time.Now()
-	g.limits[l.Service] = known
-	g.permits.close(l.Service, opens)
 }
 
-// lookAtStill opens a service again whose group's leader has fallen silent.
+func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// lookAtStill counts a group that stood still as running again once its leader has fallen
+// silent.
 func (g *Gateway) lookAtStill(service string, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	known := g.limits[service]
-	if known.still.IsZero() || now.Sub(known.still) < stillLife {
-		return
+	for group, known := range g.limits[service] {
+		if !known.stands || now.Sub(known.still) < stillLife {
+			continue
+		}
+		g.log.Info("group-unheard", "service", service, "group", group, "silence", now.Sub(known.still).Round(time.Millisecond))
+		known.stands = false
+		g.limits[service][group] = known
+		g.limit(service)
 	}
-	g.log.Info("group-unheard", "service", service, "silence", now.Sub(known.still).Round(time.Millisecond))
-	known.still = time.Time{}
-	g.limits[service] = known
-	g.limit(service)
 }
 
-// limit sets the permits of a service: the part that the leader of its group gave, and
-// otherwise this entry's part of the places, and some more. The caller holds g.mu.
+// limit sets the permits of a service: the parts that the leaders of its groups gave, and
+// otherwise this entry's part of the places, and some more. Nothing starts while all its
+// groups stand still. The caller holds g.mu.
 func (g *Gateway) limit(service string) {
-	if !g.limits[service].still.IsZero() {
-		return
+	part, told, still, opens := 0, false, false, time.Duration(0)
+	for _, known := range g.limits[service] {
+		switch {
+		case known.stands:
+			if !still || known.opens < opens {
+				opens = known.opens
+			}
+			still = true
+		case known.fresh():
+			told = true
+			part += known.part
+		}
 	}
-	if given := g.limits[service]; !given.at.IsZero() && time.Since(given.at) < limitLife {
-		g.permits.setLimit(service, given.part)
+	switch {
+	case told:
+		g.permits.setLimit(service, part)
+	case still:
+		g.permits.close(service, opens)
+	default:
+		g.limitByPlaces(service)
+	}
+}
+
+// limitByPlaces sets the permits of a service of whose groups nothing is heard, or which has
+// none.
+func (g *Gateway) limitByPlaces(service string) {
+	t := g.table.Load()
+	if t == nil {
 		return
 	}
-	s := g.table.Load().Service(service)
+	s := t.Service(service)
 	if s == nil {
 		return
 	}
@@ -114,13 +144,19 @@
 	g.permits.setLimit(service, max(1, int(limitSpread*float64(places)/float64(g.entries)+0.5)))
 }
 
-// allLate reports whether even an idle group of a service would make events wait longer than
-// a pause that callers aim for, so that no request can be on time.
+// allLate reports whether even the idle groups of a service would make events wait longer
+// than a pause that callers aim for, so that no request can be on time.
 func (g *Gateway) allLate(service string, gap time.Duration) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	l := g.limits[service]
-	return gap > 0 && l.empty >= gap && time.Since(l.at) < limitLife
+	late := false
+	for _, known := range g.limits[service] {
+		if known.fresh() && known.empty < gap {
+			return false
+		}
+		late = late || known.fresh()
+	}
+	return late && gap > 0
 }
 
 // writingPart is the part of the expected time of an answer that must fit into the time
@@ -128,14 +164,16 @@
 // work is refused.
 const writingPart = 0.7
 
-// answerTime returns the time that an answer of so many tokens takes in the group of a
-// service at its present pace, 0 where that is not known.
+// answerTime returns the time that an answer of so many tokens takes in the slowest group of
+// a service at its present pace, 0 where that is not known.
 func (g *Gateway) answerTime(service string, tokens int) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	l := g.limits[service]
-	if l.tokens <= 0 || time.Since(l.at) > limitLife {
-		return 0
+	longest := time.Duration(0)
+	for _, l := range g.limits[service] {
+		if l.tokens > 0 && l.fresh() {
+			longest = max(longest, time.Duration(writingPart*float64(tokens)/float64(l.tokens)*float64(l.pass)))
+		}
 	}
-	return time.Duration(writingPart * float64(tokens) / float64(l.tokens) * float64(l.pass))
+	return longest
 }
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -46,6 +46,8 @@
 // Limit is an entry's part of the work in progress in a group.
 type Limit struct {
 	Service string `json:"service"`
+	// Group is one of the groups that serve it.
+	Group string `json:"group"`
 	// Fence is the fencing number of the leader; a lower one than seen is ignored.
 	Fence int64 `json:"fence"`
 	// Part is the work that the entry may have in progress; negative only asks.
--- a/pkg/steward/group_test.go
+++ b/pkg/steward/group_test.go
@@ -35,8 +35,14 @@
 
 func newBed(t *testing.T) *bed {
 	t.Helper()
-	b := &bed{t: t, store: standin.NewStore(), group: standin.NewGroup(testRanks, testLayers, testExperts, 20*time.Millisecond)}
-	t.Cleanup(b.store.Close)
+	store := standin.NewStore()
+	t.Cleanup(store.Close)
+	return newGroupBed(t, store, "g")
+}
+
+func newGroupBed(t *testing.T, store *standin.Store, group string) *bed {
+	t.Helper()
+	b := &bed{t: t, store: store, group: standin.NewGroup(group, testRanks, testLayers, testExperts, 20*time.Millisecond)}
 	t.Cleanup(b.group.Close)
 	b.store.PutRaw(platform.KindConfiguration, platform.NameConfiguration, []byte(`{"version":1,"services":[{"name":"s","engine":{
 		"capacity":12,"stride":4,"step_ms":4.55,"per_seq_ms":0.905,"sets":2,"experts":8,"placements":3,"reserve":2,
@@ -246,3 +252,38 @@
 		<-accepted // each try opens a connection of its own
 	}
 }
+
+// Two groups serve one service, and its list names the ranks of both. Each has a leader of
+// its own, whose number says nothing to the other one's stewards.
+func TestGroupsOfOneServiceAreLedApart(t *testing.T) {
+	is := is.New(t)
+	store := standin.NewStore()
+	t.Cleanup(store.Close)
+	a, b := newGroupBed(t, store, "a"), newGroupBed(t, store, "b")
+	all := slices.Concat(a.members, b.members)
+	a.members, b.members = all, all
+	// The leaders of a were changed often: its numbers are far above those of b.
+	for former := range int64(3) {
+		_, won, err := takeTerm(t.Context(), a.stewards[0].store, "a", former, "former", "x")
+		is.NoErr(err)
+		is.True(won)
+	}
+	a.run()
+	b.run()
+	a.like(3)
+	b.like(5)
+	a.eventually("a new map in use in a", a.switched)
+	b.eventually("a new map in use in b", b.switched)
+	for range 2 {
+		before := b.group.Versions()[0]
+		b.like(1)
+		b.like(1)
+		b.like(1)
+		b.eventually("a newer map in use in b", func() bool { return b.switched() && b.group.Versions()[0] > before })
+		b.like(6)
+	}
+	is.True(a.group.Versions()[0]/versionsPerFence >= 4)
+	is.Equal(b.group.Versions()[0]/versionsPerFence, int64(1))
+	a.checkPasses()
+	b.checkPasses()
+}
--- a/pkg/steward/leader.go
+++ b/pkg/steward/leader.go
@@ -59,6 +59,8 @@
 	planned mapswitch.Map
 	// accepted is when each rank accepted to load the target.
 	accepted map[int]time.Time
+	// foreign is when ranks of other groups of the service were last seen, by address.
+	foreign  map[string]time.Time
 	loadTime time.Duration
 	// listed is when the store was last read, listing is set while that goes on, and found
 	// is the engine's description once it was read.
@@ -94,9 +96,9 @@
 	s.log.Info("leader-began", "group", r.Group, "fence", n)
 	l := &leader{
 		s: s, fence: n, size: r.Size, group: r.Group, sw: mapswitch.New(), heldVersion: mapswitch.None,
-		reached: time.Now(), accepted: map[int]time.Time{},
+		reached: time.Now(), accepted: map[int]time.Time{}, foreign: map[string]time.Time{},
 	}
-	l.shares = newShares(s, n)
+	l.shares = newShares(s, r.Group, n)
 	reason := l.run(ctx)
 	s.log.Info("leader-ended", "group", r.Group, "fence", n, "reason", reason)
 }
@@ -175,16 +177,17 @@
 // fencing number that any steward has seen.
 func (l *leader) observeAll(ctx context.Context, counts bool) (map[int]Observation, int64) {
 	l.s.mu.Lock()
-	members := l.s.members
+	members := l.ownMembers(l.s.members, time.Now())
 	running := l.heldVersion
 	l.s.mu.Unlock()
-	request := ObserveRequest{Fence: l.fence, Leader: l.s.node.Name, Members: members, Counts: counts, Lists: running == mapswitch.None}
+	request := ObserveRequest{Fence: l.fence, Leader: l.s.node.Name, Group: l.group, Members: members, Counts: counts, Lists: running == mapswitch.None}
 	answers := l.s.observeMembers(ctx, members, request)
 	if l.switching || l.phase == mapswitch.Blocked && time.Since(l.looked) > blockedLook {
 		l.looked = time.Now()
 		// A rank without its steward must not keep the group from going on.
 		l.s.observeDirectly(ctx, members, answers)
 	}
+	now := time.Now()
 	seen := map[int]Observation{}
 	newest := int64(0)
 	l.places = map[int]Member{}
@@ -196,11 +199,24 @@
 		if o.Report.Group == l.group {
 			seen[o.Report.Index] = *o
 			l.places[o.Report.Index] = members[i]
+		} else if o.Report.Group != "" {
+			l.foreign[members[i].Upstream] = now
 		}
 	}
 	return seen, newest
 }
 
+// ownMembers leaves out the ranks that belonged to another group a short while ago.
+func (l *leader) ownMembers(members []Member, now time.Time) []Member {
+	out := make([]Member, 0, len(members))
+	for _, m := range members {
+		if at, ok := l.foreign[m.Upstream]; !ok || now.Sub(at) > listInterval {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // round acts on what was seen and returns the time until the next look.
 func (l *leader) round(ctx context.Context, seen map[int]Observation) time.Duration {
 	now := time.Now()
--- a/pkg/steward/message.go
+++ b/pkg/steward/message.go
@@ -25,6 +25,9 @@
 	// Fence is the fencing number of the leader; 0 for one who only completes a hold.
 	Fence  int64  `json:"fence"`
 	Leader string `json:"leader"`
+	// Group is the leader's; the steward of a rank of another one says only that. Empty asks
+	// everybody.
+	Group string `json:"group,omitempty"`
 	// Counts asks for the counts of chosen experts, and Lists for those that the rank holds.
 	Counts bool `json:"counts,omitempty"`
 	Lists  bool `json:"lists,omitempty"`
--- a/pkg/steward/shares.go
+++ b/pkg/steward/shares.go
@@ -27,6 +27,7 @@
 // shares keeps the entries informed of their parts of the group's bound.
 type shares struct {
 	s       *Steward
+	group   string
 	fence   int64
 	entries []roster.Entry
 	bound   *sharing.Bound
@@ -43,8 +44,8 @@
 	busy    map[string]bool
 }
 
-func newShares(s *Steward, fence int64) *shares {
-	return &shares{s: s, fence: fence, demands: map[string]sharing.Demand{}, busy: map[string]bool{}}
+func newShares(s *Steward, group string, fence int64) *shares {
+	return &shares{s: s, group: group, fence: fence, demands: map[string]sharing.Demand{}, busy: map[string]bool{}}
 }
 
 // engine takes in the engines of the group, its ranks and the longest pause between events
@@ -125,7 +126,7 @@
 		return
 	}
 	h.busy[e.Name] = true
-	limit := roster.Limit{Service: h.s.node.UpstreamService, Fence: h.fence, Part: part,
+	limit := roster.Limit{Service: h.s.node.UpstreamService, Group: h.group, Fence: h.fence, Part: part,
 		PassMillis: float64(h.pass) / float64(time.Millisecond), TokensPerPass: h.tokens,
 		EmptyMillis: float64(h.bound.EmptyPass(slowest(h.paces))) / float64(time.Millisecond),
 		Loads:       h.loads, Paces: h.paces,
--- a/pkg/steward/steward.go
+++ b/pkg/steward/steward.go
@@ -44,7 +44,9 @@
 	// listed returns the ranks' places in the network, from the list of upstreams.
 	listed func(context.Context) ([]Member, error)
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// group is that of the own rank when it was last read; the fence is the group's.
+	group   string
 	fence   fence
 	members []Member
 	clients map[string]*peer.Client
@@ -72,6 +74,13 @@
 
 // observe reads the own rank for a leader.
 func (s *Steward) observe(ctx context.Context, r ObserveRequest) (Observation, error) {
+	group, err := s.ownGroup(ctx)
+	if err != nil {
+		return Observation{}, err
+	}
+	if r.Group != "" && r.Group != group {
+		return Observation{Report: platform.RankReport{Group: group}}, nil
+	}
 	s.mu.Lock()
 	if s.fence.hear(r.Fence, time.Now()) && len(r.Members) > 0 {
 		s.members = r.Members
@@ -82,8 +91,7 @@
 		// A former leader learns that there is a newer one and needs nothing else.
 		return o, nil
 	}
-	var err error
-	if o.Report, err = s.rank.Report(ctx); err != nil {
+	if o.Report, err = s.report(ctx); err != nil {
 		return o, err
 	}
 	if r.Lists {
@@ -101,6 +109,34 @@
 	return o, nil
 }
 
+// report reads the own rank. One that has moved to another group has another fence.
+func (s *Steward) report(ctx context.Context) (platform.RankReport, error) {
+	report, err := s.rank.Report(ctx)
+	if err != nil {
+		return report, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.group != "" && s.group != report.Group {
+		s.log.Warn("group-changed", "from", s.group, "to", report.Group)
+		s.fence = fence{heard: time.Now()}
+	}
+	s.group = report.Group
+	return report, nil
+}
+
+// ownGroup returns the group of the own rank as it was last read.
+func (s *Steward) ownGroup(ctx context.Context) (string, error) {
+	s.mu.Lock()
+	group := s.group
+	s.mu.Unlock()
+	if group != "" {
+		return group, nil
+	}
+	report, err := s.report(ctx)
+	return report.Group, err
+}
+
 // order gives the own rank an order that the fence allows.
 func (s *Steward) order(ctx context.Context, r OrderRequest) OrderResult {
 	s.mu.Lock()
@@ -138,7 +174,7 @@
 		if s.fenceKnown() && s.silence() < orphanAfter {
 			continue
 		}
-		report, err := s.rank.Report(ctx)
+		report, err := s.report(ctx)
 		if err != nil {
 			s.log.Debug("rank-silent", "error", err.Error())
 			continue
