--- a/pkg/gateway/fleet_test.go
+++ b/pkg/gateway/fleet_test.go
@@ -99,3 +99,18 @@
 		is.Equal(n, 10)
 	}
 }
+
+// herd_kill: an upstream has started anew at its address, and its former entry is still listed.
+func TestFormerLivesAreALastResort(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	f := NewFleet(platform.Node{Zone: "z"})
+	f.Change(func(v *inventory.Inventory, _ func(string) time.Duration) {
+		v.Put(inventory.Upstream{ID: "old", Service: "s", Address: "a:1", Zone: "z", Capacity: 12, Born: time.Unix(10, 0)}, 0, now)
+		v.Put(inventory.Upstream{ID: "new", Service: "s", Address: "a:1", Zone: "z", Capacity: 12, Born: time.Unix(90, 0)}, 0, now)
+	})
+	is.Equal(spread(f, 10, now)["old"], 0)
+	target, ok := f.Choose("s", []string{"new"}, now)
+	is.True(ok) // clocks of upstreams may jump
+	is.Equal(target.ID, "old")
+}
--- a/pkg/gateway/heavy_test.go
+++ b/pkg/gateway/heavy_test.go
@@ -190,6 +190,9 @@
 	n, closed := limit()
 	is.Equal(n, 12) // a number of one group says nothing of the other
 	is.True(!closed)
+	tell("a", 9, -1, false)
+	n, _ = limit()
+	is.Equal(n, 12) // a leader that only asks gives no part
 	tell("a", 9, 5, true)
 	n, closed = limit()
 	is.Equal(n, 7)
--- a/pkg/steward/group_test.go
+++ b/pkg/steward/group_test.go
@@ -287,3 +287,19 @@
 	a.checkPasses()
 	b.checkPasses()
 }
+
+// A rank comes back as part of another group, whose numbers began lower.
+func TestFenceOfAFormerGroupIsForgotten(t *testing.T) {
+	is := is.New(t)
+	s := newBed(t).stewards[0]
+	s.group, s.fence = "former", fence{newest: 50, known: true, heard: time.Now()}
+	report, err := s.report(t.Context())
+	is.NoErr(err)
+	is.Equal(report.Group, "g")
+	is.Equal(s.fence.newest, int64(0))
+	is.True(!s.fenceKnown()) // it takes no order that needs a fence before it was read
+	s.fence.read(2, time.Now())
+	_, err = s.report(t.Context())
+	is.NoErr(err)
+	is.Equal(s.fence.newest, int64(2)) // the same group keeps it
+}
