Space the calls of a process while the platform recovers

Cause: after an outage every follower of a process retries at once when the first call succeeds, so 18 processes with two followers each make up to four calls a process within a second; by chance they fell into one second (38 calls, bound 36). The bound, two calls a second a process, is the promise; nothing kept it. Ruled out: the jitter of the probes, which already spreads the processes over 4.5 s. Change: the breaker spaces calls by 500 ms for 5 s after it closes, the longest time until all processes have probed. Safety calls are not delayed.

--- a/pkg/platform/breaker.go
+++ b/pkg/platform/breaker.go
@@ -14,14 +14,23 @@
 	// same time.
 	initialProbePause = 100 * time.Millisecond
 	maxProbePause     = 3 * time.Second
+	// recoveryCallInterval is the least time between two calls of a process while the platform
+	// recovers, and recoveryPeriod how long that lasts. The period covers the longest randomized
+	// probe pause, after which all processes have noticed that the platform responds again.
+	recoveryCallInterval = 500 * time.Millisecond
+	recoveryPeriod       = 5 * time.Second
 )
 
 // breaker is a circuit breaker. While the platform does not respond, it allows one call at a time as
-// a probe, with a growing pause between them. It is not safe for concurrent use.
+// a probe, with a growing pause between them. Once the platform responds again, it spaces the calls
+// of the process for recoveryPeriod, so that the processes do not return with a burst of calls. It is
+// not safe for concurrent use.
 type breaker struct {
 	consecutiveFaults int
 	nextProbe         time.Time
 	probePause        *backoff.ExponentialBackOff
+	lastCall          time.Time
+	recoveringUntil   time.Time
 }
 
 func newBreaker() *breaker {
@@ -31,20 +40,31 @@
 	return &breaker{probePause: p}
 }
 
+// recoveryDelay returns how long the next call must wait while the platform recovers.
+func (b *breaker) recoveryDelay(now time.Time) time.Duration {
+	if !now.Before(b.recoveringUntil) {
+		return 0
+	}
+	return max(0, b.lastCall.Add(recoveryCallInterval).Sub(now))
+}
+
 // allow reports whether a call may be made now.
 func (b *breaker) allow(now time.Time) bool {
-	if b.consecutiveFaults < maxConsecutiveFaults {
-		return true
-	}
-	if now.Before(b.nextProbe) {
-		return false
+	if b.consecutiveFaults >= maxConsecutiveFaults {
+		if now.Before(b.nextProbe) {
+			return false
+		}
+		b.nextProbe = now.Add(b.probePause.NextBackOff())
 	}
-	b.nextProbe = now.Add(b.probePause.NextBackOff())
+	b.lastCall = now
 	return true
 }
 
 // recordSuccess records a call to which the platform responded and closes the breaker.
-func (b *breaker) recordSuccess() {
+func (b *breaker) recordSuccess(now time.Time) {
+	if b.consecutiveFaults >= maxConsecutiveFaults {
+		b.recoveringUntil = now.Add(recoveryPeriod)
+	}
 	b.consecutiveFaults = 0
 	b.probePause.Reset()
 }
--- a/pkg/platform/gate.go
+++ b/pkg/platform/gate.go
@@ -51,7 +51,7 @@
 	return g
 }
 
-// admit waits for the rate limiter and counts the call. It returns ErrUnavailable at once if the
+// admit waits until the call may be made and counts it. It returns ErrUnavailable at once if the
 // platform does not respond and no probe is due.
 func (g *gate) admit(ctx context.Context, op string, i Priority) error {
 	for {
@@ -72,12 +72,15 @@
 	}
 }
 
-// tryAdmit returns how long the call must wait for the rate limiter, and whether the breaker
-// allows it. A call that must wait is admitted only by another tryAdmit.
+// tryAdmit returns how long the call must wait for the rate limiter or for a recovering platform, and
+// whether the breaker allows it. A call that must wait is admitted only by another tryAdmit.
 func (g *gate) tryAdmit(i Priority) (time.Duration, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
+	if wait := g.breaker.recoveryDelay(now); wait > 0 && i != PrioritySafety {
+		return wait, true
+	}
 	if wait := g.limiter.tryAcquire(now, i); wait > 0 {
 		return wait, true
 	}
@@ -90,7 +93,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if responded {
-		g.breaker.recordSuccess()
+		g.breaker.recordSuccess(time.Now())
 		return
 	}
 	g.faults.Inc(1)
--- a/pkg/platform/outage_test.go
+++ b/pkg/platform/outage_test.go
@@ -123,6 +123,38 @@
 	time.Sleep(time.Minute)
 }
 
+// Thundering herd after an outage: however many kinds a process follows, it makes at most two calls
+// a second while the platform recovers. Each follower retries as soon as the first call succeeds,
+// so without a limit for the process all of them call at once.
+func TestCallsAreSpacedAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		server := objects.New()
+		calls := &callCounter{next: objects.Transport{Handler: server.Handler()}, start: time.Now(), counts: map[int]int{}}
+		ctx, cancel := context.WithCancel(context.Background())
+		c := platform.New(platform.Options{URL: "http://platform", Transport: calls})
+		var followers []*followerRecorder
+		for i := range 8 {
+			r := &followerRecorder{}
+			followers = append(followers, r)
+			go c.Follow(ctx, fmt.Sprint("kind", i), r)
+		}
+		time.Sleep(20 * time.Second)
+		server.SetFaults(objects.Faults{Down: true})
+		time.Sleep(time.Minute)
+		server.SetFaults(objects.Faults{})
+		outageEnd := time.Now()
+		time.Sleep(20 * time.Second)
+		_, most := calls.callsPerSecond(80*time.Second, 84*time.Second)
+		is.True(most <= 2)
+		for _, r := range followers {
+			is.True(r.recovered.After(outageEnd))
+		}
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
+
 // A follower whose revision is older than the changes that the platform stores lists the kind once
 // and continues to follow it.
 func TestFollowerListsAfterAGap(t *testing.T) {
