Abandon the hold of an unreachable leader instead of waiting for it

The instance that had just ordered a hold froze. It was the instance of the holding rank itself, so nobody could release the hold, and even elsewhere a switch could not be completed while the rank of the frozen instance answered nobody. Ruled out: naming the rank's order sequence as a condition for arming and for releasing (a trial): the ranks do not count these orders, sequence stays 0. Change: the leader sends the hold itself to the rank of another instance, once that rank's steward has checked the fencing token. The holding rank is armed first; while it is not armed, a hold is abandoned as soon as some rank does not respond: the holding rank prepares the same map under an odd version that no other rank prepares, and the hold is released. Arming and abandoning exclude each other at that rank. The next switch waits until the abandoned pass must have begun, so that late copies of the old orders meet nothing. Tests: the simulation freezes instances after a hold, and fails when the marker is left out or when all ranks are armed at once; holds of frozen owners in pkg/mapswitch and pkg/steward.

--- a/pkg/mapswitch/order.go
+++ b/pkg/mapswitch/order.go
@@ -31,6 +31,11 @@
 	HeldPass int64 `json:"Held"`
 }
 
+// holdsUnarmed reports whether the rank holds a pass and is not armed.
+func (r RankState) holdsUnarmed() bool {
+	return r.Known && r.GroupFormed && r.HeldPass != None && r.ArmedVersion == None
+}
+
 // Op is the operation that an order requests.
 type Op int
 
--- a/pkg/mapswitch/simulation_test.go
+++ b/pkg/mapswitch/simulation_test.go
@@ -20,8 +20,14 @@
 	// restart, when the steward rejects fenced orders until it has read the store.
 	stewardFencingTokens []int64
 	newestFencingToken   int64
-	// switchCount counts the switches of single ranks to another map.
-	switchCount int
+	// switchCount counts the switches of single ranks to another map, and abandonedCount the holds
+	// that were released without one.
+	switchCount    int
+	abandonedCount int
+	// frozenRank is the rank of an instance that is frozen for frozenSteps: nobody can observe it,
+	// and the orders sent to it arrive late.
+	frozenRank  int
+	frozenSteps int
 	// defect is the protection that is disabled in this run.
 	defect defect
 }
@@ -60,6 +66,10 @@
 	ignoreFence
 	// ignoreEpoch lets ranks execute orders of an earlier epoch.
 	ignoreEpoch
+	// abandonWithoutMarker releases a hold without preparing the abandoned version.
+	abandonWithoutMarker
+	// armAllAtOnce arms the other ranks together with the one that has the hold.
+	armAllAtOnce
 )
 
 func newSimulation(seed uint64, d defect) *simulation {
@@ -81,7 +91,7 @@
 // electLeader adds a leader with a higher fencing token. The previous leader continues.
 func (s *simulation) electLeader() {
 	s.newestFencingToken++
-	s.leaders = append(s.leaders, &simulatedLeader{sw: New(), fencingToken: s.newestFencingToken})
+	s.leaders = append(s.leaders, &simulatedLeader{sw: New(s.rng.IntN(len(s.ranks))), fencingToken: s.newestFencingToken})
 	if len(s.leaders) > 2 {
 		s.leaders = slices.Delete(s.leaders, 0, 1)
 	}
@@ -104,6 +114,7 @@
 // step performs one random action and returns a description of the violated invariant, or "".
 func (s *simulation) step() string {
 	s.now++
+	s.frozenSteps--
 	s.deliverDelayed()
 	switch x := s.rng.IntN(100); {
 	case x < 30:
@@ -170,6 +181,10 @@
 	if s.rng.IntN(4) > 0 {
 		o.view = nil
 		for i := range s.ranks {
+			if s.frozenSteps > 0 && s.frozenRank == i {
+				o.view = append(o.view, RankState{})
+				continue
+			}
 			o.view = append(o.view, s.rankState(i))
 			s.updateStewardFencingToken(i, o.fencingToken)
 		}
@@ -181,7 +196,7 @@
 	orders, phase := o.sw.NextOrders(o.view)
 	if phase == Idle || phase == NeedsTarget {
 		o.versionsUsed++
-		o.sw.SetTarget(Target{Version: o.fencingToken*1000 + o.versionsUsed, Epoch: o.view[0].Epoch})
+		o.sw.SetTarget(Target{Version: VersionOf(o.fencingToken, o.versionsUsed), Epoch: o.view[0].Epoch})
 	}
 	orders = s.applyDefect(o, orders)
 	for _, order := range orders {
@@ -209,8 +224,17 @@
 				orders = append(orders, Order{Rank: k, Op: Release, Epoch: order.Epoch, Pass: order.Pass})
 			}
 			return orders
+		case s.defect == abandonWithoutMarker && order.IsAbandon():
+			*order = Order{Rank: order.Rank, Op: Release, Epoch: order.Epoch, Pass: o.view[order.Rank].HeldPass}
 		case s.defect == ignoreEpoch:
 			order.Epoch = 0
+		case s.defect == armAllAtOnce && order.Op == Arm && len(orders) == 1:
+			for k := range s.ranks {
+				if k != order.Rank {
+					orders = append(orders, Order{Rank: k, Op: Arm, Epoch: order.Epoch, Version: order.Version, Pass: order.Pass})
+				}
+			}
+			return orders
 		}
 	}
 	return orders
@@ -229,12 +253,16 @@
 // send sends an order through the steward of its rank. The order is executed at once, late,
 // twice or never.
 func (s *simulation) send(o *simulatedLeader, order Order) {
-	if order.Op == Prepare || order.Op == Hold {
+	if order.Op == Prepare && !order.IsAbandon() || order.Op == Hold {
 		f := s.stewardFencingTokens[order.Rank]
 		if s.defect != ignoreFence && (f == 0 || o.fencingToken < f) {
 			return
 		}
 	}
+	if s.frozenSteps > 0 && s.frozenRank == order.Rank {
+		s.delayed = append(s.delayed, delayedOrder{s.now + s.frozenSteps, order})
+		return
+	}
 	switch s.rng.IntN(10) {
 	case 0:
 	case 1, 2, 3:
@@ -275,6 +303,9 @@
 	case Hold:
 		if o.Pass > s.pass && r.held == None {
 			r.held = o.Pass
+			if s.frozenSteps <= 0 && s.rng.IntN(3) == 0 {
+				s.frozenRank, s.frozenSteps = s.rng.IntN(len(s.ranks)), s.rng.IntN(200)
+			}
 		}
 	case Arm:
 		if r.prepared == o.Version && s.now >= r.loadedAt && o.Pass > s.pass {
@@ -282,20 +313,23 @@
 		}
 	case Release:
 		if r.held == o.Pass {
+			if r.armed == None {
+				s.abandonedCount++
+			}
 			r.held = None
 		}
 	}
 }
 
-// runSimulation returns the first violation, or "", and the number of rank switches.
-func runSimulation(seed uint64, steps int, d defect) (string, int) {
+// runSimulation returns the first violation, or "", and the simulation at its end.
+func runSimulation(seed uint64, steps int, d defect) (string, *simulation) {
 	s := newSimulation(seed, d)
 	for range steps {
 		if violation := s.step(); violation != "" {
-			return violation, s.switchCount
+			return violation, s
 		}
 	}
-	return "", s.switchCount
+	return "", s
 }
 
 const (
@@ -306,16 +340,105 @@
 // Guards against a pass that begins while ranks use different maps: orders are lost, duplicated
 // and delayed, and several leaders act at once.
 func TestNoPassStartsWithTwoMaps(t *testing.T) {
-	switched := 0
+	switched, abandoned := 0, 0
 	for seed := range uint64(fuzzSeeds) {
-		violation, n := runSimulation(seed, fuzzSteps, noDefect)
+		violation, s := runSimulation(seed, fuzzSteps, noDefect)
 		if violation != "" {
 			t.Fatalf("seed %d: %s", seed, violation)
 		}
-		switched += n
+		switched += s.switchCount
+		abandoned += s.abandonedCount
+	}
+	if switched < fuzzSeeds*20 || abandoned < fuzzSeeds {
+		t.Fatalf("only %d rank switches and %d abandoned holds: the simulations cover too little", switched, abandoned)
+	}
+}
+
+// Hold by a frozen owner: the instance of the leader freezes right after the group is held, and
+// its own rank responds to nobody. Whoever sees the hold releases it in the next round, so that the
+// group does not stand still until the instance wakes.
+func TestHoldOfFrozenLeaderIsAbandoned(t *testing.T) {
+	const frozen = 0
+	s := newSimulation(1, noDefect)
+	s.stewardFencingTokens = []int64{1, 1, 1, 1}
+	leader := New(frozen)
+	target := Target{Version: VersionOf(1, 1), Epoch: s.epoch}
+	leader.SetTarget(target)
+	view := func() []RankState {
+		var out []RankState
+		for i := range s.ranks {
+			out = append(out, s.rankState(i))
+		}
+		return out
+	}
+	isHeld := func() bool {
+		return slices.ContainsFunc(s.ranks, func(r simulatedRank) bool { return r.held != None })
+	}
+	for range 20 {
+		orders, _ := leader.NextOrders(view())
+		for _, o := range orders {
+			s.executeOrder(o)
+		}
+		if isHeld() {
+			break
+		}
+		s.now++
+	}
+	if !isHeld() || s.ranks[frozen].held != None {
+		t.Fatal("no rank beside another instance holds the group")
+	}
+	late := view()
+	seen := view()
+	seen[frozen] = RankState{}
+	other := New(-1)
+	other.SetTarget(target)
+	const roundsWhileLoading = 10
+	for range roundsWhileLoading {
+		s.now++
+		orders, _ := other.NextOrders(seen)
+		for _, o := range orders {
+			s.executeOrder(o)
+		}
+		seen = view()
+		seen[frozen] = RankState{}
+	}
+	if isHeld() {
+		t.Fatal("the hold outlives its owner")
+	}
+	// The leader wakes and acts on what it saw before.
+	orders, _ := leader.NextOrders(late)
+	for _, o := range orders {
+		s.executeOrder(o)
+	}
+	if slices.ContainsFunc(s.ranks, func(r simulatedRank) bool { return r.armed != None }) {
+		t.Fatal("a rank is armed for a pass that nobody holds")
+	}
+}
+
+// Late orders of an abandoned hold: a copy of the order to release it may still be on the way. If
+// the next switch held the same pass at the same rank, that copy would release the group while only
+// some ranks are armed, so no switch starts until the pass must have begun.
+func TestNoSwitchWhileAnAbandonedPassMayBeAhead(t *testing.T) {
+	sw := New(-1)
+	ranks := make([]RankState, 3)
+	for i := range ranks {
+		ranks[i] = RankState{Known: true, GroupFormed: true, Epoch: 1, Pass: 10, PreparedVersion: VersionOf(1, 1), LoadingVersion: None, ArmedVersion: None, HeldPass: None}
+	}
+	ranks[2].PreparedVersion = abandonedVersion(VersionOf(1, 1))
+	sw.SetTarget(Target{Version: VersionOf(1, 2), Epoch: 1})
+	for pass := int64(10); pass <= 10+SafePassesAhead; pass++ {
+		for i := range ranks {
+			ranks[i].Pass = pass
+		}
+		if orders, phase := sw.NextOrders(ranks); len(orders) > 0 || phase != Preparing {
+			t.Fatalf("pass %d: %v, phase %d", pass, orders, phase)
+		}
+	}
+	for i := range ranks {
+		ranks[i].Pass = 11 + SafePassesAhead
 	}
-	if switched < fuzzSeeds*20 {
-		t.Fatalf("only %d rank switches: the simulations cover too little", switched)
+	if orders, _ := sw.NextOrders(ranks); len(orders) != len(ranks) {
+		t.Fatalf("the next map is not prepared: %v", orders)
 	}
 }
 
@@ -327,6 +450,8 @@
 		"release only when all are armed": releaseEarly,
 		"fence":                           ignoreFence,
 		"epoch":                           ignoreEpoch,
+		"abandon with a marker":           abandonWithoutMarker,
+		"arm the holder first":            armAllAtOnce,
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(fuzzSeeds) {
--- a/pkg/mapswitch/switch.go
+++ b/pkg/mapswitch/switch.go
@@ -22,7 +22,8 @@
 	// NeedsTarget means that a hold is in force and there is no map that all ranks have
 	// prepared. The caller must set a target, or the leader that has one must continue.
 	NeedsTarget
-	// Blocked means that the state of a rank is unknown or the group is not formed.
+	// Blocked means that the state of a rank is unknown or the group is not formed. The only orders
+	// in this phase abandon holds.
 	Blocked
 )
 
@@ -44,10 +45,20 @@
 	// passesAhead is the number of passes between the newest pass and holdPass when a hold is
 	// ordered.
 	passesAhead int64
+	// ownRank is the rank beside the process that drives the switch, or -1.
+	ownRank int
+	// abandonedVersion is the version with which the last hold was abandoned, or None, and
+	// abandonedAtPass the newest pass when it was first seen.
+	abandonedVersion int64
+	abandonedAtPass  int64
 }
 
-// New returns a Switch without a target.
-func New() *Switch { return &Switch{holdPass: None, passesAhead: DefaultPassesAhead} }
+// New returns a Switch without a target. Holds are ordered at other ranks than ownRank, which is the
+// rank on the instance of the caller, or -1: if that instance freezes, the hold can still be
+// released.
+func New(ownRank int) *Switch {
+	return &Switch{holdPass: None, passesAhead: DefaultPassesAhead, ownRank: ownRank, abandonedVersion: None}
+}
 
 // SetPassesAhead sets the number of passes between the newest pass and the one with which the
 // map changes.
@@ -70,10 +81,10 @@
 // The reports are indexed by rank.
 func (s *Switch) NextOrders(ranks []RankState) ([]Order, Phase) {
 	if !allFormedInSameEpoch(ranks) {
-		return nil, Blocked
+		return s.abandonOrders(ranks), Blocked
 	}
 	epoch := ranks[0].Epoch
-	if s.target != nil && (s.target.Epoch != epoch || allRunning(ranks, s.target.Version)) {
+	if s.target != nil && (s.target.Epoch != epoch || allRunning(ranks, s.target.Version) || anyPreparedAfter(ranks, s.target.Version)) {
 		s.target = nil
 	}
 	if holder, pass := earliestHold(ranks); holder >= 0 {
@@ -86,6 +97,9 @@
 	if s.target == nil {
 		return nil, Idle
 	}
+	if s.isAbandonRecent(ranks) {
+		return nil, Preparing
+	}
 	if !allPrepared(ranks, s.target.Version) {
 		return s.prepareOrders(ranks), Preparing
 	}
@@ -121,6 +135,32 @@
 	return true
 }
 
+// anyPreparedAfter reports whether a rank has prepared a higher version, so that it rejects version.
+func anyPreparedAfter(ranks []RankState, version int64) bool {
+	for _, r := range ranks {
+		if r.PreparedVersion > version {
+			return true
+		}
+	}
+	return false
+}
+
+// isAbandonRecent reports whether a hold was abandoned so recently that its pass may not have begun.
+// Late copies of the orders that held and released that pass must not meet a new switch.
+func (s *Switch) isAbandonRecent(ranks []RankState) bool {
+	newest, marker := int64(0), None
+	for _, r := range ranks {
+		newest = max(newest, r.Pass)
+		if isAbandoned(r.PreparedVersion) {
+			marker = max(marker, r.PreparedVersion)
+		}
+	}
+	if marker != s.abandonedVersion {
+		s.abandonedVersion, s.abandonedAtPass = marker, newest
+	}
+	return marker != None && newest <= s.abandonedAtPass+SafePassesAhead
+}
+
 func anyArmed(ranks []RankState) bool {
 	for _, r := range ranks {
 		if r.ArmedVersion != None {
@@ -141,10 +181,32 @@
 	return holder, pass
 }
 
-// completeHold returns the orders that arm all ranks for a held pass, and then the one that
-// releases it. If the ranks have not all prepared the same map, they prepare the target first.
+// abandonOrders returns the orders that release holds without a switch. They are safe while the
+// holding rank is not armed, because it is the first to be armed: once it has prepared the
+// abandoned version, it can no longer be armed with the version that the others have prepared, and
+// once it is armed, it rejects the abandoned version.
+func (s *Switch) abandonOrders(ranks []RankState) []Order {
+	var orders []Order
+	for i, r := range ranks {
+		switch {
+		case !r.holdsUnarmed():
+		case isAbandoned(r.PreparedVersion):
+			orders = append(orders, Order{Rank: i, Op: Release, Epoch: r.Epoch, Pass: r.HeldPass})
+		case s.target != nil && s.target.Version == r.PreparedVersion && canAbandon(r.PreparedVersion):
+			orders = append(orders, Order{Rank: i, Op: Prepare, Epoch: r.Epoch, Version: abandonedVersion(r.PreparedVersion), Map: s.target.Map})
+		}
+	}
+	return orders
+}
+
+// completeHold returns the orders that arm all ranks for a held pass, first the holder and then the
+// others, and finally the one that releases it. If the ranks have not all prepared the same map,
+// they prepare the target first.
 func (s *Switch) completeHold(ranks []RankState, holder int, pass int64) ([]Order, Phase) {
 	epoch := ranks[0].Epoch
+	if isAbandoned(ranks[holder].PreparedVersion) && ranks[holder].holdsUnarmed() {
+		return s.abandonOrders(ranks), Switching
+	}
 	version := commonPrepared(ranks)
 	if version == None {
 		if s.target == nil || anyArmed(ranks) {
@@ -152,6 +214,9 @@
 		}
 		return s.prepareOrders(ranks), Switching
 	}
+	if ranks[holder].holdsUnarmed() {
+		return []Order{{Rank: holder, Op: Arm, Epoch: epoch, Version: version, Pass: pass}}, Switching
+	}
 	var orders []Order
 	for i, r := range ranks {
 		if r.ArmedVersion != version || r.ArmedPass != pass {
@@ -203,4 +268,10 @@
 }
 
 // holderRank selects the rank that holds the pass, distributing holds over the ranks by version.
-func (s *Switch) holderRank(ranks int) int { return int(s.target.Version % int64(ranks)) }
+func (s *Switch) holderRank(ranks int) int {
+	rank := int(s.target.Version % int64(ranks))
+	if rank == s.ownRank {
+		return (rank + 1) % ranks
+	}
+	return rank
+}
--- a/pkg/steward/calls.go
+++ b/pkg/steward/calls.go
@@ -70,12 +70,18 @@
 }
 
 // sendOrder sends one order. Arm and Release need no fencing token, so they go directly to a
-// rank whose steward does not respond.
+// rank whose steward does not respond. A hold is sent to the rank by the leader itself, after the
+// rank's steward has checked the fencing token: an instance must not freeze with both the order and
+// the rank that has the hold.
 func (s *Steward) sendOrder(ctx context.Context, m Member, r OrderRequest) (OrderResult, error) {
 	if m.Upstream == s.settings.UpstreamAddress {
 		return s.applyOrder(ctx, r), nil
 	}
+	r.CheckOnly = r.Order.Op == mapswitch.Hold
 	result, err := callSteward[OrderResult](ctx, s, m, methodOrder, r)
+	if r.CheckOnly && err == nil && result.Accepted {
+		return s.sendOrderDirectly(ctx, m, r), nil
+	}
 	if err != nil && (r.Order.Op == mapswitch.Arm || r.Order.Op == mapswitch.Release) {
 		return s.sendOrderDirectly(ctx, m, r), nil
 	}
--- a/pkg/steward/direct.go
+++ b/pkg/steward/direct.go
@@ -35,8 +35,8 @@
 	wg.Wait()
 }
 
-// sendOrderDirectly sends an order that needs no fencing token to a rank whose steward does not
-// respond.
+// sendOrderDirectly sends an order to the rank of another instance. The order needs no fencing
+// token or its token was checked by the rank's steward.
 func (s *Steward) sendOrderDirectly(ctx context.Context, m Member, r OrderRequest) OrderResult {
 	// The call to the steward may have used up the deadline of ctx.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), directTimeout)
--- a/pkg/steward/fence.go
+++ b/pkg/steward/fence.go
@@ -37,10 +37,10 @@
 	return true
 }
 
-// allows reports whether an order with a fencing token may be forwarded to the rank. Arm and
-// Release are safe from any sender.
-func (f *fenceState) allows(op mapswitch.Op, fencingToken int64) bool {
-	if op == mapswitch.Arm || op == mapswitch.Release {
+// allows reports whether an order with a fencing token may be forwarded to the rank. Arm, Release and
+// the order that abandons a switch are safe from any sender.
+func (f *fenceState) allows(o mapswitch.Order, fencingToken int64) bool {
+	if o.Op == mapswitch.Arm || o.Op == mapswitch.Release || o.IsAbandon() {
 		return true
 	}
 	return f.loaded && fencingToken >= f.newestFencingToken
--- a/pkg/steward/group_test.go
+++ b/pkg/steward/group_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/mapswitch"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
 	"github.com/coltsfootpitch/coltsfootpitch/platform"
 	"github.com/coltsfootpitch/coltsfootpitch/platform/standin"
@@ -168,6 +169,46 @@
 	b.checkPasses()
 }
 
+// Hold by a frozen owner: the instance of the leader freezes while another rank holds the group for
+// it. Neither the steward nor the rank of that instance responds, so the switch cannot be completed;
+// the steward of the holding rank abandons the hold and the group runs on with its map.
+func TestOrphanedHoldIsAbandonedWhenARankIsUnreachable(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(t)
+	v := mapswitch.VersionOf(1, 1)
+	b.group.PrepareAll(v)
+	b.stewards[1].prepared = mapswitch.Target{Version: v, Epoch: 1, Map: mapswitch.Map{{{0, 4}, {1, 5}, {2, 6}, {3, 7}}, {{0, 4}, {1, 5}, {2, 6}, {3, 7}}}}
+	b.group.HoldAt(1, 3)
+	b.store.Hang(true) // no steward can become leader
+	b.group.Ranks[0].StopResponding()
+	b.runStewards(0)
+	held, _ := b.group.Passes()
+	b.eventually("the group runs on", func() bool { pass, _ := b.group.Passes(); return pass > held+5 })
+	is.Equal(b.group.Versions(), []int64{0, 0, 0, 0})
+	b.checkPasses()
+}
+
+// The leader orders a hold at the rank of another instance and sends the order itself, so that its
+// own instance can freeze without taking the hold along.
+func TestHoldIsOrderedAtAnotherInstance(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(t)
+	s := b.stewards[0]
+	s.fence.recordStored(1, time.Now())
+	b.stewards[1].fence.recordStored(2, time.Now())
+	b.stewards[2].fence.recordStored(1, time.Now())
+	hold := mapswitch.Order{Op: mapswitch.Hold, Epoch: 1, Pass: 1000}
+	r, err := s.sendOrder(t.Context(), b.members[1], OrderRequest{FencingToken: 1, Order: hold})
+	is.NoErr(err)
+	is.True(r.Refused) // the steward of the rank has seen a newer leader
+	r, err = s.sendOrder(t.Context(), b.members[2], OrderRequest{FencingToken: 1, Order: hold})
+	is.NoErr(err)
+	is.True(r.Accepted)
+	report, err := b.stewards[2].readOwnRank(t.Context())
+	is.NoErr(err)
+	is.Equal(report.State.HeldPass, int64(1000))
+}
+
 // node_kill leader: another steward takes over leadership and continues.
 func TestAnotherStewardBecomesLeader(t *testing.T) {
 	b := newTestbed(t)
@@ -288,8 +329,8 @@
 		b.eventually("a newer map in use in b", func() bool { return b.hasSwitched() && b.group.Versions()[0] > before })
 		b.favourExpert(6)
 	}
-	is.True(a.group.Versions()[0]/versionsPerFencingToken >= 4)
-	is.Equal(b.group.Versions()[0]/versionsPerFencingToken, int64(1))
+	is.True(a.group.Versions()[0] >= mapswitch.VersionOf(4, 0))
+	is.True(b.group.Versions()[0] < mapswitch.VersionOf(2, 0))
 	a.checkPasses()
 	b.checkPasses()
 }
--- a/pkg/steward/leader.go
+++ b/pkg/steward/leader.go
@@ -35,8 +35,6 @@
 	// After an order without a response, switches are scheduled more passes ahead for
 	// safePassesAheadPeriod, which leaves time to send orders again.
 	safePassesAheadPeriod = 10 * time.Second
-	// versionsPerFencingToken is the number of map versions available under one fencing token.
-	versionsPerFencingToken = 1_000_000
 )
 
 // leader drives one group while its fencing token is the newest.
@@ -102,7 +100,7 @@
 	}
 	s.log.Info("leader-began", "group", r.Group, "fence", fencingToken)
 	l := &leader{
-		steward: s, fencingToken: fencingToken, rankCount: r.Size, group: r.Group, mapSwitch: mapswitch.New(), currentVersion: mapswitch.None,
+		steward: s, fencingToken: fencingToken, rankCount: r.Size, group: r.Group, mapSwitch: mapswitch.New(r.Index), currentVersion: mapswitch.None,
 		lastMajority: time.Now(), loadAcceptedAt: map[int]time.Time{}, foreignSeenAt: map[string]time.Time{},
 	}
 	l.limits = newLimitPublisher(s, r.Group, fencingToken)
@@ -261,6 +259,13 @@
 		l.startSwitch(ranks[0].Epoch, l.currentMap)
 		orders, phase = l.mapSwitch.NextOrders(ranks)
 	case mapswitch.Blocked:
+		if len(orders) > 0 {
+			l.steward.log.Warn("hold-abandoned", "group", l.group, "seen", len(observations))
+			l.sendOrders(ctx, orders, now)
+			// The next reports show whether the release took effect.
+			l.switching = false
+			return switchPollInterval
+		}
 		if l.switching {
 			return switchPollInterval
 		}
@@ -352,7 +357,7 @@
 	if version == l.currentVersion {
 		return true
 	}
-	if l.targetMap != nil && version == l.fencingToken*versionsPerFencingToken+l.versionsUsed {
+	if l.targetMap != nil && version == mapswitch.VersionOf(l.fencingToken, l.versionsUsed) {
 		l.currentMap, l.currentVersion = l.targetMap, version
 		l.steward.log.Info("map-in-use", "version", version, "pass", ranks[0].Pass, "epoch", ranks[0].Epoch)
 		return true
@@ -385,7 +390,7 @@
 	l.versionsUsed++
 	l.targetMap = m
 	clear(l.loadAcceptedAt)
-	l.mapSwitch.SetTarget(mapswitch.Target{Version: l.fencingToken*versionsPerFencingToken + l.versionsUsed, Map: m, Epoch: epoch})
+	l.mapSwitch.SetTarget(mapswitch.Target{Version: mapswitch.VersionOf(l.fencingToken, l.versionsUsed), Map: m, Epoch: epoch})
 }
 
 // sendOrders sends orders to the stewards of their ranks concurrently and records the results.
--- a/pkg/steward/message.go
+++ b/pkg/steward/message.go
@@ -84,6 +84,9 @@
 	// hold.
 	FencingToken int64           `json:"fence"`
 	Order        mapswitch.Order `json:"order"`
+	// CheckOnly makes the steward check the fencing token and leaves it to the caller to send the
+	// order to the rank.
+	CheckOnly bool `json:"check_only,omitempty"`
 }
 
 // OrderResult is the outcome of an order.
--- a/pkg/steward/orphanedhold.go
+++ b/pkg/steward/orphanedhold.go
@@ -11,9 +11,11 @@
 // completeTimeout limits one attempt to complete a hold.
 const completeTimeout = 1200 * time.Millisecond
 
-// completeHold arms all ranks for a hold without an active leader and then releases the hold.
+// completeHold arms all ranks for a hold without an active leader and then releases the hold. It
+// abandons the hold if a rank does not respond and no rank is armed yet.
 func (s *Steward) completeHold(ctx context.Context, r platform.RankReport) {
-	s.log.Warn("hold-orphaned", "group", r.Group, "pass", r.State.HeldPass, "silence", s.sinceLeaderContact().Round(time.Millisecond))
+	s.log.Warn("hold-orphaned", "group", r.Group, "pass", r.State.HeldPass, "armed", r.State.ArmedVersion, "prepared", r.State.PreparedVersion,
+		"silence", s.sinceLeaderContact().Round(time.Millisecond))
 	ctx, cancel := context.WithTimeout(ctx, completeTimeout)
 	defer cancel()
 	s.mu.Lock()
@@ -26,11 +28,16 @@
 			return
 		}
 	}
-	sw := mapswitch.New()
+	sw := mapswitch.New(r.Index)
+	s.mu.Lock()
+	if s.prepared.Version == r.State.PreparedVersion && s.prepared.Map != nil {
+		sw.SetTarget(s.prepared)
+	}
+	s.mu.Unlock()
 	for ctx.Err() == nil {
 		ranks, memberByRank := s.readGroup(ctx, members, r)
 		orders, phase := sw.NextOrders(ranks)
-		if phase != mapswitch.Switching {
+		if phase != mapswitch.Switching && len(orders) == 0 {
 			s.log.Info("hold-completed", "group", r.Group, "pass", r.State.HeldPass, "phase", int(phase))
 			return
 		}
--- a/pkg/steward/plan.go
+++ b/pkg/steward/plan.go
@@ -51,7 +51,7 @@
 	if !isWorthwhile(p, l.engine.ExpertLoadTime, pass) {
 		return false
 	}
-	l.steward.log.Info("map-planned", "version", l.fencingToken*versionsPerFencingToken+l.versionsUsed+1, "skew", p.SkewBefore,
+	l.steward.log.Info("map-planned", "version", mapswitch.VersionOf(l.fencingToken, l.versionsUsed+1), "skew", p.SkewBefore,
 		"skew_after", p.SkewAfter, "loads", p.MaxNewOnRank, "copies", p.NewReplicas, "pass", ranks[0].Pass, "pass_time", pass.Round(time.Millisecond))
 	l.targetLoadTime = time.Duration(p.MaxNewOnRank) * l.engine.ExpertLoadTime
 	l.startSwitch(ranks[0].Epoch, p.Experts)
--- a/pkg/steward/steward.go
+++ b/pkg/steward/steward.go
@@ -24,8 +24,9 @@
 	// watchInterval is the time between two checks of the leader and the own rank.
 	watchInterval = 100 * time.Millisecond
 	// orphanedHoldAfter is the time without a call of a leader after which a hold on the own
-	// rank is completed without one: several polls of a leader that switches maps.
-	orphanedHoldAfter = 350 * time.Millisecond
+	// rank is completed or abandoned without one. A leader that switches maps polls within it even
+	// while other ranks do not respond.
+	orphanedHoldAfter = observeTimeout + directTimeout + 2*orderTimeout
 	// leaderTimeout is the time without a call of a leader after which the first rank takes
 	// over. Each further rank waits leaderTimeoutPerRank longer, so that only one does.
 	leaderTimeout        = 600 * time.Millisecond
@@ -50,6 +51,8 @@
 	fence   fenceState
 	members []Member
 	clients map[string]*peer.Client
+	// prepared is the map that the own rank was last ordered to prepare.
+	prepared mapswitch.Target
 }
 
 // New returns the steward of the rank at the upstream address of the settings.
@@ -143,7 +146,7 @@
 // applyOrder forwards an order to the own rank if the fence allows it.
 func (s *Steward) applyOrder(ctx context.Context, r OrderRequest) OrderResult {
 	s.mu.Lock()
-	allowed := s.fence.allows(r.Order.Op, r.FencingToken)
+	allowed := s.fence.allows(r.Order, r.FencingToken)
 	result := OrderResult{NewestFencingToken: s.fence.newestFencingToken}
 	s.mu.Unlock()
 	if !allowed {
@@ -151,10 +154,19 @@
 		s.log.Warn("order-rejected", "op", r.Order.Op.String(), "fence", r.FencingToken, "newest", result.NewestFencingToken)
 		return result
 	}
+	if r.CheckOnly {
+		result.Accepted = true
+		return result
+	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	err := s.rank.Order(ctx, r.Order, r.FencingToken)
 	result.Accepted = err == nil
+	if r.Order.Op == mapswitch.Prepare && result.Accepted {
+		s.mu.Lock()
+		s.prepared = mapswitch.Target{Version: r.Order.Version, Map: r.Order.Map, Epoch: r.Order.Epoch}
+		s.mu.Unlock()
+	}
 	result.Refused = errors.Is(err, platform.ErrOrderRejected)
 	if err != nil {
 		result.Detail = err.Error()
--- a/pkg/steward/steward_test.go
+++ b/pkg/steward/steward_test.go
@@ -87,16 +87,16 @@
 	now := time.Unix(100, 0)
 	var f fenceState
 	is.True(f.recordContact(4, now))
-	is.True(!f.allows(mapswitch.Prepare, 4)) // after a start, fenced orders are rejected until the store was read
-	is.True(f.allows(mapswitch.Arm, 0))      // any sender may complete a hold
+	is.True(!f.allows(mapswitch.Order{Op: mapswitch.Prepare}, 4)) // after a start, fenced orders are rejected until the store was read
+	is.True(f.allows(mapswitch.Order{Op: mapswitch.Arm}, 0))      // any sender may complete a hold
 	f.recordStored(3, now)
-	is.True(f.allows(mapswitch.Hold, 4))
+	is.True(f.allows(mapswitch.Order{Op: mapswitch.Hold}, 4))
 	is.True(!f.recordContact(3, now.Add(time.Second)))
-	is.True(!f.allows(mapswitch.Prepare, 3))
+	is.True(!f.allows(mapswitch.Order{Op: mapswitch.Prepare}, 3))
 	is.Equal(f.lastContact, now)
 	f.recordStored(6, now.Add(2*time.Second)) // a newly elected leader gets time for its first call
 	is.Equal(f.lastContact, now.Add(2*time.Second))
-	is.True(!f.allows(mapswitch.Hold, 4))
+	is.True(!f.allows(mapswitch.Order{Op: mapswitch.Hold}, 4))
 }
 
 func TestIsWorthwhileRejectsPlansWithTooLittleGain(t *testing.T) {
