Drop what is believed of the store when it comes back from a copy

Cause: a store that is restored from a copy some seconds old forgets what it acknowledged and gives its revisions out again; its answers name a new era. Followers went on from revisions of the former history, a term could get a fencing token that another leader has, upstreams that had left and zones that were out came back, and the entries of gateways stayed lost. Ruled out: reading the era outside platform/; the rest of the product learns of a rewind by a call. Followers list again in each era and tell their owners first. Fencing tokens start at 65,536 times the era, so a token of a forgotten term is never given out again. Departures of upstreams and zones that are out are kept for 4 s, the time in which they are written again; missing upstreams are kept as after an outage. A gateway that is behind a peer for a second takes the peer's configuration. Gateways write their entries again. The log of a rejected attempt names the upstream at fault.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -177,7 +177,7 @@
 	outcome := platform.ReadOutcome(response.Response)
 	switch {
 	case outcome.NotRun:
-		c.logAttempt(target, "attempt-refused", http.StatusText(outcome.Status), startedAt)
+		c.logAttempt(target, "attempt-refused", http.StatusText(outcome.Status)+", at fault: "+outcome.DelayedBy, startedAt)
 		drain(response)
 		if outcome.Misdirected {
 			return notRun, ResultUnreachable
--- a/pkg/gateway/fleet.go
+++ b/pkg/gateway/fleet.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -19,9 +20,12 @@
 	zone   string
 	warmup platform.WarmupLimits
 
-	mu           sync.Mutex
-	upstreams    *inventory.Inventory
-	zonesOut     map[string]bool
+	mu        sync.Mutex
+	upstreams *inventory.Inventory
+	zonesOut  map[string]bool
+	// zonesKeptOut are the zones that were out before the store was rewound, until rewoundUntil.
+	zonesKeptOut map[string]bool
+	rewoundUntil time.Time
 	services     map[string]*route.Service
 	observations map[string]*observation
 	// gatewayCount is the number of gateways that share the limits on upstreams.
@@ -70,7 +74,7 @@
 func NewFleet(n platform.Settings) *Fleet {
 	return &Fleet{
 		zone: n.Zone, warmup: n.WarmupLimits, upstreams: inventory.New(),
-		zonesOut: map[string]bool{}, services: map[string]*route.Service{},
+		zonesOut: map[string]bool{}, zonesKeptOut: map[string]bool{}, services: map[string]*route.Service{},
 		observations: map[string]*observation{}, gatewayCount: 1,
 	}
 }
@@ -94,6 +98,24 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.zonesOut[zone] = out
+	delete(f.zonesKeptOut, zone)
+}
+
+// KeepZonesOut keeps the zones that are out now as they are, also when the next list leaves them out:
+// the store was rewound, and operators may have to write again that a zone is out.
+func (f *Fleet) KeepZonesOut(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !now.Before(f.rewoundUntil) {
+		f.zonesKeptOut = map[string]bool{}
+	}
+	maps.Copy(f.zonesKeptOut, f.zonesOut)
+	f.rewoundUntil = now.Add(inventory.RewriteTime)
+}
+
+// isZoneOut reports whether no work may go to a zone. The caller holds f.mu.
+func (f *Fleet) isZoneOut(zone string, now time.Time) bool {
+	return f.zonesOut[zone] || f.zonesKeptOut[zone] && now.Before(f.rewoundUntil)
 }
 
 // SetZonesOut replaces the set of availability zones that are taken out.
@@ -209,7 +231,7 @@
 		meanTime = f.meanResponseTime(service)
 	}
 	for id, e := range f.upstreams.Entries() {
-		if e.Service != service || e.Leaving || f.zonesOut[e.Zone] || slices.Contains(tried, id) {
+		if e.Service != service || e.Leaving || f.isZoneOut(e.Zone, now) || slices.Contains(tried, id) {
 			continue
 		}
 		s := f.observation(id)
@@ -320,8 +342,9 @@
 func (f *Fleet) UsableCapacity(service string) (upstreams, slots int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := time.Now()
 	for _, e := range f.upstreams.Entries() {
-		if e.Service == service && !e.Leaving && !f.zonesOut[e.Zone] {
+		if e.Service == service && !e.Leaving && !f.isZoneOut(e.Zone, now) {
 			upstreams++
 			slots += e.Capacity
 		}
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -47,6 +47,9 @@
 }
 
 // zoneFollower receives the availability zones that operators took out.
+// Rewound needs nothing: a configuration is replaced only by one with a higher version.
+func (f *configurationFollower) Rewound() {}
+
 type zoneFollower struct{ gateway *Gateway }
 
 // Replace implements platform.Follower.
@@ -78,6 +81,8 @@
 }
 
 // upstreamFollower receives the list of upstreams.
+func (f *zoneFollower) Rewound() { f.gateway.fleet.KeepZonesOut(time.Now()) }
+
 type upstreamFollower struct{ gateway *Gateway }
 
 // Replace implements platform.Follower.
@@ -125,3 +130,7 @@
 	f.gateway.fleet.Update(func(v *inventory.Inventory, _ func(string) time.Duration) { v.MarkRecovered(time.Now()) })
 	f.gateway.log.Info("store-recovered", "kind", platform.KindUpstreams)
 }
+
+func (f *upstreamFollower) Rewound() {
+	f.gateway.fleet.Update(func(v *inventory.Inventory, _ func(string) time.Duration) { v.MarkRewound(time.Now()) })
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -35,6 +35,10 @@
 	startedAt   time.Time
 
 	mu sync.Mutex
+	// missedVersion is a configuration version that a peer was first heard to have at missedSince,
+	// when this gateway had an older one.
+	missedVersion int64
+	missedSince   time.Time
 	// groupLimits are the newest reports of the leaders of groups, by service and group.
 	groupLimits  map[string]map[string]groupLimit
 	retryWindows map[string]*retry.Window
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -53,7 +53,7 @@
 	}
 	m := metrics.NewRegistry()
 	b.gateway = New(n, NewFleet(n), hclog.NewNullLogger(), m)
-	b.gateway.followStore(t.Context(), platform.NewStore(n.StoreAddress, m))
+	b.gateway.followStore(t.Context(), platform.NewStore(n.StoreAddress, m, hclog.NewNullLogger()))
 	b.server = httptest.NewServer(b.gateway)
 	t.Cleanup(b.server.Close)
 	for i := range workers {
@@ -317,7 +317,7 @@
 	b.configure("3")
 	n := platform.Settings{Name: "edge-2", Zone: "z"}
 	other := New(n, NewFleet(n), hclog.NewNullLogger(), metrics.NewRegistry())
-	is.True(other.needsSnapshot(3))
+	is.True(other.needsSnapshot(3, time.Now()))
 	other.applySnapshot(b.gateway.snapshot(), "edge-1")
 	is.Equal(other.Version(), int64(3))
 	upstreams, _ := other.fleet.UsableCapacity("plain")
--- a/pkg/gateway/module.go
+++ b/pkg/gateway/module.go
@@ -25,8 +25,8 @@
 var Module = fx.Options(
 	fx.Provide(
 		func() peer.Credentials { return peer.Credentials{} },
-		func(n platform.Settings, m metrics.Registry) *platform.Store {
-			return platform.NewStore(n.StoreAddress, m)
+		func(n platform.Settings, m metrics.Registry, log hclog.Logger) *platform.Store {
+			return platform.NewStore(n.StoreAddress, m, log)
 		},
 		NewFleet, New, NewPeers, peer.NewServer, newProcess,
 	),
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -131,7 +131,7 @@
 		p.addMember(o)
 	}
 	p.mu.Unlock()
-	if m != nil && p.gateway.needsSnapshot(h.Version) {
+	if m != nil && p.gateway.needsSnapshot(h.Version, now) {
 		go p.fetchSnapshot(m)
 	}
 }
@@ -167,6 +167,8 @@
 // run probes the peers until ctx ends.
 func (p *Peers) run(ctx context.Context, s *platform.Store) {
 	go p.announce(ctx, s)
+	// The entry in the store is lost with other recent changes.
+	s.OnRewind(func() { p.announce(ctx, s) })
 	tick := time.NewTicker(probeInterval)
 	defer tick.Stop()
 	p.probeSeeds(ctx)
--- a/pkg/gateway/snapshot.go
+++ b/pkg/gateway/snapshot.go
@@ -16,13 +16,26 @@
 	return s
 }
 
+// maxStoreLag is how long the store may take to deliver a configuration that a peer has already.
+const maxStoreLag = time.Second
+
 // needsSnapshot reports whether to fetch the state of a peer with this configuration version: the
-// version is newer, and the store is unreachable or this gateway has no configuration yet.
-func (g *Gateway) needsSnapshot(version int64) bool {
-	if version <= g.Version() {
+// version is newer, and the store does not deliver it. The store is unreachable, has not been read
+// yet, or was rewound and has lost the version.
+func (g *Gateway) needsSnapshot(version int64, now time.Time) bool {
+	own := g.Version()
+	if version <= own {
 		return false
 	}
-	return g.storeLostAt.Load() != 0 || g.Version() == 0
+	if g.storeLostAt.Load() != 0 || own == 0 {
+		return true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.missedVersion <= own {
+		g.missedVersion, g.missedSince = version, now
+	}
+	return now.Sub(g.missedSince) >= maxStoreLag
 }
 
 // applySnapshot applies the state of a peer named source.
@@ -45,6 +58,12 @@
 			zones = append(zones, z)
 		}
 	}
+	now := time.Now()
+	for z := range f.zonesKeptOut {
+		if !f.zonesOut[z] && f.isZoneOut(z, now) {
+			zones = append(zones, z)
+		}
+	}
 	return f.upstreams.Upstreams(), zones
 }
 
--- a/pkg/inventory/inventory.go
+++ b/pkg/inventory/inventory.go
@@ -5,6 +5,10 @@
 // such an outage is therefore kept for a while as unconfirmed, and chosen only when no
 // other upstream is available.
 //
+// The store may also be restored from a copy some seconds old. Its list then shows upstreams that
+// have left as if they had not; they are kept as leaving until those that are alive have written
+// their entries again.
+//
 // The package has no I/O, no clock and no goroutines.
 package inventory
 
@@ -39,12 +43,29 @@
 	Unconfirmed bool
 	// removeAt is when an unconfirmed upstream is removed.
 	removeAt time.Time
+	// leavingUntil is set for an upstream that counts as leaving only because it had left before the
+	// store was rewound.
+	leavingUntil time.Time
+}
+
+// departure is an upstream that was leaving or was removed.
+type departure struct {
+	startedAt time.Time
+	at        time.Time
 }
 
 // RelistTime is how long a live upstream may take to reappear in the list after an outage.
 // The platform documents two seconds.
 const RelistTime = 2 * time.Second
 
+const (
+	// RewriteTime is the time after a rewind of the store in which operators and upstreams write
+	// again what was lost: three heartbeats of an upstream.
+	RewriteTime = 4 * time.Second
+	// departureTTL is how long a departure is remembered, longer than a copy of the store is old.
+	departureTTL = time.Minute
+)
+
 // Inventory is the list of upstreams. It is not safe for concurrent use.
 type Inventory struct {
 	entries map[string]*Entry
@@ -55,11 +76,15 @@
 	relistDeadline time.Time
 	// inOutage is set while the store does not respond.
 	inOutage bool
+	// departures has the upstreams that left recently, by ID, and rewriteDeadline is the time until
+	// which a list may show them as if they had not.
+	departures      map[string]departure
+	rewriteDeadline time.Time
 }
 
 // New returns an empty list.
 func New() *Inventory {
-	return &Inventory{entries: map[string]*Entry{}, newestByAddress: map[string]string{}}
+	return &Inventory{entries: map[string]*Entry{}, newestByAddress: map[string]string{}, departures: map[string]departure{}}
 }
 
 // MarkOutage records that the store does not respond.
@@ -73,11 +98,18 @@
 	v.inOutage = false
 }
 
+// MarkRewound records that the store has lost recent changes.
+func (v *Inventory) MarkRewound(now time.Time) {
+	v.relistDeadline = now.Add(RelistTime)
+	v.rewriteDeadline = now.Add(RewriteTime)
+}
+
 // Put adds or updates an upstream and reports whether it is new or another incarnation of
 // a listed one. Warmup is how long upstreams of its service stay cold after a start.
 func (v *Inventory) Put(u Upstream, warmup time.Duration, now time.Time) bool {
 	previous := v.entries[u.ID]
 	e := &Entry{Upstream: u}
+	v.keepDeparture(e, now)
 	if previous != nil && previous.Address != u.Address {
 		v.clearNewest(previous)
 	}
@@ -93,6 +125,18 @@
 	return isNew
 }
 
+// keepDeparture remembers an upstream that leaves, and makes one that had left before the store was
+// rewound count as leaving.
+func (v *Inventory) keepDeparture(e *Entry, now time.Time) {
+	d, departed := v.departures[e.ID]
+	switch {
+	case e.Leaving:
+		v.departures[e.ID] = departure{startedAt: e.StartedAt, at: now}
+	case departed && now.Before(v.rewriteDeadline) && d.startedAt.Equal(e.StartedAt):
+		e.Leaving, e.leavingUntil = true, v.rewriteDeadline
+	}
+}
+
 // Remove removes an upstream. Just after an outage it keeps the upstream as unconfirmed
 // for the rest of RelistTime, unless the upstream is leaving.
 func (v *Inventory) Remove(id string, now time.Time) {
@@ -101,6 +145,7 @@
 		return
 	}
 	if e.Leaving || !now.Before(v.relistDeadline) {
+		v.departures[id] = departure{startedAt: e.StartedAt, at: now}
 		v.drop(e)
 		return
 	}
@@ -125,12 +170,22 @@
 	}
 }
 
-// RemoveUnconfirmed removes the unconfirmed upstreams that have not reappeared within RelistTime.
+// RemoveUnconfirmed removes the unconfirmed upstreams that have not reappeared within RelistTime. It
+// ends the departures that the list has not confirmed within RewriteTime after a rewind, and
+// forgets old ones.
 func (v *Inventory) RemoveUnconfirmed(now time.Time) {
 	for _, e := range v.entries {
 		if e.Unconfirmed && !now.Before(e.removeAt) {
 			v.drop(e)
 		}
+		if !e.leavingUntil.IsZero() && !now.Before(e.leavingUntil) {
+			e.Leaving, e.leavingUntil = false, time.Time{}
+		}
+	}
+	for id, d := range v.departures {
+		if now.Sub(d.at) > departureTTL {
+			delete(v.departures, id)
+		}
 	}
 }
 
--- a/pkg/inventory/inventory_test.go
+++ b/pkg/inventory/inventory_test.go
@@ -65,3 +65,31 @@
 	v.Put(Upstream{ID: "undated", Address: "a:1"}, 0, now)
 	is.True(!v.IsSuperseded("old")) // without a start time the order of the incarnations is unknown
 }
+
+// Store restored from a copy: its list shows upstreams that have left as if they had not, and lacks
+// those that are new. The former must get no work, the latter must not be dropped.
+func TestDeparturesOutliveARewind(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	v := New()
+	old := []Upstream{{ID: "drained"}, {ID: "gone"}, {ID: "restarted"}, {ID: "stays"}}
+	v.Replace(old, noWarmup, now)
+	v.Put(Upstream{ID: "drained", Leaving: true}, 0, now)
+	v.Remove("gone", now)
+	v.Remove("restarted", now)
+	v.Put(Upstream{ID: "new"}, 0, now)
+	rewound := now.Add(time.Second)
+	v.MarkRewound(rewound)
+	old[2].StartedAt = now // another incarnation under the same ID
+	v.Replace(old, noWarmup, rewound)
+	is.True(v.Entries()["drained"].Leaving)
+	is.True(v.Entries()["gone"].Leaving)
+	is.True(!v.Entries()["restarted"].Leaving)
+	is.True(!v.Entries()["stays"].Leaving)
+	is.True(v.Entries()["new"].Unconfirmed)
+	v.Put(Upstream{ID: "drained", Leaving: true}, 0, rewound.Add(time.Second)) // written again
+	v.RemoveUnconfirmed(rewound.Add(RewriteTime))
+	is.True(v.Entries()["drained"].Leaving)
+	is.True(!v.Entries()["gone"].Leaving) // still listed, so it is alive
+	is.True(v.Entries()["new"] == nil)
+}
--- a/pkg/steward/group_test.go
+++ b/pkg/steward/group_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"net"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
+	"pgregory.net/rapid"
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/mapswitch"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
@@ -21,6 +23,9 @@
 	testRanks   = 4
 	testLayers  = 2
 	testExperts = 8
+
+	// firstToken is the first fencing token in the first era of the store.
+	firstToken = fencingTokensPerEra
 )
 
 // testbed is a group with a steward for each rank and a store, all on one instance.
@@ -65,7 +70,7 @@
 		Name: "side-" + string(rune('0'+i)), UpstreamAddress: b.group.Ranks[i].Address(), UpstreamService: "s",
 		StoreAddress: b.store.Address(),
 	}
-	s := New(n, platform.NewStore(n.StoreAddress, m), peer.Credentials{}, hclog.NewNullLogger(), m)
+	s := New(n, platform.NewStore(n.StoreAddress, m, hclog.NewNullLogger()), peer.Credentials{}, hclog.NewNullLogger(), m)
 	server := peer.NewServer(peer.Credentials{})
 	s.register(server)
 	go func() { _ = server.Serve(l) }() // returns when the test closes the server
@@ -222,7 +227,7 @@
 	b.eventually("a leader with a higher fencing token", func() bool {
 		b.stewards[1].mu.Lock()
 		defer b.stewards[1].mu.Unlock()
-		return b.stewards[1].fence.newestFencingToken >= 2
+		return b.stewards[1].fence.newestFencingToken > firstToken
 	})
 	b.checkPasses()
 }
@@ -300,6 +305,45 @@
 	}
 }
 
+// Fencing after a rewind: the store has forgotten the newest terms, and a steward that restarts reads
+// an older one. No token may be given out twice, whoever still knows the forgotten ones.
+func TestFencingTokensAreUniqueAcrossRewinds(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		b := standin.NewStore()
+		defer b.Close()
+		s := platform.NewStore(b.Address(), metrics.NewRegistry(), hclog.NewNullLogger())
+		owners := map[int64]int{}
+		known := make([]int64, 3)
+		saved := b.Copy()
+		for n := range rapid.IntRange(5, 25).Draw(rt, "actions") {
+			i := rapid.IntRange(0, len(known)-1).Draw(rt, "steward")
+			switch rapid.IntRange(0, 5).Draw(rt, "action") {
+			case 0:
+				saved = b.Copy()
+			case 1:
+				b.Restore(saved)
+			case 2: // the steward restarts
+				known[i] = 0
+				if stored, _, err := readTerm(t.Context(), s, "g"); err == nil {
+					known[i] = stored.FencingToken
+				}
+			default:
+				token, won, err := acquireTerm(t.Context(), s, "g", known[i], "l", strconv.Itoa(n))
+				if err != nil {
+					continue
+				}
+				if former, found := owners[token]; won && found {
+					rt.Fatalf("token %d was given to leaders %d and %d", token, former, n)
+				}
+				if won {
+					owners[token] = n
+				}
+				known[i] = max(known[i], token)
+			}
+		}
+	})
+}
+
 // Two groups serve one service, and the list of upstreams has the ranks of both. Each group has
 // its own leader, and the fencing tokens of one do not affect the stewards of the other.
 func TestGroupsOfOneServiceHaveSeparateLeaders(t *testing.T) {
@@ -311,7 +355,7 @@
 	a.members, b.members = all, all
 	// Group a has had several leaders: its fencing tokens are far above those of b.
 	for former := range int64(3) {
-		_, won, err := acquireTerm(t.Context(), a.stewards[0].store, "a", former, "former", "x")
+		_, won, err := acquireTerm(t.Context(), a.stewards[0].store, "a", firstToken+former-1, "former", "x")
 		is.NoErr(err)
 		is.True(won)
 	}
@@ -329,8 +373,8 @@
 		b.eventually("a newer map in use in b", func() bool { return b.hasSwitched() && b.group.Versions()[0] > before })
 		b.favourExpert(6)
 	}
-	is.True(a.group.Versions()[0] >= mapswitch.VersionOf(4, 0))
-	is.True(b.group.Versions()[0] < mapswitch.VersionOf(2, 0))
+	is.True(a.group.Versions()[0] >= mapswitch.VersionOf(firstToken+3, 0))
+	is.True(b.group.Versions()[0] < mapswitch.VersionOf(firstToken+1, 0))
 	a.checkPasses()
 	b.checkPasses()
 }
--- a/pkg/steward/module.go
+++ b/pkg/steward/module.go
@@ -16,8 +16,8 @@
 var Module = fx.Options(
 	fx.Provide(
 		func() peer.Credentials { return peer.Credentials{} },
-		func(settings platform.Settings, m metrics.Registry) *platform.Store {
-			return platform.NewStore(settings.StoreAddress, m)
+		func(settings platform.Settings, m metrics.Registry, log hclog.Logger) *platform.Store {
+			return platform.NewStore(settings.StoreAddress, m, log)
 		},
 		New, peer.NewServer,
 	),
--- a/pkg/steward/term.go
+++ b/pkg/steward/term.go
@@ -41,6 +41,15 @@
 	return t, o.Revision, nil
 }
 
+// fencingTokensPerEra is the number of fencing tokens for each era of the store. A store that was
+// rewound has lost the newest tokens; those of its next era are higher than all of them.
+const fencingTokensPerEra = 1 << 16
+
+// nextFencingToken returns the token that follows the newest one known, in an era of the store.
+func nextFencingToken(newest, era int64) int64 {
+	return max(newest+1, era*fencingTokensPerEra)
+}
+
 // acquireTerm acquires the fencing token that follows known, the newest one that the steward has
 // seen. It returns false with the newest fencing token when another steward acquired it first.
 func acquireTerm(ctx context.Context, s *platform.Store, group string, known int64, leader, claim string) (int64, bool, error) {
@@ -51,12 +60,17 @@
 	if t.FencingToken > known {
 		return t.FencingToken, false, nil
 	}
-	next := term{FencingToken: known + 1, Leader: leader, Claim: claim}
+	era := s.Era()
+	next := term{FencingToken: nextFencingToken(known, era), Leader: leader, Claim: claim}
 	if revision == 0 {
 		_, err = s.Create(ctx, kindTerms, group, next)
 	} else {
 		_, err = s.Replace(ctx, kindTerms, group, revision, next)
 	}
+	if s.Era() != era {
+		// The revision may have been given out again for another term.
+		return 0, false, oops.Errorf("the store was rewound while the term was written")
+	}
 	if err == nil {
 		return next.FencingToken, true, nil
 	}
