--- a/pkg/ctl/command.go
+++ b/pkg/ctl/command.go
@@ -19,6 +19,7 @@
 			configCommand(),
 			timelineCommand(),
 			explainCommand(),
+			lossesCommand(),
 			{Name: "codes", Usage: "list the result codes", Action: printCodes},
 		},
 	}
