Let the limit of a group follow a new map at once

Pattern: thundering herd after a restart. Cause: a group forms with the first map, under which one rank has three times the mean load. Its first passes take 109 ms, so the limit falls from 72 to 44 requests; when the next map makes passes of 50 ms, the limit grows by 15% each 100 ms and needs 1.2 s to 144. Meanwhile some 100 callers who come back are rejected (no-room) at a group that is half idle. Ruled out: a faster growth at all times (it overshoots while a pass is measured over 400 ms). Change: when a map comes into use, the limit is scaled by the ratio of a request's work in a pass before and after it, from the description of the engine and the planned skews, and the measurement of passes starts anew. The other way round it falls at once, too. The test fails without the rescaling: the limit stays below 140.

--- a/pkg/sharing/sharing.go
+++ b/pkg/sharing/sharing.go
@@ -56,6 +56,14 @@
 	return int(l.current)
 }
 
+// Rescale adjusts the limit to a new expert map, with which the time that each request adds to a pass
+// is divided by ratio. Without it, the limit would follow the shorter passes only step by step.
+func (l *Limit) Rescale(ratio float64) {
+	if ratio > 0 {
+		l.current = min(max(l.current*ratio, float64(l.Min)), float64(l.Max))
+	}
+}
+
 // EmptyPassAt returns the duration of a pass without any requests at a slowdown of the slowest
 // rank.
 func (l *Limit) EmptyPassAt(slowdown float64) time.Duration {
--- a/pkg/sharing/sharing_test.go
+++ b/pkg/sharing/sharing_test.go
@@ -67,6 +67,26 @@
 	is.Equal(l.Update(0, 0, 1), 96)
 }
 
+// Thundering herd after a restart: a group forms with a map under which one rank has three times the
+// mean load, so the limit falls. The next map is even. The callers that wait must be let in at once
+// and not be rejected while the limit grows step by step.
+func TestLimitFollowsANewMapAtOnce(t *testing.T) {
+	is := is.New(t)
+	const empty, perRequest = 29 * time.Millisecond, 340 * time.Microsecond
+	const skewed = 2.4 // the factor by which the first map lengthens the work of a request
+	l := &Limit{MaxPassTime: 120 * time.Millisecond, EmptyPassTime: empty, Min: 24, Max: 144}
+	l.Reset()
+	running, _ := l.settle(empty, time.Duration(skewed*float64(perRequest)), 1000, 1)
+	is.True(running <= 80)
+	l.Rescale(skewed)
+	after := l.Update(0, running, 1)
+	_, pass := l.settle(empty, perRequest, after, 1)
+	is.True(after >= 140)
+	is.True(pass <= 90*time.Millisecond) // still within the target
+	l.Rescale(1 / skewed)
+	is.True(l.Update(0, running, 1) <= 80)
+}
+
 // srv_slow: the slowest rank takes three times as long, with or without requests. Callers still
 // accept passes of 120 ms, and the group must not be underused to keep passes shorter.
 func TestLimitWithASlowRank(t *testing.T) {
--- a/pkg/steward/leader.go
+++ b/pkg/steward/leader.go
@@ -59,6 +59,8 @@
 	versionsUsed int64
 	// targetMap is the map that becomes current once the switch completes.
 	targetMap mapswitch.Map
+	// targetSpeedup is the factor by which the target map shortens the work of a request in a pass.
+	targetSpeedup float64
 	// loadAcceptedAt is when each rank accepted the order to load the target map.
 	loadAcceptedAt map[int]time.Time
 	// foreignSeenAt is when ranks of other groups of the service were last seen, by address.
@@ -359,6 +361,8 @@
 	}
 	if l.targetMap != nil && version == mapswitch.VersionOf(l.fencingToken, l.versionsUsed) {
 		l.currentMap, l.currentVersion = l.targetMap, version
+		l.limits.limit.Rescale(l.targetSpeedup)
+		l.passTimer.restart(ranks, time.Now())
 		l.steward.log.Info("map-in-use", "version", version, "pass", ranks[0].Pass, "epoch", ranks[0].Epoch)
 		return true
 	}
@@ -388,7 +392,7 @@
 // startSwitch makes a map the target, under a version that was never used before.
 func (l *leader) startSwitch(epoch int64, m mapswitch.Map) {
 	l.versionsUsed++
-	l.targetMap = m
+	l.targetMap, l.targetSpeedup = m, 1
 	clear(l.loadAcceptedAt)
 	l.mapSwitch.SetTarget(mapswitch.Target{Version: mapswitch.VersionOf(l.fencingToken, l.versionsUsed), Map: m, Epoch: epoch})
 }
--- a/pkg/steward/passtimer.go
+++ b/pkg/steward/passtimer.go
@@ -21,12 +21,7 @@
 
 // update records the newest pass of the ranks. A new epoch starts a new measurement.
 func (t *passTimer) update(ranks []mapswitch.RankState, now time.Time) {
-	newest, epoch := int64(0), int64(0)
-	for _, r := range ranks {
-		if r.Known {
-			newest, epoch = max(newest, r.Pass), max(epoch, r.Epoch)
-		}
-	}
+	newest, epoch := newestPass(ranks)
 	if epoch != t.epoch || newest < t.windowStartPass {
 		*t = passTimer{epoch: epoch, windowStart: now, windowStartPass: newest}
 		return
@@ -40,5 +35,21 @@
 	t.windowStart, t.windowStartPass = now, newest
 }
 
+// restart starts a new measurement, as after a change of the map.
+func (t *passTimer) restart(ranks []mapswitch.RankState, now time.Time) {
+	newest, epoch := newestPass(ranks)
+	*t = passTimer{epoch: epoch, windowStart: now, windowStartPass: newest}
+}
+
+// newestPass returns the newest pass that a rank reports, and its epoch.
+func newestPass(ranks []mapswitch.RankState) (pass, epoch int64) {
+	for _, r := range ranks {
+		if r.Known {
+			pass, epoch = max(pass, r.Pass), max(epoch, r.Epoch)
+		}
+	}
+	return pass, epoch
+}
+
 // mean returns the mean duration of a pass, or 0 while it is unknown.
 func (t *passTimer) mean() time.Duration { return t.meanPassTime }
--- a/pkg/steward/plan.go
+++ b/pkg/steward/plan.go
@@ -55,6 +55,7 @@
 		"skew_after", p.SkewAfter, "loads", p.MaxNewOnRank, "copies", p.NewReplicas, "pass", ranks[0].Pass, "pass_time", pass.Round(time.Millisecond))
 	l.targetLoadTime = time.Duration(p.MaxNewOnRank) * l.engine.ExpertLoadTime
 	l.startSwitch(ranks[0].Epoch, p.Experts)
+	l.targetSpeedup = requestWork(l.engine, p.SkewBefore) / requestWork(l.engine, p.SkewAfter)
 	return true
 }
 
@@ -65,10 +66,15 @@
 // expectedPassTime returns the expected duration of a pass, given the running requests per rank
 // and the skew of experts.
 func expectedPassTime(e *route.Engine, running, skew float64) time.Duration {
-	step := float64(e.StepTime) + float64(e.StepPerRequest)*running*(1-e.ExpertWorkShare+e.ExpertWorkShare*skew)
+	step := float64(e.StepTime) + float64(e.StepPerRequest)*running*requestWork(e, skew)
 	return time.Duration(promptReadFactor * float64(e.TokensPerPass) * step)
 }
 
+// requestWork returns how much longer a request makes a pass than with evenly loaded experts.
+func requestWork(e *route.Engine, skew float64) float64 {
+	return 1 - e.ExpertWorkShare + e.ExpertWorkShare*skew
+}
+
 // isWorthwhile reports whether the gain of a plan justifies its cost, given the duration of a
 // pass.
 func isWorthwhile(p placement.EvenPlan, loadTime, pass time.Duration) bool {
--- a/pkg/steward/steward_test.go
+++ b/pkg/steward/steward_test.go
@@ -130,6 +130,12 @@
 		update(1, 2*pass)
 	}
 	is.Equal(c.mean(), 50*time.Millisecond)
+	c.restart([]mapswitch.RankState{{Known: true, Epoch: 1, Pass: 18}}, now)
+	is.Equal(c.mean(), time.Duration(0)) // so does a new map
+	for pass := range int64(5) {
+		update(1, 18+4*(pass+1))
+	}
+	is.Equal(c.mean(), 25*time.Millisecond) // earlier passes do not count
 	update(2, 0)
 	is.Equal(c.mean(), time.Duration(0)) // a new epoch starts a new measurement
 }
