Abandon an orphaned hold at once and without copies

Cause: the steward of the holding rank first polled the whole group, 210 ms for a member that does not answer, then ended its round while the rank loaded the abandoned version (the two experts of the target once more), and came back 100 ms later: the group was held for 0.9 s of which 0.3 s were the silence. Change: the steward decides alone. An orphaned hold of an unarmed rank is abandoned: the rank prepares a map in which it keeps the experts that it has loaded, so that nothing is copied, and the release follows as soon as the rank reports it. An armed rank's hold is completed as before.

--- a/pkg/mapswitch/simulation_test.go
+++ b/pkg/mapswitch/simulation_test.go
@@ -463,3 +463,26 @@
 		})
 	}
 }
+
+// The map with which a rank abandons a switch must be valid for the rank: each expert on some rank and
+// no more experts on a rank than before.
+func TestAbandonTargetKeepsTheLoadedExperts(t *testing.T) {
+	target := Target{Version: VersionOf(1, 1), Map: Map{{{0, 1}, {2, 3}, {0, 4}}}}
+	loaded := [][]int{{0, 3}}
+	got := AbandonTarget(target, 0, loaded)
+	if !slices.Equal(got.Map[0][0], loaded[0]) {
+		t.Fatalf("the rank would load %v", got.Map[0][0])
+	}
+	on := map[int]bool{}
+	for r, experts := range got.Map[0] {
+		if len(experts) != len(target.Map[0][r]) {
+			t.Fatalf("rank %d would have %v", r, experts)
+		}
+		for _, e := range experts {
+			on[e] = true
+		}
+	}
+	if len(on) != 5 || !slices.Equal(target.Map[0][0], []int{0, 1}) {
+		t.Fatalf("%v, target %v", got.Map, target.Map)
+	}
+}
--- a/pkg/steward/orphanedhold.go
+++ b/pkg/steward/orphanedhold.go
@@ -11,13 +11,56 @@
 // completeTimeout limits one attempt to complete a hold.
 const completeTimeout = 1200 * time.Millisecond
 
-// completeHold arms all ranks for a hold without an active leader and then releases the hold. It
-// abandons the hold if a rank does not respond and no rank is armed yet.
-func (s *Steward) completeHold(ctx context.Context, r platform.RankReport) {
+// endHold ends a hold of the own rank without an active leader. It abandons the hold if the rank is not
+// armed yet, and completes it otherwise.
+func (s *Steward) endHold(ctx context.Context, r platform.RankReport) {
 	s.log.Warn("hold-orphaned", "group", r.Group, "pass", r.State.HeldPass, "armed", r.State.ArmedVersion, "prepared", r.State.PreparedVersion,
 		"silence", s.sinceLeaderContact().Round(time.Millisecond))
 	ctx, cancel := context.WithTimeout(ctx, completeTimeout)
 	defer cancel()
+	if !s.abandonHold(ctx, r) {
+		s.completeHold(ctx, r)
+	}
+}
+
+// abandonHold releases the hold of the own rank without a switch. It returns false if the rank is armed
+// or the map that it was ordered to prepare is not known, as after a restart.
+func (s *Steward) abandonHold(ctx context.Context, r platform.RankReport) bool {
+	s.mu.Lock()
+	target := s.prepared
+	s.mu.Unlock()
+	if target.Map == nil || target.Version != r.State.PreparedVersion {
+		return false
+	}
+	if _, loaded, err := s.rank.LoadedExperts(ctx); err == nil {
+		target = mapswitch.AbandonTarget(target, r.Index, loaded)
+	}
+	sw := mapswitch.New(r.Index)
+	sw.SetTarget(target)
+	for ctx.Err() == nil && r.State.HeldPass != mapswitch.None && r.State.ArmedVersion == mapswitch.None {
+		ranks := make([]mapswitch.RankState, r.Size)
+		ranks[r.Index] = r.State // the others are left out: they have no part in it
+		orders, _ := sw.NextOrders(ranks)
+		for _, o := range orders {
+			s.applyOrder(ctx, OrderRequest{Order: o})
+		}
+		sleep(ctx, switchPollInterval)
+		report, err := s.readOwnRank(ctx)
+		if err != nil {
+			s.log.Warn("own-rank-unreachable", "error", err.Error())
+			continue
+		}
+		r = report
+	}
+	if r.State.ArmedVersion != mapswitch.None {
+		return false
+	}
+	s.log.Info("hold-abandoned", "group", r.Group, "released", r.State.HeldPass == mapswitch.None)
+	return true
+}
+
+// completeHold arms all ranks for a hold without an active leader and then releases the hold.
+func (s *Steward) completeHold(ctx context.Context, r platform.RankReport) {
 	s.mu.Lock()
 	members := s.members
 	s.mu.Unlock()
@@ -29,15 +72,10 @@
 		}
 	}
 	sw := mapswitch.New(r.Index)
-	s.mu.Lock()
-	if s.prepared.Version == r.State.PreparedVersion && s.prepared.Map != nil {
-		sw.SetTarget(s.prepared)
-	}
-	s.mu.Unlock()
 	for ctx.Err() == nil {
 		ranks, memberByRank := s.readGroup(ctx, members, r)
 		orders, phase := sw.NextOrders(ranks)
-		if phase != mapswitch.Switching && len(orders) == 0 {
+		if phase != mapswitch.Switching {
 			s.log.Info("hold-completed", "group", r.Group, "pass", r.State.HeldPass, "phase", int(phase))
 			return
 		}
--- a/pkg/steward/steward.go
+++ b/pkg/steward/steward.go
@@ -200,7 +200,7 @@
 			continue
 		}
 		if report.State.HeldPass != mapswitch.None {
-			s.completeHold(ctx, report)
+			s.endHold(ctx, report)
 		}
 		if s.sinceLeaderContact() > leaderTimeout+time.Duration(report.Index)*leaderTimeoutPerRank {
 			s.lead(ctx, report)
