--- a/pkg/gateway/permits.go
+++ b/pkg/gateway/permits.go
@@ -161,11 +161,11 @@
 	return p.firstEventDelays[service]
 }
 
-// release returns the permit of a request, which was in use for the given duration.
-func (p *permits) release(service, id string, duration time.Duration) {
+// release returns a permit that was in use for the given duration.
+func (p *permits) release(service string, duration time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.grant(p.gates[service].Release(id, duration, time.Now()))
+	p.grant(p.gates[service].Release(duration, time.Now()))
 }
 
 // usage returns the number of permits in use and of waiting requests.
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -178,7 +178,7 @@
 		return
 	}
 	grantedAt := time.Now()
-	defer func() { c.gateway.permits.release(c.service, c.id, time.Since(grantedAt)) }()
+	defer func() { c.gateway.permits.release(c.service, time.Since(grantedAt)) }()
 	c.runAttempts(ctx)
 }
 
--- a/pkg/permit/gate.go
+++ b/pkg/permit/gate.go
@@ -3,14 +3,13 @@
 // A Gate grants the permits of one entry for one service. Requests wait in a queue of package
 // fairness, which shares the free permits by priority and organisation. A request that would wait
 // longer than is of use to its caller is rejected at once, with the expected time until the queue
-// is drained. Requests that can no longer be on time are served after the others, and only with
-// permits that the others are not expected to need.
+// is drained. Requests that can no longer be on time are served after the others and get only a
+// part of the permits.
 //
 // The package has no I/O, no clock and no goroutines.
 package permit
 
 import (
-	"math"
 	"time"
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/fairness"
@@ -55,6 +54,10 @@
 	// serviceTimeWeight is the weight of the newest sample in the moving average of the service
 	// time.
 	serviceTimeWeight = 0.05
+	// latePermitShare is the part of the permits up to which late requests are served. Each
+	// running request slows down the others, so late requests could make those late that are
+	// still on time.
+	latePermitShare = 0.5
 	// minRetryAfter is the shortest time after which a rejected caller may retry.
 	minRetryAfter = 200 * time.Millisecond
 )
@@ -76,16 +79,12 @@
 	// closed is set while nothing is granted; resumesIn is the expected time until that ends.
 	closed    bool
 	resumesIn time.Duration
-	// onTimeRate is the rate of arrivals that can be served on time, and runningLate has the IDs of
-	// the late requests with a permit.
-	onTimeRate  arrivalRate
-	runningLate map[string]bool
 }
 
 // NewGate returns a gate with a number of permits and an initial estimate of the service time.
 func NewGate(limit int, serviceTime time.Duration) *Gate {
 	o := fairness.Options{MaxItems: maxQueued}
-	return &Gate{limit: limit, serviceTime: serviceTime, onTime: fairness.New(o), late: fairness.New(o), startBy: map[string]time.Time{}, runningLate: map[string]bool{}}
+	return &Gate{limit: limit, serviceTime: serviceTime, onTime: fairness.New(o), late: fairness.New(o), startBy: map[string]time.Time{}}
 }
 
 // Running returns the number of permits in use.
@@ -103,23 +102,16 @@
 // Acquire grants, queues or rejects a permit. A queued request is granted by a later Release or
 // SetLimit, and removed by Abandon.
 func (g *Gate) Acquire(r Request, now time.Time) Decision {
-	isOnTime := r.MaxOnTimeWait > 0
-	if isOnTime {
-		g.onTimeRate.add(now)
-	}
-	if g.onTime.Len() == 0 && g.hasFreePermit(isOnTime, now) && (isOnTime || g.late.Len() == 0) {
+	if g.onTime.Len() == 0 && g.hasFreePermit(r.MaxOnTimeWait > 0) && (r.MaxOnTimeWait > 0 || g.late.Len() == 0) {
 		g.running++
-		if !isOnTime {
-			g.runningLate[r.ID] = true
-		}
 		return Decision{Outcome: Granted}
 	}
-	wait := g.expectedWait(isOnTime, now)
+	wait := g.expectedWait(r.MaxOnTimeWait > 0)
 	if wait > r.MaxWait || g.Waiting() >= maxQueued {
 		return Decision{Outcome: Rejected, Wait: max(wait, minRetryAfter)}
 	}
 	item := fairness.Item{ID: r.ID, Organisation: r.Organisation, Priority: r.Priority, Cost: r.Cost}
-	if !isOnTime {
+	if r.MaxOnTimeWait <= 0 {
 		g.late.Push(item)
 		return Decision{Outcome: Queued, Wait: wait}
 	}
@@ -128,31 +120,22 @@
 	return Decision{Outcome: Queued, Wait: wait}
 }
 
-// hasFreePermit reports whether an on-time request or, if onTime is false, a late one may start. A
-// late request leaves free what on-time requests are expected to need beyond the permits that they
-// have (trunk reservation). Nothing is reserved while the service is idle.
-func (g *Gate) hasFreePermit(onTime bool, now time.Time) bool {
-	reserved := 0.0
-	if !onTime && g.running > 0 {
-		reserved = max(0, g.onTimePermits(now)-float64(g.running-len(g.runningLate)))
+// hasFreePermit reports whether an on-time request or, if onTime is false, a late one may start.
+func (g *Gate) hasFreePermit(onTime bool) bool {
+	permits := float64(g.limit)
+	if !onTime {
+		permits *= latePermitShare
 	}
-	return !g.closed && float64(g.running)+reserved < float64(g.limit)
-}
-
-// onTimePermits returns the number of permits that on-time requests need: the mean number in use, by
-// Little's law, and a margin for random arrivals (square-root staffing).
-func (g *Gate) onTimePermits(now time.Time) float64 {
-	load := g.onTimeRate.perSecond(now) * g.serviceTime.Seconds()
-	return load + math.Sqrt(load)
+	return !g.closed && float64(g.running) < permits
 }
 
 // expectedWait returns the expected wait of a request that is added to the queue of on-time or of
 // late requests.
-func (g *Gate) expectedWait(onTime bool, now time.Time) time.Duration {
+func (g *Gate) expectedWait(onTime bool) time.Duration {
 	ahead, permits := g.onTime.Len()+1, float64(g.limit)
 	if !onTime {
 		ahead += g.late.Len()
-		permits = max(1, permits-g.onTimePermits(now))
+		permits *= latePermitShare
 	}
 	if g.closed {
 		// All permits are free when the gate opens.
@@ -161,9 +144,7 @@
 	if g.limit <= 0 {
 		return g.serviceTime
 	}
-	if onTime {
-		ahead += max(0, g.running-g.limit)
-	}
+	ahead += int(max(0, float64(g.running)-permits))
 	return time.Duration(float64(ahead) * float64(g.serviceTime) / permits)
 }
 
@@ -174,11 +155,10 @@
 	return g.onTime.Remove(id) || g.late.Remove(id)
 }
 
-// Release returns the permit of a request, which was in use for a time, and returns the IDs of the
-// queued requests that are granted now.
-func (g *Gate) Release(id string, inUse time.Duration, now time.Time) []string {
+// Release returns a permit that was in use for a time, and returns the IDs of the queued requests
+// that are granted now.
+func (g *Gate) Release(inUse time.Duration, now time.Time) []string {
 	g.running--
-	delete(g.runningLate, id)
 	g.serviceTime += time.Duration(serviceTimeWeight * float64(inUse-g.serviceTime))
 	return g.grantQueued(now)
 }
@@ -208,7 +188,7 @@
 // grantQueued grants free permits to queued requests and returns their IDs.
 func (g *Gate) grantQueued(now time.Time) []string {
 	var out []string
-	for g.hasFreePermit(true, now) {
+	for g.hasFreePermit(true) {
 		item, ok := g.popNext(now)
 		if !ok {
 			break
@@ -225,7 +205,10 @@
 	for {
 		item, ok := g.onTime.Pop()
 		if !ok {
-			return g.popLate(now)
+			if !g.hasFreePermit(false) {
+				return fairness.Item{}, false
+			}
+			return g.late.Pop()
 		}
 		due := g.startBy[item.ID]
 		delete(g.startBy, item.ID)
@@ -235,15 +218,3 @@
 		g.late.Push(item)
 	}
 }
-
-// popLate removes and returns the late request to serve next, if one may start.
-func (g *Gate) popLate(now time.Time) (fairness.Item, bool) {
-	if !g.hasFreePermit(false, now) {
-		return fairness.Item{}, false
-	}
-	item, ok := g.late.Pop()
-	if ok {
-		g.runningLate[item.ID] = true
-	}
-	return item, ok
-}
