Weigh a new map by the sizes of its engine and the pace of demand

Cause: the price of a copy, its ratio to the gain, the part of experts in a pass, the unnoticed pass and the time for which a map is of use were numbers found on two deployments. Change: a copy costs its share of the time of the ranks' links; the gain follows from the expected pass with the skews before and after, over the observed mean time between shifts of demand; a pass is noticed from a third of the route's target pause between events on. Tests: plans pay at any size (expert, bandwidth, pass, ranks, gap), shift intervals.

--- a/pkg/steward/loads.go
+++ b/pkg/steward/loads.go
@@ -27,6 +27,7 @@
 	layers     int
 	lastCounts map[int]rankCounts
 	samples    []sample
+	shifts     shiftTimer
 }
 
 // rankCounts holds the newest counts of one incarnation of a rank.
@@ -43,7 +44,7 @@
 
 // NewExpertLoads returns empty loads for a number of layers.
 func NewExpertLoads(layers int) *ExpertLoads {
-	return &ExpertLoads{layers: layers, lastCounts: map[int]rankCounts{}}
+	return &ExpertLoads{layers: layers, lastCounts: map[int]rankCounts{}, shifts: shiftTimer{meanInterval: defaultShiftInterval}}
 }
 
 // StartSample starts a new sample, to which AddCounts adds the counts of each rank.
@@ -94,7 +95,11 @@
 		if len(s.counts) != len(sum) {
 			break
 		}
-		if l.hasEnoughChoices(sum) && (now.Sub(s.at) > loadWindow || l.hasEnoughChoices(s.counts) && distance(sum, s.counts) > demandShiftThreshold) {
+		if l.hasEnoughChoices(sum) && now.Sub(s.at) > loadWindow {
+			break
+		}
+		if l.hasEnoughChoices(sum) && l.hasEnoughChoices(s.counts) && distance(sum, s.counts) > demandShiftThreshold {
+			l.shifts.record(s.at)
 			break
 		}
 		for k, n := range s.counts {
@@ -114,6 +119,9 @@
 	return out
 }
 
+// ShiftInterval returns how long demand usually stays as it is.
+func (l *ExpertLoads) ShiftInterval(now time.Time) time.Duration { return l.shifts.interval(now) }
+
 // distance returns the share of choices, from 0 to 1, that differs between two samples.
 func distance(a, b []int64) float64 {
 	totalA, totalB := 0.0, 0.0
--- a/pkg/steward/plan.go
+++ b/pkg/steward/plan.go
@@ -12,27 +12,30 @@
 	// maxLoadsPerPlan limits the experts that one rank loads for one map: small plans take
 	// effect sooner.
 	maxLoadsPerPlan = 2
-	// planHorizon is the period over which the gain of a better map is counted, because demand
-	// shifts every few seconds.
-	planHorizon = 2500 * time.Millisecond
-	// expertPassShare is the share of a pass that the work of experts takes in a busy group.
-	expertPassShare = 0.7
 	// loadingSlowdown is the relative increase of the pass time while ranks load experts.
 	loadingSlowdown = 0.15
 	// switchStall is how long a switch of maps stalls the group.
 	switchStall = 20 * time.Millisecond
-	// copyCost is the cost of one copied expert, converted from the operator's price of copied
-	// bytes to service time of the whole group.
-	copyCost = 1400 * time.Microsecond
-	// minGainToCost is the least ratio of a plan's gain to its cost.
-	minGainToCost = 1.5
 	// targetSkew is the skew of a layer below which further copies gain less than they cost.
 	targetSkew = 1.1
-	// unnoticedPassTime is the longest pass that callers do not notice: a third of the usual
-	// longest pause between events.
-	unnoticedPassTime = 40 * time.Millisecond
+	// unnoticedGapShare is the share of the target pause between events up to which callers do not
+	// notice the duration of a pass.
+	unnoticedGapShare = 1.0 / 3
 )
 
+// planCost describes the group for which a plan is weighed.
+type planCost struct {
+	engine *route.Engine
+	ranks  int
+	// running is the number of running requests of the group, and pass the duration of a pass.
+	running int
+	pass    time.Duration
+	// eventGap is the target pause between events of a stream.
+	eventGap time.Duration
+	// horizon is the period over which a better map gains: until demand shifts again.
+	horizon time.Duration
+}
+
 // startWorthwhilePlan plans a new map and starts the switch to it if the gain justifies the
 // cost. It reports whether it did.
 func (l *leader) startWorthwhilePlan(ranks []mapswitch.RankState, running int, now time.Time) bool {
@@ -43,16 +46,17 @@
 	g := placement.EvenPlanner{Slots: l.engine.ExpertSlots, MaxNewPerLayer: l.engine.ReserveExperts, MaxNewPerPlan: maxLoadsPerPlan, GoalSkew: targetSkew, Slowdown: l.slowdowns}
 	skew := g.Skew(l.currentMap, loads)
 	pass := max(l.passTimer.mean(), expectedPassTime(l.engine, float64(running)/float64(l.rankCount), skew))
+	cost := planCost{engine: l.engine, ranks: l.rankCount, running: running, pass: pass, eventGap: l.limits.limit.MaxPassTime, horizon: l.loads.ShiftInterval(now)}
 	l.steward.log.Debug("skew", "skew", skew, "pass_time", pass.Round(time.Millisecond), "running", running)
-	if !isWorthwhile(placement.EvenPlan{SkewBefore: skew, SkewAfter: 1, MaxNewOnRank: 1, NewReplicas: 1}, l.engine.ExpertLoadTime, pass) {
+	if !cost.justifies(placement.EvenPlan{SkewBefore: skew, SkewAfter: 1, MaxNewOnRank: 1, NewReplicas: 1}) {
 		return false // Even a perfectly balanced map would not justify its cost.
 	}
 	p := g.Plan(l.currentMap, loads)
-	if !isWorthwhile(p, l.engine.ExpertLoadTime, pass) {
+	if !cost.justifies(p) {
 		return false
 	}
 	l.steward.log.Info("map-planned", "version", mapswitch.VersionOf(l.fencingToken, l.versionsUsed+1), "skew", p.SkewBefore,
-		"skew_after", p.SkewAfter, "loads", p.MaxNewOnRank, "copies", p.NewReplicas, "pass", ranks[0].Pass, "pass_time", pass.Round(time.Millisecond))
+		"skew_after", p.SkewAfter, "horizon", cost.horizon.Round(10*time.Millisecond), "loads", p.MaxNewOnRank, "copies", p.NewReplicas, "pass", ranks[0].Pass, "pass_time", pass.Round(time.Millisecond))
 	l.targetLoadTime = time.Duration(p.MaxNewOnRank) * l.engine.ExpertLoadTime
 	l.startSwitch(ranks[0].Epoch, p.Experts)
 	l.targetSpeedup = requestWork(l.engine, p.SkewBefore) / requestWork(l.engine, p.SkewAfter)
@@ -75,15 +79,20 @@
 	return 1 - e.ExpertWorkShare + e.ExpertWorkShare*skew
 }
 
-// isWorthwhile reports whether the gain of a plan justifies its cost, given the duration of a
-// pass.
-func isWorthwhile(p placement.EvenPlan, loadTime, pass time.Duration) bool {
+// justifies reports whether the gain of a plan exceeds its cost. Both are times of the whole group: the
+// gain is the part of the horizon that shorter passes save, as far as callers notice it; the cost is
+// the time lost by slower passes during the load, the stall at the switch and each copy's share of the
+// time of the ranks' links.
+func (c planCost) justifies(p placement.EvenPlan) bool {
 	if p.SkewBefore <= 0 || p.NewReplicas == 0 {
 		return false
 	}
-	noticed := min(1, max(0, float64(pass-unnoticedPassTime)/float64(unnoticedPassTime)))
-	saved := noticed * expertPassShare * (p.SkewBefore - p.SkewAfter) / p.SkewBefore * planHorizon.Seconds()
-	cost := loadingSlowdown*float64(p.MaxNewOnRank)*loadTime.Seconds() + switchStall.Seconds() +
-		float64(p.NewReplicas)*copyCost.Seconds()
-	return saved > minGainToCost*cost
+	perRank := float64(c.running) / float64(c.ranks)
+	before, after := expectedPassTime(c.engine, perRank, p.SkewBefore), expectedPassTime(c.engine, perRank, p.SkewAfter)
+	unnoticed := unnoticedGapShare * float64(c.eventGap)
+	noticed := min(1, max(0, (float64(c.pass)-unnoticed)/unnoticed))
+	saved := noticed * float64(before-after) / float64(before) * c.horizon.Seconds()
+	load := c.engine.ExpertLoadTime.Seconds()
+	cost := loadingSlowdown*float64(p.MaxNewOnRank)*load + switchStall.Seconds() + float64(p.NewReplicas)*load/float64(c.ranks)
+	return saved > cost
 }
--- a/pkg/steward/steward_test.go
+++ b/pkg/steward/steward_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/mapswitch"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/placement"
@@ -99,20 +100,83 @@
 	is.True(!f.allows(mapswitch.Order{Op: mapswitch.Hold}, 4))
 }
 
-func TestIsWorthwhileRejectsPlansWithTooLittleGain(t *testing.T) {
+// intakeEngine is the description of an engine whose passes take 18 ms without requests.
+func intakeEngine() *route.Engine {
+	return &route.Engine{
+		TokensPerPass: 4, StepTime: 4550 * time.Microsecond, StepPerRequest: 905 * time.Microsecond, ExpertWorkShare: 0.85,
+		ExpertLoadTime: 110 * time.Millisecond,
+	}
+}
+
+func TestPlansWithTooLittleGainAreRejected(t *testing.T) {
 	is := is.New(t)
-	const load = 110 * time.Millisecond
+	cost := func(pass time.Duration) planCost {
+		return planCost{engine: intakeEngine(), ranks: 16, running: 112, pass: pass, eventGap: 120 * time.Millisecond, horizon: 2500 * time.Millisecond}
+	}
 	shift := placement.EvenPlan{SkewBefore: 3.4, SkewAfter: 1.5, MaxNewOnRank: 2, NewReplicas: 32}
 	touch := placement.EvenPlan{SkewBefore: 1.2, SkewAfter: 1.1, MaxNewOnRank: 2, NewReplicas: 20}
-	is.True(isWorthwhile(shift, load, 60*time.Millisecond))
-	is.True(!isWorthwhile(touch, load, 60*time.Millisecond))
-	is.True(!isWorthwhile(shift, load, 30*time.Millisecond)) // callers do not notice a pass that short
-	is.True(!isWorthwhile(placement.EvenPlan{SkewBefore: 3.4, SkewAfter: 1.1}, load, 90*time.Millisecond))
+	is.True(cost(60 * time.Millisecond).justifies(shift))
+	is.True(!cost(60 * time.Millisecond).justifies(touch))
+	is.True(!cost(30 * time.Millisecond).justifies(shift)) // callers do not notice a pass that short
+	is.True(!cost(90 * time.Millisecond).justifies(placement.EvenPlan{SkewBefore: 3.4, SkewAfter: 1.1}))
+}
+
+// The price of a map at any size: whether a plan pays must follow from the sizes that the engine
+// describes. Larger experts, more copies or a smaller gain never turn a rejected plan into an accepted
+// one, and a load that costs more than any map can gain is never accepted.
+func TestPlansPayAtAnySize(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ms := func(name string, low, high int) time.Duration {
+			return time.Duration(rapid.IntRange(low, high).Draw(t, name)) * time.Millisecond
+		}
+		e := &route.Engine{
+			TokensPerPass: rapid.IntRange(1, 10).Draw(t, "tokens"), StepTime: ms("step", 1, 20), StepPerRequest: ms("request", 1, 5),
+			ExpertWorkShare: rapid.Float64Range(0.3, 0.95).Draw(t, "work"), ExpertLoadTime: ms("load", 10, 10_000),
+		}
+		ranks := rapid.IntRange(4, 64).Draw(t, "ranks")
+		c := planCost{engine: e, ranks: ranks, running: ranks * rapid.IntRange(1, 12).Draw(t, "running"), pass: ms("pass", 20, 500), eventGap: ms("gap", 40, 400), horizon: ms("horizon", 500, 60_000)}
+		loads := rapid.IntRange(1, 4).Draw(t, "loads")
+		p := placement.EvenPlan{SkewBefore: rapid.Float64Range(1, 6).Draw(t, "skew"), SkewAfter: 1, MaxNewOnRank: loads, NewReplicas: rapid.IntRange(1, loads*ranks).Draw(t, "copies")}
+		if loadingSlowdown*float64(loads)*e.ExpertLoadTime.Seconds() > c.horizon.Seconds() && c.justifies(p) {
+			t.Fatal("the load costs more than any map can gain")
+		}
+		if c.justifies(p) {
+			return
+		}
+		worse, larger := p, *e
+		worse.NewReplicas++
+		worse.SkewAfter = 1 + (p.SkewBefore-1)/2
+		larger.ExpertLoadTime *= 2
+		c.engine = &larger
+		if c.justifies(worse) {
+			t.Fatal("a worse plan with larger experts is accepted")
+		}
+	})
+}
+
+// Demand that shifts seldom makes a map worth more than demand that shifts often.
+func TestShiftIntervalFollowsTheDemand(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	s := shiftTimer{meanInterval: defaultShiftInterval}
+	is.Equal(s.interval(now), defaultShiftInterval)
+	for range 20 {
+		now = now.Add(10 * time.Second)
+		s.record(now)
+		s.record(now.Add(loadWindow)) // the same shift
+	}
+	is.True(s.interval(now) > 9*time.Second)
+	is.Equal(s.interval(now.Add(20*time.Second)), 20*time.Second)
+	for range 20 {
+		now = now.Add(time.Second)
+		s.record(now)
+	}
+	is.True(s.interval(now) < 1100*time.Millisecond)
 }
 
 func TestExpectedPassTimeGrowsWithSkew(t *testing.T) {
 	is := is.New(t)
-	e := &route.Engine{TokensPerPass: 4, StepTime: 4550 * time.Microsecond, StepPerRequest: 905 * time.Microsecond, ExpertWorkShare: 0.85}
+	e := intakeEngine()
 	even, skewed := expectedPassTime(e, 7, 1.1), expectedPassTime(e, 7, 3.4)
 	is.True(even < 65*time.Millisecond)
 	is.True(skewed > 110*time.Millisecond)
