Abandon no hold while another rank is armed

Cause, found by reading: with two holds at once, the second could be abandoned while ranks are armed for the first; its rank could then not be armed and the first hold never be released. Change: no hold is abandoned while some rank is known to be armed.

--- a/pkg/mapswitch/switch.go
+++ b/pkg/mapswitch/switch.go
@@ -163,7 +163,7 @@
 
 func anyArmed(ranks []RankState) bool {
 	for _, r := range ranks {
-		if r.ArmedVersion != None {
+		if r.Known && r.ArmedVersion != None {
 			return true
 		}
 	}
@@ -186,6 +186,9 @@
 // abandoned version, it can no longer be armed with the version that the others have prepared, and
 // once it is armed, it rejects the abandoned version.
 func (s *Switch) abandonOrders(ranks []RankState) []Order {
+	if anyArmed(ranks) {
+		return nil // another hold is being completed
+	}
 	var orders []Order
 	for i, r := range ranks {
 		switch {
