Reject requests as soon as they are overdue and spread the returns of callers

Patterns: overload, thundering herd. Change: a request that would wait among the late ones for longer than is of use is rejected at once. Rejected callers are told to return one by one, in the order of their rejections, at the pace at which late requests are served, and not later than after half of the time that they have left.

--- a/pkg/gateway/permits.go
+++ b/pkg/gateway/permits.go
@@ -46,6 +46,7 @@
 	}
 	if g.Limit() != limit || g.Closed() {
 		p.grant(g.SetLimit(limit, time.Now()))
+		p.reject(g.TakeOverdue())
 	}
 }
 
@@ -69,6 +70,15 @@
 	}
 }
 
+func (p *permits) reject(ids []string) {
+	for _, id := range ids {
+		if w := p.waiters[id]; w != nil {
+			close(w.rejected)
+			delete(p.waiters, id)
+		}
+	}
+}
+
 func (p *permits) grant(ids []string) {
 	for _, id := range ids {
 		if w := p.waiters[id]; w != nil {
@@ -91,7 +101,7 @@
 	case <-w.granted:
 		return permit.Decision{Outcome: permit.Granted}, nil
 	case <-w.rejected:
-		return permit.Decision{Outcome: permit.Rejected, Wait: p.resumesIn(service)}, nil
+		return permit.Decision{Outcome: permit.Rejected, Wait: max(decision.Wait, p.resumesIn(service))}, nil
 	case <-timer.C:
 		decision.Outcome = permit.Rejected
 	case <-ctx.Done():
@@ -165,7 +175,9 @@
 func (p *permits) release(service string, duration time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.grant(p.gates[service].Release(duration, time.Now()))
+	g := p.gates[service]
+	p.grant(g.Release(duration, time.Now()))
+	p.reject(g.TakeOverdue())
 }
 
 // usage returns the number of permits in use and of waiting requests.
--- a/pkg/permit/gate.go
+++ b/pkg/permit/gate.go
@@ -28,6 +28,8 @@
 	// MaxOnTimeWait is the longest wait after which the response still meets the latency
 	// objective; it is 0 for a late request, which can no longer meet it.
 	MaxOnTimeWait time.Duration
+	// TimeLeft is the time until the caller's deadline; 0 is unknown.
+	TimeLeft time.Duration
 }
 
 // Outcome is the result of a request for a permit.
@@ -71,20 +73,29 @@
 	// onTime queues the requests that can still be served on time, and late the others.
 	onTime *fairness.Queue
 	late   *fairness.Queue
-	// startBy is, by request ID, the time until which a request in onTime must start to be on
-	// time.
-	startBy map[string]time.Time
+	// queuedOnTime has the deadlines of the requests in onTime, by request ID, and overdue those that
+	// can no longer start in time, until TakeOverdue.
+	queuedOnTime map[string]startDeadlines
+	overdue      []string
 	// serviceTime is the moving average of the time for which a permit is in use.
 	serviceTime time.Duration
 	// closed is set while nothing is granted; resumesIn is the expected time until that ends.
 	closed    bool
 	resumesIn time.Duration
+	// nextReturn is the earliest time for which the next rejected caller is told to return.
+	nextReturn time.Time
+}
+
+// startDeadlines are the times until which a request must start to be on time and to be of use.
+type startDeadlines struct {
+	onTime time.Time
+	useful time.Time
 }
 
 // NewGate returns a gate with a number of permits and an initial estimate of the service time.
 func NewGate(limit int, serviceTime time.Duration) *Gate {
 	o := fairness.Options{MaxItems: maxQueued}
-	return &Gate{limit: limit, serviceTime: serviceTime, onTime: fairness.New(o), late: fairness.New(o), startBy: map[string]time.Time{}}
+	return &Gate{limit: limit, serviceTime: serviceTime, onTime: fairness.New(o), late: fairness.New(o), queuedOnTime: map[string]startDeadlines{}}
 }
 
 // Running returns the number of permits in use.
@@ -108,7 +119,7 @@
 	}
 	wait := g.expectedWait(r.MaxOnTimeWait > 0)
 	if wait > r.MaxWait || g.Waiting() >= maxQueued {
-		return Decision{Outcome: Rejected, Wait: max(wait, minRetryAfter)}
+		return Decision{Outcome: Rejected, Wait: g.scheduleReturn(max(wait, minRetryAfter), r.TimeLeft, now)}
 	}
 	item := fairness.Item{ID: r.ID, Organisation: r.Organisation, Priority: r.Priority, Cost: r.Cost}
 	if r.MaxOnTimeWait <= 0 {
@@ -116,10 +127,26 @@
 		return Decision{Outcome: Queued, Wait: wait}
 	}
 	g.onTime.Push(item)
-	g.startBy[r.ID] = now.Add(r.MaxOnTimeWait)
+	g.queuedOnTime[r.ID] = startDeadlines{onTime: now.Add(r.MaxOnTimeWait), useful: now.Add(r.MaxWait)}
 	return Decision{Outcome: Queued, Wait: wait}
 }
 
+// scheduleReturn returns the time after which a rejected caller may retry, at least wait. Callers are
+// told to return one by one, at the pace at which late requests are served, in the order of their
+// rejections. A caller is not told to wait for more than half of the time that it has left, unless it
+// cannot be served earlier.
+func (g *Gate) scheduleReturn(wait, timeLeft time.Duration, now time.Time) time.Duration {
+	at := now.Add(wait)
+	if at.Before(g.nextReturn) {
+		at = g.nextReturn
+	}
+	if latest := now.Add(timeLeft / 2); timeLeft > 0 && at.After(latest) {
+		return max(wait, latest.Sub(now))
+	}
+	g.nextReturn = at.Add(time.Duration(float64(g.serviceTime) / max(1, latePermitShare*float64(g.limit))))
+	return at.Sub(now)
+}
+
 // hasFreePermit reports whether an on-time request or, if onTime is false, a late one may start.
 func (g *Gate) hasFreePermit(onTime bool) bool {
 	permits := float64(g.limit)
@@ -151,7 +178,7 @@
 // Abandon removes a queued request. It reports false when the request is not queued, as after a
 // grant.
 func (g *Gate) Abandon(id string) bool {
-	delete(g.startBy, id)
+	delete(g.queuedOnTime, id)
 	return g.onTime.Remove(id) || g.late.Remove(id)
 }
 
@@ -167,7 +194,7 @@
 // requests that are granted now.
 func (g *Gate) SetLimit(limit int, now time.Time) []string {
 	g.limit = limit
-	g.closed = false
+	g.closed, g.resumesIn = false, 0
 	return g.grantQueued(now)
 }
 
@@ -199,8 +226,17 @@
 	return out
 }
 
+// TakeOverdue returns the IDs of the queued requests that were found to be unable to start in time, and
+// forgets them. The caller of Release or SetLimit rejects them.
+func (g *Gate) TakeOverdue() []string {
+	out := g.overdue
+	g.overdue = nil
+	return out
+}
+
 // popNext removes and returns the queued request to serve next. A request that has become late is
-// moved to the late queue: served now, it would make others late and gain little itself.
+// moved to the late queue: served now, it would make others late and gain little itself. If it would
+// wait there for too long, it is overdue.
 func (g *Gate) popNext(now time.Time) (fairness.Item, bool) {
 	for {
 		item, ok := g.onTime.Pop()
@@ -210,11 +246,15 @@
 			}
 			return g.late.Pop()
 		}
-		due := g.startBy[item.ID]
-		delete(g.startBy, item.ID)
-		if !now.After(due) {
+		due := g.queuedOnTime[item.ID]
+		delete(g.queuedOnTime, item.ID)
+		switch {
+		case !now.After(due.onTime):
 			return item, true
+		case now.Add(g.expectedWait(false)).After(due.useful):
+			g.overdue = append(g.overdue, item.ID)
+		default:
+			g.late.Push(item)
 		}
-		g.late.Push(item)
 	}
 }
--- a/pkg/permit/gate_test.go
+++ b/pkg/permit/gate_test.go
@@ -155,3 +155,48 @@
 	}
 	is.Equal(g.Release(time.Second, testTime), []string{"back-5"})
 }
+
+// Overload: a request waits for its turn and becomes late, and late requests wait longer than is of use
+// to its caller. It must be rejected when that is known and not at the end of its longest wait.
+func TestRequestThatBecomesHopelesslyLateIsOverdue(t *testing.T) {
+	is := is.New(t)
+	g := NewGate(1, time.Second)
+	g.Acquire(request("first", "o", 0), testTime)
+	for i, maxWait := range []time.Duration{30 * time.Second, 2500 * time.Millisecond, 30 * time.Second} {
+		r := request(strconv.Itoa(i), "o", maxWait)
+		r.MaxOnTimeWait = 500 * time.Millisecond
+		if i == 1 {
+			r.MaxWait = 2500 * time.Millisecond
+		}
+		is.Equal(g.Acquire(r, testTime).Outcome, Queued)
+	}
+	is.Equal(len(g.TakeOverdue()), 0)
+	g.Release(time.Second, testTime.Add(time.Second))
+	is.Equal(g.TakeOverdue(), []string{"1"}) // two requests are before it
+	is.Equal(len(g.TakeOverdue()), 0)
+	is.True(!g.Abandon("1"))
+}
+
+// Thundering herd: a group does not run, and all callers that arrive meanwhile are rejected. Told the
+// same time, they would return together and most would be rejected once more. They are told to return
+// in the order of their rejections, no faster than permits become free for them.
+func TestRejectedCallersReturnAtThePaceOfService(t *testing.T) {
+	is := is.New(t)
+	g := NewGate(10, time.Second)
+	now := testTime
+	g.Close(2 * time.Second)
+	var returns []time.Duration
+	for range 8 {
+		r := request("herd", "o", time.Second)
+		r.MaxOnTimeWait, r.TimeLeft = 0, 6*time.Second
+		d := g.Acquire(r, now)
+		is.Equal(d.Outcome, Rejected)
+		returns = append(returns, d.Wait)
+	}
+	is.True(returns[0] >= 2*time.Second)
+	for i := range returns[1:] {
+		gap := returns[i+1] - returns[i]
+		is.True(gap >= 180*time.Millisecond || returns[i+1] == 3*time.Second) // five permits become free a second
+		is.True(returns[i+1] <= 3*time.Second)                                // half of the time left
+	}
+}
--- a/pkg/permit/scale_test.go
+++ b/pkg/permit/scale_test.go
@@ -61,6 +61,9 @@
 				delete(s.waiting, id)
 				s.start(waiter, e.at)
 			}
+			for _, id := range s.gate.TakeOverdue() {
+				delete(s.waiting, id)
+			}
 			continue
 		}
 		s.abandonExpired(e.at)
