Send no new work to an upstream that is silent while others go on

Pattern: frozen instance. Nothing fails at the frozen rank, so the gateway goes on choosing it: four to six requests a gateway fleet. Change: each event of a stream is noted for its upstream. A group that stands still as a whole is not affected. Test: a frozen upstream gets no new work until it sends again, and a silent group shares its work.

--- a/pkg/gateway/fleet_test.go
+++ b/pkg/gateway/fleet_test.go
@@ -97,3 +97,31 @@
 	is.True(ok) // clocks of upstreams may jump, so it may be the live one
 	is.Equal(target.ID, "old")
 }
+
+// Frozen instance: it accepts connections and answers nobody, so no attempt there fails for seconds,
+// while the other ranks of its group go on. New work goes to those until it sends something again. A
+// group that stands still as a whole is no reason to prefer any of its ranks.
+func TestSilentUpstreamGetsNoNewWork(t *testing.T) {
+	is := is.New(t)
+	const gap = 120 * time.Millisecond
+	now := time.Unix(100, 0)
+	f := newFleet(now, "a", "b")
+	event := func(id string) { f.RecordEvent("s", id, gap, now) }
+	is.Equal(chooseCounts(f, 4, now)["a"], 2)
+	for range 10 { // both send events
+		now = now.Add(50 * time.Millisecond)
+		event("a")
+		event("b")
+	}
+	is.Equal(chooseCounts(f, 2, now)["a"], 1)
+	for now = now.Add(silentEventGaps*gap + time.Millisecond); now.Before(time.Unix(104, 0)); now = now.Add(50 * time.Millisecond) {
+		event("b")
+		is.Equal(chooseCounts(f, 1, now)["a"], 0)
+		f.Release("b", ResultSucceeded, time.Second, now)
+	}
+	event("a")
+	event("b")
+	is.Equal(chooseCounts(f, 2, now)["a"], 1)
+	now = now.Add(2 * time.Second) // neither sends anything
+	is.True(chooseCounts(f, 10, now)["a"] >= 4)
+}
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -105,7 +105,9 @@
 			c.logEnd(0, "caller-gone")
 			return final, ResultNeutral
 		}
-		c.recordEvent(event, time.Now())
+		now := time.Now()
+		c.recordEvent(event, now)
+		c.gateway.fleet.RecordEvent(c.service, target.ID, c.route.TargetEventGap, now)
 	}
 }
 
