Let calls wait for a group that refuses before its leader has reported

Pattern: thundering herd after a restart. Cause: gateways are back a second before the group has formed, and no leader has reported. The call goes back to the queue, behind those that can be on time; calls that arrive meanwhile wait without an attempt. Who waits in vain hears when the ranks may be back.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -24,6 +24,9 @@
 	notRun
 	// failed attempts may have run and delivered no complete response.
 	failed
+	// groupRefused calls were rejected by a rank whose group is not known to run, and may wait for
+	// the group.
+	groupRefused
 )
 
 const (
@@ -38,14 +41,15 @@
 
 func (c *call) randomFloat() float64 { return rand.Float64() }
 
-// runAttempts makes attempts until one is final or no further one is allowed.
-func (c *call) runAttempts(ctx context.Context) {
-	reached := 0
+// runAttempts makes attempts until one is final, no further one is allowed or a group refuses the
+// call. It returns final or groupRefused.
+func (c *call) runAttempts(ctx context.Context) attemptOutcome {
+	reached := c.attemptsSent
 	for try := 0; ; try++ {
 		target, ok := c.gateway.fleet.Choose(c.service, c.triedUpstreams, time.Now())
 		if !ok {
 			c.respondFailure(ctx, "no-upstream")
-			return
+			return final
 		}
 		c.triedUpstreams = append(c.triedUpstreams, target.ID)
 		isLast := !c.canAttemptAgain(reached+1) || try >= maxSendRetries
@@ -53,21 +57,25 @@
 		c.mayHaveRun = c.mayHaveRun || outcome == failed
 		switch {
 		case outcome == final:
-			return
+			return final
 		case ctx.Err() != nil:
 			c.respondFailure(ctx, "time")
-			return
+			return final
 		case outcome == notSent:
 			if try >= maxSendRetries {
 				c.respondFailure(ctx, "unreachable")
-				return
+				return final
 			}
 			continue
 		}
 		reached++
 		if !c.allowRetry(outcome, reached) {
 			c.respondFailure(ctx, "upstream-failed")
-			return
+			return final
+		}
+		if outcome == notRun && !c.mayHaveRun && target.HasRoom && !c.gateway.isGroupKnownToRun(c.service) {
+			c.triedUpstreams = nil
+			return groupRefused
 		}
 	}
 }
--- a/pkg/gateway/fleet.go
+++ b/pkg/gateway/fleet.go
@@ -213,6 +213,9 @@
 	ID             string
 	Address        string
 	MaxConnections int
+	// HasRoom is set if the work known at the upstream is below its capacity, so that a rejection
+	// has another reason.
+	HasRoom bool
 }
 
 // Choose reserves a slot at the best upstream of a service, except those with an ID in tried. It
@@ -236,7 +239,10 @@
 	}
 	s.running++
 	s.startedSinceReport++
-	return Target{ID: e.ID, Address: e.Address, MaxConnections: f.connectionLimit(service)}, true
+	return Target{
+		ID: e.ID, Address: e.Address, MaxConnections: f.connectionLimit(service),
+		HasRoom: candidates[best].Running < candidates[best].Capacity,
+	}, true
 }
 
 func (f *Fleet) candidates(service string, tried []string, now time.Time) ([]pick.Candidate, []string) {
--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -103,6 +103,46 @@
 	}
 }
 
+// suspendedGroup stands in groupLimits for the groups of a service whose leaders have not reported.
+const suspendedGroup = ""
+
+// isGroupKnownToRun reports whether a leader has reported recently that its group runs, and always
+// for services without groups.
+func (g *Gateway) isGroupKnownToRun(service string) bool {
+	s := g.table.Load().Service(service)
+	if s == nil || s.Engine == nil || s.Engine.Experts == 0 {
+		return true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, current := range g.groupLimits[service] {
+		if !current.stalled && current.isFresh() {
+			return true
+		}
+	}
+	return false
+}
+
+// suspendService stops all grants of a service whose ranks refuse work, until a leader reports or for
+// stalledTTL.
+func (g *Gateway) suspendService(service string, now time.Time) {
+	s := g.table.Load().Service(service)
+	if s == nil || s.Engine == nil {
+		return // a new configuration has removed it
+	}
+	formTime := s.Engine.GroupFormTime
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.groupLimits[service] == nil {
+		g.groupLimits[service] = map[string]groupLimit{}
+	}
+	if !g.groupLimits[service][suspendedGroup].stalled {
+		g.log.Info("service-suspended", "service", service, "form_time", formTime)
+	}
+	g.groupLimits[service][suspendedGroup] = groupLimit{stalled: true, stalledAt: now, resumesIn: formTime}
+	g.updateLimit(service)
+}
+
 // updateLimit sets the permits of a service to the sum of the limits given by the leaders of its
 // groups, or without such reports to this gateway's share of the slots plus headroom. Nothing
 // starts while all groups are stalled. The caller holds g.mu.
--- a/pkg/gateway/retry_test.go
+++ b/pkg/gateway/retry_test.go
@@ -5,11 +5,14 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/roster"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/standstill"
 	"github.com/coltsfootpitch/coltsfootpitch/platform"
+	"github.com/coltsfootpitch/coltsfootpitch/platform/standin"
 )
 
 // herd_kill: gateways restart next to a group that has yet to form and have no report of a leader.
@@ -17,9 +20,7 @@
 func TestRetryAfterOfRefusingGroupCoversItsReturn(t *testing.T) {
 	is := is.New(t)
 	b := newTestbed(t, 2)
-	b.store.PutRaw(platform.KindConfiguration, platform.NameConfiguration, []byte(strings.Replace(string(configuration("1")),
-		`"max_connections":50`, `"max_connections":50,"engine":{"capacity":12,"stride":4,"step_ms":4.55,"sets":2,"experts":8}`, 1)))
-	b.waitUntil("the workers", func() bool { n, _ := b.gateway.fleet.UsableCapacity("plain"); return b.gateway.Ready() && n == 2 })
+	b.configureGroup()
 	b.setBehaviours(shed, shed)
 	status, _, head, err := b.call("/stream/a", "key-1", "")
 	is.NoErr(err)
@@ -28,3 +29,56 @@
 	is.NoErr(err)
 	is.True(after >= standstill.RankReturnTime.Seconds())
 }
+
+// configureGroup puts a configuration into force whose workers are the ranks of a group.
+func (b *testbed) configureGroup() {
+	b.t.Helper()
+	b.store.PutRaw(platform.KindConfiguration, platform.NameConfiguration, []byte(strings.Replace(string(configuration("1")),
+		`"max_connections":50`, `"max_connections":50,"engine":{"capacity":12,"stride":4,"step_ms":4.55,"sets":2,"experts":8}`, 1)))
+	b.waitUntil("the workers", func() bool { n, _ := b.gateway.fleet.UsableCapacity("plain"); return b.gateway.Ready() && n == 2 })
+}
+
+// Thundering herd after a restart: gateways are back before the group has formed, and no leader has
+// reported yet. One refusal shows that the group does not run. The call waits for it and does not use
+// up its retry, and calls that arrive meanwhile wait without an attempt.
+func TestCallsWaitForAGroupThatRefuses(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(t, 2)
+	b.configureGroup()
+	b.setBehaviours(shed, shed)
+	statuses := make(chan int, 2)
+	call := func() {
+		status, _, _, _ := b.call("/stream/a", "key-1", "")
+		statuses <- status
+	}
+	go call()
+	waiting := func() int { _, n := b.gateway.permits.usage("plain"); return n }
+	waitFor(t, "the refused call to wait", func() bool { return waiting() == 1 })
+	go call()
+	waitFor(t, "the next call to wait", func() bool { return waiting() == 2 })
+	is.Equal(b.requestCount(), 1)
+	for _, w := range b.workers {
+		w.SetHandler(w.Stream(3, 0))
+	}
+	b.gateway.applyLimit(roster.Limit{Service: "plain", Group: "g", FencingToken: 1, Share: 5})
+	is.Equal(<-statuses, http.StatusOK)
+	is.Equal(<-statuses, http.StatusOK)
+	is.Equal(b.requestCount(), 3)
+}
+
+// A rank that has as much work as it can run rejects more of it for that reason, and other ranks are
+// tried as usual.
+func TestFullRankDoesNotSuspendTheService(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(t, 2)
+	b.configureGroup()
+	for _, w := range b.workers {
+		loads := map[string]int{w.Address(): 12}
+		b.gateway.fleet.SetLoads(loads, nil, time.Now())
+	}
+	b.setBehaviours(shed, func(w *standin.Worker) func(http.ResponseWriter, *http.Request) { return w.Stream(3, 0) })
+	status, _, _, err := b.call("/stream/a", "key-1", "")
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+	is.Equal(b.requestCount(), 2)
+}
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -163,23 +163,40 @@
 		c.reject(http.StatusServiceUnavailable, c.jitteredRetryAfter(tooSlowRetryAfter), "too-slow")
 		return
 	}
-	c.gateway.expireStalled(c.service, c.startedAt)
+	for maxOnTimeWait := c.maxOnTimeWait(); c.waitAndRun(ctx, maxOnTimeWait) == groupRefused; maxOnTimeWait = 0 {
+		// The group is not running, although no leader has reported that. The call waits for it like
+		// those that arrive meanwhile; other ranks of the group would refuse it too.
+		c.gateway.suspendService(c.service, time.Now())
+	}
+}
+
+// waitAndRun waits for a permit and runs attempts. It returns groupRefused if the call may wait
+// again, and otherwise final.
+func (c *call) waitAndRun(ctx context.Context, maxOnTimeWait time.Duration) attemptOutcome {
+	now := time.Now()
+	c.gateway.expireStalled(c.service, now)
 	decision, err := c.gateway.permits.acquire(ctx, c.service, permit.Request{
-		ID: c.id, Organisation: c.organisation, Priority: -c.priority, Cost: c.cost(), MaxWait: c.maxWait(), MaxOnTimeWait: c.maxOnTimeWait(),
+		ID: c.id, Organisation: c.organisation, Priority: -c.priority, Cost: c.cost(),
+		MaxWait: c.maxWait() - now.Sub(c.startedAt), MaxOnTimeWait: maxOnTimeWait,
+		TimeLeft: c.timeLeft(),
 	})
 	c.permitWait = time.Since(c.startedAt)
 	c.gateway.observe("wait", c.permitWait)
 	if err != nil {
 		c.reject(http.StatusServiceUnavailable, 0, "left-while-waiting")
-		return
+		return final
 	}
 	if decision.Outcome == permit.Rejected {
-		c.reject(http.StatusServiceUnavailable, c.jitteredRetryAfter(decision.Wait), "no-room")
-		return
+		retryAfter := decision.Wait
+		if c.attemptsSent > 0 {
+			retryAfter = max(retryAfter, c.retryAfter())
+		}
+		c.reject(http.StatusServiceUnavailable, retryAfter, "no-room")
+		return final
 	}
 	grantedAt := time.Now()
 	defer func() { c.gateway.permits.release(c.service, time.Since(grantedAt)) }()
-	c.runAttempts(ctx)
+	return c.runAttempts(ctx)
 }
 
 // cost returns the expected work in tokens; a prompt token costs a tenth of an output token.
