Assume long times for engines that do not report their sizes

Cause: an engine without expert size or bandwidth had a load time of 0, so that copies looked free, and one without a forming time a group that is always about to open. Change: a second for an expert, two for forming, and one log line with what is missing. The group for which a plan is weighed is named workload.

--- a/pkg/steward/leader.go
+++ b/pkg/steward/leader.go
@@ -170,6 +170,11 @@
 		if err != nil || e == nil {
 			l.steward.log.Warn("engine-description-missing", "service", l.steward.settings.UpstreamService)
 		}
+		if e != nil {
+			if missing := setDefaultSizes(e.engine); len(missing) > 0 {
+				l.steward.log.Warn("engine-sizes-missing", "service", l.steward.settings.UpstreamService, "missing", missing)
+			}
+		}
 		l.description.Store(e)
 	}
 	members, err := l.steward.fetchMembers(ctx)
--- a/pkg/steward/members.go
+++ b/pkg/steward/members.go
@@ -73,3 +73,28 @@
 	}
 	return shortest
 }
+
+const (
+	// defaultExpertLoadTime and defaultGroupFormTime are used for engines that do not report the size
+	// of an expert, the bandwidth or the time to form. They are long, so that maps change seldom and
+	// callers are not told to return too early.
+	defaultExpertLoadTime = time.Second
+	defaultGroupFormTime  = 2 * time.Second
+)
+
+// setDefaultSizes sets the sizes that an engine with an expert map does not report, and returns their
+// names.
+func setDefaultSizes(e *route.Engine) (missing []string) {
+	if e.Experts == 0 {
+		return nil
+	}
+	if e.ExpertLoadTime <= 0 {
+		e.ExpertLoadTime = defaultExpertLoadTime
+		missing = append(missing, "expert load time")
+	}
+	if e.GroupFormTime <= 0 {
+		e.GroupFormTime = defaultGroupFormTime
+		missing = append(missing, "group form time")
+	}
+	return missing
+}
--- a/pkg/steward/plan.go
+++ b/pkg/steward/plan.go
@@ -23,8 +23,8 @@
 	unnoticedGapShare = 1.0 / 3
 )
 
-// planCost describes the group for which a plan is weighed.
-type planCost struct {
+// workload is the state of a group against which a plan is weighed.
+type workload struct {
 	engine *route.Engine
 	ranks  int
 	// running is the number of running requests of the group, and pass the duration of a pass.
@@ -46,17 +46,21 @@
 	g := placement.EvenPlanner{Slots: l.engine.ExpertSlots, MaxNewPerLayer: l.engine.ReserveExperts, MaxNewPerPlan: maxLoadsPerPlan, GoalSkew: targetSkew, Slowdown: l.slowdowns}
 	skew := g.Skew(l.currentMap, loads)
 	pass := max(l.passTimer.mean(), expectedPassTime(l.engine, float64(running)/float64(l.rankCount), skew))
-	cost := planCost{engine: l.engine, ranks: l.rankCount, running: running, pass: pass, eventGap: l.limits.limit.MaxPassTime, horizon: l.loads.ShiftInterval(now)}
+	work := workload{
+		engine: l.engine, ranks: l.rankCount, running: running, pass: pass,
+		eventGap: l.limits.limit.MaxPassTime, horizon: l.loads.ShiftInterval(now),
+	}
 	l.steward.log.Debug("skew", "skew", skew, "pass_time", pass.Round(time.Millisecond), "running", running)
-	if !cost.justifies(placement.EvenPlan{SkewBefore: skew, SkewAfter: 1, MaxNewOnRank: 1, NewReplicas: 1}) {
+	if !work.justifies(placement.EvenPlan{SkewBefore: skew, SkewAfter: 1, MaxNewOnRank: 1, NewReplicas: 1}) {
 		return false // Even a perfectly balanced map would not justify its cost.
 	}
 	p := g.Plan(l.currentMap, loads)
-	if !cost.justifies(p) {
+	if !work.justifies(p) {
 		return false
 	}
 	l.steward.log.Info("map-planned", "version", mapswitch.VersionOf(l.fencingToken, l.versionsUsed+1), "skew", p.SkewBefore,
-		"skew_after", p.SkewAfter, "horizon", cost.horizon.Round(10*time.Millisecond), "loads", p.MaxNewOnRank, "copies", p.NewReplicas, "pass", ranks[0].Pass, "pass_time", pass.Round(time.Millisecond))
+		"skew_after", p.SkewAfter, "loads", p.MaxNewOnRank, "copies", p.NewReplicas, "pass", ranks[0].Pass,
+		"pass_time", pass.Round(time.Millisecond), "horizon", work.horizon.Round(time.Millisecond))
 	l.targetLoadTime = time.Duration(p.MaxNewOnRank) * l.engine.ExpertLoadTime
 	l.startSwitch(ranks[0].Epoch, p.Experts)
 	l.targetSpeedup = requestWork(l.engine, p.SkewBefore) / requestWork(l.engine, p.SkewAfter)
@@ -83,16 +87,16 @@
 // gain is the part of the horizon that shorter passes save, as far as callers notice it; the cost is
 // the time lost by slower passes during the load, the stall at the switch and each copy's share of the
 // time of the ranks' links.
-func (c planCost) justifies(p placement.EvenPlan) bool {
+func (w workload) justifies(p placement.EvenPlan) bool {
 	if p.SkewBefore <= 0 || p.NewReplicas == 0 {
 		return false
 	}
-	perRank := float64(c.running) / float64(c.ranks)
-	before, after := expectedPassTime(c.engine, perRank, p.SkewBefore), expectedPassTime(c.engine, perRank, p.SkewAfter)
-	unnoticed := unnoticedGapShare * float64(c.eventGap)
-	noticed := min(1, max(0, (float64(c.pass)-unnoticed)/unnoticed))
-	saved := noticed * float64(before-after) / float64(before) * c.horizon.Seconds()
-	load := c.engine.ExpertLoadTime.Seconds()
-	cost := loadingSlowdown*float64(p.MaxNewOnRank)*load + switchStall.Seconds() + float64(p.NewReplicas)*load/float64(c.ranks)
+	perRank := float64(w.running) / float64(w.ranks)
+	before, after := expectedPassTime(w.engine, perRank, p.SkewBefore), expectedPassTime(w.engine, perRank, p.SkewAfter)
+	unnoticed := unnoticedGapShare * float64(w.eventGap)
+	noticed := min(1, max(0, (float64(w.pass)-unnoticed)/unnoticed))
+	saved := noticed * float64(before-after) / float64(before) * w.horizon.Seconds()
+	load := w.engine.ExpertLoadTime.Seconds()
+	cost := loadingSlowdown*float64(p.MaxNewOnRank)*load + switchStall.Seconds() + float64(p.NewReplicas)*load/float64(w.ranks)
 	return saved > cost
 }
--- a/pkg/steward/steward_test.go
+++ b/pkg/steward/steward_test.go
@@ -110,15 +110,15 @@
 
 func TestPlansWithTooLittleGainAreRejected(t *testing.T) {
 	is := is.New(t)
-	cost := func(pass time.Duration) planCost {
-		return planCost{engine: intakeEngine(), ranks: 16, running: 112, pass: pass, eventGap: 120 * time.Millisecond, horizon: 2500 * time.Millisecond}
+	work := func(pass time.Duration) workload {
+		return workload{engine: intakeEngine(), ranks: 16, running: 112, pass: pass, eventGap: 120 * time.Millisecond, horizon: 2500 * time.Millisecond}
 	}
 	shift := placement.EvenPlan{SkewBefore: 3.4, SkewAfter: 1.5, MaxNewOnRank: 2, NewReplicas: 32}
 	touch := placement.EvenPlan{SkewBefore: 1.2, SkewAfter: 1.1, MaxNewOnRank: 2, NewReplicas: 20}
-	is.True(cost(60 * time.Millisecond).justifies(shift))
-	is.True(!cost(60 * time.Millisecond).justifies(touch))
-	is.True(!cost(30 * time.Millisecond).justifies(shift)) // callers do not notice a pass that short
-	is.True(!cost(90 * time.Millisecond).justifies(placement.EvenPlan{SkewBefore: 3.4, SkewAfter: 1.1}))
+	is.True(work(60 * time.Millisecond).justifies(shift))
+	is.True(!work(60 * time.Millisecond).justifies(touch))
+	is.True(!work(30 * time.Millisecond).justifies(shift)) // callers do not notice a pass that short
+	is.True(!work(90 * time.Millisecond).justifies(placement.EvenPlan{SkewBefore: 3.4, SkewAfter: 1.1}))
 }
 
 // The price of a map at any size: whether a plan pays must follow from the sizes that the engine
@@ -134,7 +134,7 @@
 			ExpertWorkShare: rapid.Float64Range(0.3, 0.95).Draw(t, "work"), ExpertLoadTime: ms("load", 10, 10_000),
 		}
 		ranks := rapid.IntRange(4, 64).Draw(t, "ranks")
-		c := planCost{engine: e, ranks: ranks, running: ranks * rapid.IntRange(1, 12).Draw(t, "running"), pass: ms("pass", 20, 500), eventGap: ms("gap", 40, 400), horizon: ms("horizon", 500, 60_000)}
+		c := workload{engine: e, ranks: ranks, running: ranks * rapid.IntRange(1, 12).Draw(t, "running"), pass: ms("pass", 20, 500), eventGap: ms("gap", 40, 400), horizon: ms("horizon", 500, 60_000)}
 		loads := rapid.IntRange(1, 4).Draw(t, "loads")
 		p := placement.EvenPlan{SkewBefore: rapid.Float64Range(1, 6).Draw(t, "skew"), SkewAfter: 1, MaxNewOnRank: loads, NewReplicas: rapid.IntRange(1, loads*ranks).Draw(t, "copies")}
 		if loadingSlowdown*float64(loads)*e.ExpertLoadTime.Seconds() > c.horizon.Seconds() && c.justifies(p) {
@@ -174,6 +174,17 @@
 	is.True(s.interval(now) < 1100*time.Millisecond)
 }
 
+// An engine that does not report its sizes must not make copies look free or its group look ready.
+func TestMissingSizesOfAnEngineGetDefaults(t *testing.T) {
+	is := is.New(t)
+	e := &route.Engine{LayerSets: 3, Experts: 96}
+	is.Equal(setDefaultSizes(e), []string{"expert load time", "group form time"})
+	is.Equal(e.ExpertLoadTime, defaultExpertLoadTime)
+	is.Equal(e.GroupFormTime, defaultGroupFormTime)
+	is.Equal(len(setDefaultSizes(e)), 0)
+	is.Equal(len(setDefaultSizes(&route.Engine{})), 0) // no expert map
+}
+
 func TestExpectedPassTimeGrowsWithSkew(t *testing.T) {
 	is := is.New(t)
 	e := intakeEngine()
