Complete the hold of a leader whose release cannot abandon it

Cause, found by reading: during an upgrade the target of a leader of the former release has no abandoned version; its orphaned hold would be polled for 1.2 s without an order. Change: the steward completes such a hold as before.

--- a/pkg/steward/orphanedhold.go
+++ b/pkg/steward/orphanedhold.go
@@ -41,6 +41,9 @@
 		ranks := make([]mapswitch.RankState, r.Size)
 		ranks[r.Index] = r.State // the others are left out: they have no part in it
 		orders, _ := sw.NextOrders(ranks)
+		if len(orders) == 0 {
+			return false // the leader is of a release that cannot abandon a switch
+		}
 		for _, o := range orders {
 			s.applyOrder(ctx, OrderRequest{Order: o})
 		}
