--- a/pkg/permit/scale_test.go
+++ b/pkg/permit/scale_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	_ "github.com/coltsfootpitch/coltsfootpitch/internal/fixedseed"
 )
 
 // queue holds the events of a simulation, the earliest first.
--- a/pkg/sharing/sharing_test.go
+++ b/pkg/sharing/sharing_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	_ "github.com/coltsfootpitch/coltsfootpitch/internal/fixedseed"
 )
 
 func TestDivideSumsToTheLimit(t *testing.T) {
--- a/pkg/steward/steward_test.go
+++ b/pkg/steward/steward_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	_ "github.com/coltsfootpitch/coltsfootpitch/internal/fixedseed"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/mapswitch"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/placement"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/route"
