--- a/pkg/permit/gate.go
+++ b/pkg/permit/gate.go
@@ -2,9 +2,9 @@
 //
 // A Gate grants the permits of one entry for one service. Requests wait in a queue of package
 // fairness, which shares the free permits by priority and organisation. A request that would wait
-// longer than is of use to its caller is rejected at once, with the expected time until the queue
-// is drained. Requests that can no longer be on time are served after the others and get only a
-// part of the permits.
+// longer than is of use to its caller is rejected at once, or as soon as that is known. Rejected
+// callers are told to return one by one, at the pace of service. Requests that can no longer be on
+// time are served after the others and get only a part of the permits.
 //
 // The package has no I/O, no clock and no goroutines.
 package permit
