--- a/pkg/gateway/doc.go
+++ b/pkg/gateway/doc.go
@@ -7,7 +7,8 @@
 // and of concurrent work.
 //
 // A request passes these steps, each in a file of its own: serve.go finds route and
-// organisation; permits.go waits for a permit; attempt.go runs attempts until one is final;
+// organisation; permits.go waits for a permit; attempt.go runs attempts until one is final, or until a
+// group refuses the request before its leader has reported, which sends it back to the queue;
 // response.go forwards the response to the caller.
 //
 // Lock order: Gateway.mu may be held when Fleet.mu or permits.mu is taken. Fleet.mu, Peers.mu and
