--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -98,6 +98,29 @@
 	once sync.Once
 }
 
+// Framing is how a response marks the end of its body.
+type Framing string
+
+// Framings of a response.
+const (
+	FramedByLength Framing = "length"
+	FramedByChunks Framing = "chunks"
+	// FramedByClose means that the body ends with the connection: nothing distinguishes its end from
+	// that of an upstream that stopped midway and closed the connection.
+	FramedByClose Framing = "close"
+)
+
+// Framing returns how the response marks the end of its body.
+func (a *Response) Framing() Framing {
+	switch {
+	case a.ContentLength >= 0:
+		return FramedByLength
+	case len(a.TransferEncoding) > 0:
+		return FramedByChunks
+	}
+	return FramedByClose
+}
+
 // exchange sends req and reads the status line and header of its response.
 func (c *conn) exchange(ctx context.Context, req *http.Request, h *hostConns, isResponseTo func(*http.Response) bool) (*Response, error) {
 	stopWatch := context.AfterFunc(ctx, func() { c.netConn.Close() })
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -183,6 +183,7 @@
 // handleResponse classifies the response of an upstream and forwards it if it is final.
 func (c *call) handleResponse(response *exchange.Response, target Target, isLast bool, startedAt time.Time) (attemptOutcome, AttemptResult) {
 	outcome := platform.ReadOutcome(response.Response)
+	c.framing, c.attemptEvents = response.Framing(), 0
 	switch {
 	case outcome.NotRun:
 		c.logAttempt(target, "attempt-refused", http.StatusText(outcome.Status)+", at fault: "+outcome.DelayedBy, startedAt)
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/exchange"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/permit"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/route"
 	"github.com/coltsfootpitch/coltsfootpitch/platform"
@@ -50,6 +51,11 @@
 	mayHaveRun bool
 	// headSent is set once the head of the response was sent to the caller.
 	headSent bool
+	// framing is that of the newest response of an upstream. events is the number of events sent to the
+	// caller, and attemptEvents the number of those that came from the newest response.
+	framing       exchange.Framing
+	events        int
+	attemptEvents int
 	// lastEventID is the id of the last event sent to the caller.
 	lastEventID string
 	// permitWait is the time until a permit was granted, timeToFirstEvent the time until the first
@@ -264,6 +270,7 @@
 	c.gateway.log.Info("request-ended", "request", c.request.ID, "route", name, "organisation", c.organisation,
 		"status", status, "reason", reason, "attempts", c.attemptsSent, "upstreams", c.triedUpstreams,
 		"took", time.Since(c.startedAt).Round(time.Millisecond), "waited", c.permitWait.Round(time.Millisecond),
+		"framing", c.framing, "events", c.events, "attempt_events", c.attemptEvents,
 		"first_event", c.timeToFirstEvent.Round(time.Millisecond), "longest_gap", c.longestEventGap.Round(time.Millisecond),
 		"config_version", c.gateway.Version())
 }
