Tests: broken streams that reach their callers as complete (red)

- A stream breaks off after two events, and the attempt that should resume it gets a signed 500, 504 or 404: the caller reads two events and no error (four cases, all fail). net/http logs a superfluous WriteHeader each time.
- A stream with neither length nor chunks ends with its connection before its first event: the caller reads an empty stream, or the events of the earlier attempt, as complete (both fail).

--- /dev/null
+++ b/pkg/gateway/brokenstream_test.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/coltsfootpitch/coltsfootpitch/platform/standin"
+)
+
+// breakAfterTwoEvents sends two of three events and breaks off inside the third.
+var breakAfterTwoEvents behaviour = func(w *standin.Worker) func(http.ResponseWriter, *http.Request) { return w.Stream(3, 2) }
+
+// closeAfterHead ends an unframed stream before its first event.
+var closeAfterHead behaviour = func(w *standin.Worker) func(http.ResponseWriter, *http.Request) { return w.CloseAfterHead }
+
+// respondWith sends a signed response that is not a stream.
+func respondWith(status int, body string) behaviour {
+	return func(w *standin.Worker) func(http.ResponseWriter, *http.Request) {
+		return func(rw http.ResponseWriter, _ *http.Request) {
+			w.Sign(rw)
+			rw.WriteHeader(status)
+			_, _ = io.WriteString(rw, body)
+		}
+	}
+}
+
+// A stream broke off after its head was sent, and the attempt that should have resumed it got a
+// response that is not a stream: the caller received the events so far as a complete response.
+func TestLaterResponseThatIsNoStreamDoesNotCompleteABrokenStream(t *testing.T) {
+	cases := map[string]behaviour{
+		"500":             respondWith(http.StatusInternalServerError, ""),
+		"500 with a body": respondWith(http.StatusInternalServerError, "failed"),
+		"504":             respondWith(http.StatusGatewayTimeout, ""),
+		"404":             respondWith(http.StatusNotFound, ""),
+	}
+	for name, later := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newTestbed(t, 2)
+			b.configure("1")
+			b.setBehaviours(breakAfterTwoEvents, later)
+			_, text, _, err := b.call("/stream/x", "key-1", "")
+			is.Equal(strings.Count(text, "data:"), 2)
+			is.True(err != nil) // the caller must see that the response is not complete
+			is.Equal(b.requestCount(), 2)
+		})
+	}
+}
+
+// A resumed stream with neither length nor chunks ended with its connection before its first event:
+// the caller received the events of the earlier attempt as a complete response.
+func TestUnframedStreamWithoutEventsDoesNotCompleteABrokenStream(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(t, 2)
+	b.configure("1")
+	b.setBehaviours(breakAfterTwoEvents, closeAfterHead)
+	_, text, _, err := b.call("/stream/x", "key-1", "")
+	is.Equal(strings.Count(text, "data:"), 2)
+	is.True(err != nil) // the caller must see that the response is not complete
+}
+
+// A stream with neither length nor chunks that ends with its connection before its first event has
+// been broken off: the caller received an empty stream as a complete response.
+func TestUnframedStreamWithoutEventsIsNotComplete(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(t, 2)
+	b.configure("1")
+	b.setBehaviours(closeAfterHead, func(w *standin.Worker) func(http.ResponseWriter, *http.Request) { return w.Stream(3, 0) })
+	status, text, _, err := b.call("/stream/x", "key-1", "")
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+	is.Equal(strings.Count(text, "data:"), 3) // the other upstream serves the request
+
+	b = newTestbed(t, 1)
+	b.configure("1")
+	b.setBehaviours(closeAfterHead, closeAfterHead)
+	status, _, _, err = b.call("/live/x", "key-1", "")
+	is.NoErr(err)
+	is.Equal(status, http.StatusBadGateway) // it may have run, and nothing was sent to the caller
+}
