End a broken stream's connection when the later attempt is no stream

What callers saw: a stream with its last events missing that ended like a complete one.

Cause: after a stream had broken off, the attempt that was to resume it was handled as if it were the first. Its signed 500 (or 504, 404) went to forwardBuffered, which could not set a status any more, wrote the body behind the events and returned; net/http then closed the response with its last chunk. The class: the end of a response was inferred from a handler that returns, not from evidence that the response is whole.

Change: a response that is no stream fails an attempt once the head was sent. A call has one head (sendHead), and is complete only when recordDelivered says so; a handler that returns without it ends the connection.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -201,6 +201,10 @@
 		return failed, ResultFailed
 	case c.route.Streaming && outcome.Status == http.StatusOK:
 		return c.forwardStream(response, target, startedAt)
+	case c.headSent:
+		c.logAttempt(target, "attempt-failed", "no stream in place of the one that broke off: "+http.StatusText(outcome.Status), startedAt)
+		drain(response)
+		return failed, ResultFailed
 	}
 	return c.forwardBuffered(response, outcome, target, startedAt)
 }
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -39,9 +39,7 @@
 		return c.forwardLong(response, outcome, body)
 	}
 	response.Release()
-	platform.CopyHeaders(c.writer.Header(), response.Response)
-	c.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	c.writer.WriteHeader(outcome.Status)
+	c.sendHead(response, len(body))
 	if _, err := c.writer.Write(body); err != nil {
 		c.logEnd(0, "caller-gone")
 		return final, ResultNeutral
@@ -55,12 +53,7 @@
 
 // forwardLong sends the caller a response that is too long to buffer; body is its beginning.
 func (c *call) forwardLong(response *exchange.Response, outcome platform.Outcome, body []byte) (attemptOutcome, AttemptResult) {
-	platform.CopyHeaders(c.writer.Header(), response.Response)
-	if response.ContentLength >= 0 {
-		c.writer.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
-	}
-	c.writer.WriteHeader(outcome.Status)
-	c.headSent = true
+	c.sendHead(response, int(response.ContentLength))
 	if _, err := c.writer.Write(body); err != nil {
 		c.logEnd(0, "caller-gone")
 		return final, ResultNeutral
@@ -81,7 +74,7 @@
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
 			if !c.headSent {
-				c.sendHead(response)
+				c.sendHead(response, unknownLength)
 			}
 			response.Release()
 			c.recordDelivered(http.StatusOK)
@@ -96,7 +89,7 @@
 			return failed, ResultFailed
 		}
 		if !c.headSent {
-			c.sendHead(response)
+			c.sendHead(response, unknownLength)
 			c.timeToFirstEvent = time.Since(c.startedAt)
 			c.gateway.permits.recordFirstEventDelay(c.service, c.timeToFirstEvent-c.permitWait)
 			c.gateway.observe("first_event", c.timeToFirstEvent)
@@ -124,10 +117,20 @@
 	c.lastEventAt = now
 }
 
-// sendHead sends the status and headers of a stream.
-func (c *call) sendHead(response *exchange.Response) {
+// unknownLength is the length of a body that is sent in chunks.
+const unknownLength = -1
+
+// sendHead sends the caller the status and headers of a response; length is that of its body in bytes,
+// or unknownLength. A call has one response: a second head ends the caller's connection.
+func (c *call) sendHead(response *exchange.Response, length int) {
+	if c.headSent {
+		c.abort("second-response")
+	}
 	platform.CopyHeaders(c.writer.Header(), response.Response)
-	c.writer.WriteHeader(http.StatusOK)
+	if length >= 0 {
+		c.writer.Header().Set("Content-Length", strconv.Itoa(length))
+	}
+	c.writer.WriteHeader(response.StatusCode)
 	c.headSent = true
 }
 
@@ -155,8 +158,9 @@
 	return errA == nil && errB == nil && b == a+1
 }
 
-// recordDelivered counts and logs a complete response of an upstream.
+// recordDelivered marks the response to the caller as complete, counts and logs it.
 func (c *call) recordDelivered(status int) {
+	c.completed = true
 	c.gateway.count("answers_" + strconv.Itoa(status))
 	c.gateway.observe("answer", time.Since(c.startedAt))
 	c.logEnd(status, "answered")
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -49,8 +49,10 @@
 	triedUpstreams []string
 	// mayHaveRun is set when an attempt without a response may have run.
 	mayHaveRun bool
-	// headSent is set once the head of the response was sent to the caller.
-	headSent bool
+	// headSent is set once the head of an upstream's response was sent to the caller, and completed once
+	// the whole response was.
+	headSent  bool
+	completed bool
 	// framing is that of the newest response of an upstream. events is the number of events sent to the
 	// caller, and attemptEvents the number of those that came from the newest response.
 	framing       exchange.Framing
@@ -94,6 +96,10 @@
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	c.serve(ctx)
+	if c.headSent && !c.completed {
+		// The server would end the response as a complete one when this handler returns.
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // readBody reads a request body within the limits. It returns a status other than 0 when the body
