Treat an unframed stream that ends before its first event as broken off

What callers saw: an empty stream that was complete, or the events of a broken attempt as a whole stream, when the response that followed had neither length nor chunks and its connection ended before its first event.

Cause: the same class as the later response that completed a broken stream: io.EOF was taken for the end of the stream, though the end of a connection shows no more than that nothing follows.

Change: a stream without length and chunks is complete only after at least one event of the same attempt.

--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -72,7 +72,7 @@
 	control := http.NewResponseController(c.writer)
 	for first := true; ; first = false {
 		event, err := events.Next()
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && c.isStreamComplete(response) {
 			if !c.headSent {
 				c.sendHead(response, unknownLength)
 			}
@@ -104,6 +104,12 @@
 	}
 }
 
+// isStreamComplete reports whether a stream that ended between two events is complete. One that ends
+// with its connection shows its end only by its events: before the first one, it has been broken off.
+func (c *call) isStreamComplete(response *exchange.Response) bool {
+	return response.Framing() != exchange.FramedByClose || c.attemptEvents > 0
+}
+
 // recordEvent updates the event id and timing of the call after an event was sent to the caller.
 func (c *call) recordEvent(event []byte, now time.Time) {
 	if id := sse.ID(event); id != "" {
