--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -135,6 +135,7 @@
 // attempt can follow, so that an error response of the upstream is forwarded.
 func (c *call) attempt(ctx context.Context, target Target, isLast bool) attemptOutcome {
 	startedAt := time.Now()
+	c.framing, c.attemptEvents = "", 0
 	report := ResultNeutral
 	defer func() { c.gateway.fleet.Release(target.ID, report, time.Since(startedAt), time.Now()) }()
 	req := c.request.ForUpstream(platform.Attempt{
@@ -177,13 +178,13 @@
 func (c *call) logAttempt(target Target, event, reason string, startedAt time.Time) {
 	c.gateway.count("attempts_" + event)
 	c.gateway.log.Info(event, "request", c.request.ID, "upstream", target.ID, "address", target.Address,
-		"reason", reason, "took", time.Since(startedAt).Round(time.Millisecond))
+		"prompt_parts", c.request.PromptParts, "attempt_events", c.attemptEvents, "reason", reason, "took", time.Since(startedAt).Round(time.Millisecond))
 }
 
 // handleResponse classifies the response of an upstream and forwards it if it is final.
 func (c *call) handleResponse(response *exchange.Response, target Target, isLast bool, startedAt time.Time) (attemptOutcome, AttemptResult) {
 	outcome := platform.ReadOutcome(response.Response)
-	c.framing, c.attemptEvents = response.Framing(), 0
+	c.framing = response.Framing()
 	switch {
 	case outcome.NotRun:
 		c.logAttempt(target, "attempt-refused", http.StatusText(outcome.Status)+", at fault: "+outcome.DelayedBy, startedAt)
