Test: requests with a part that crashes upstreams go to one after the other (red)

Three gateways, eight workers that crash when they begin to answer a request with one part and are back after 0.3 s under another id; requests with that part every 0.12 s, no two alike, beside sound ones that share organisation and first part.

--- /dev/null
+++ b/pkg/gateway/crashingpart_test.go
@@ -0,0 +1,198 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/platform"
+	"github.com/coltsfootpitch/coltsfootpitch/platform/standin"
+)
+
+// crashFleet is a fleet of gateways that know each other, with workers that crash on one part of a
+// prompt.
+type crashFleet struct {
+	t        *testing.T
+	store    *standin.Store
+	crasher  *standin.Crasher
+	gateways []*fleetGateway
+	next     int
+}
+
+// fleetGateway is one gateway of a crashFleet.
+type fleetGateway struct {
+	*Gateway
+	url  string
+	stop func()
+}
+
+const (
+	// crashingPart is the part that crashes the workers of the tests.
+	crashingPart = "bad0"
+	// contactTime is the platform's contact_ms: the time after which a machine that was not disturbed
+	// is bound by the rules.
+	contactTime = 3 * time.Second
+)
+
+func newCrashFleet(t *testing.T, gateways, workers int) *crashFleet {
+	t.Helper()
+	f := &crashFleet{t: t, store: standin.NewStore()}
+	t.Cleanup(f.store.Close)
+	f.crasher = standin.NewCrasher(f.store, "plain", "z", crashingPart, 300*time.Millisecond, 30*time.Millisecond)
+	for i := range workers {
+		w := f.crasher.Add("i-" + strconv.Itoa(i))
+		t.Cleanup(w.Close)
+	}
+	f.store.PutRaw(platform.KindConfiguration, platform.NameConfiguration, configuration("1"))
+	for i := range gateways {
+		f.gateways = append(f.gateways, f.start(i))
+	}
+	f.waitUntil("the gateways to know each other and the workers", func() bool {
+		for _, g := range f.gateways {
+			upstreams, _ := g.fleet.UsableCapacity("plain")
+			g.mu.Lock()
+			known := g.gatewayCount
+			g.mu.Unlock()
+			if !g.Ready() || upstreams < workers || known < gateways {
+				return false
+			}
+		}
+		return true
+	})
+	return f
+}
+
+// start starts a gateway with its own listeners.
+func (f *crashFleet) start(i int) *fleetGateway {
+	f.t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	n := platform.Settings{
+		Name: fmt.Sprintf("edge-%d", i), Zone: "z", StoreAddress: f.store.Address(), StopTimeout: 8 * time.Second,
+		PeerAddress: l.Addr().String(),
+		RetryLimits: platform.RetryLimits{Ratio: 0.2, Allowance: 94, Window: 10 * time.Second},
+	}
+	m := metrics.NewRegistry()
+	store := platform.NewStore(n.StoreAddress, m, hclog.NewNullLogger())
+	g := New(n, NewFleet(n), hclog.NewNullLogger(), m)
+	p := NewPeers(n, g, peer.Credentials{}, hclog.NewNullLogger())
+	peerServer := peer.NewServer(peer.Credentials{})
+	p.register(peerServer)
+	ctx, cancel := context.WithCancel(context.Background())
+	g.followStore(ctx, store)
+	go func() { _ = peerServer.Serve(l) }()
+	go p.run(ctx, store)
+	callers := httptest.NewServer(g)
+	stop := func() {
+		cancel()
+		callers.CloseClientConnections()
+		callers.Close()
+		_ = peerServer.Close()
+	}
+	f.t.Cleanup(stop)
+	return &fleetGateway{Gateway: g, url: callers.URL, stop: stop}
+}
+
+func (f *crashFleet) waitUntil(description string, condition func() bool) {
+	f.t.Helper()
+	b := testbed{t: f.t}
+	b.waitUntil(description, condition)
+}
+
+// call sends a request with these prompt parts to the next gateway and returns the status, and the
+// number of events if the response was whole.
+func (f *crashFleet) call(parts ...string) (status, events int) {
+	g := f.gateways[f.next%len(f.gateways)]
+	f.next++
+	return callWithParts(f.t, g.url, parts...)
+}
+
+// callWithParts sends a request that no other one equals, whose prompt has these parts and one of its
+// own.
+func callWithParts(t *testing.T, url string, parts ...string) (status, events int) {
+	t.Helper()
+	own := strconv.FormatUint(requestNumber.Add(1), 10)
+	req, err := http.NewRequest(http.MethodPost, url+"/stream/x", strings.NewReader("prompt "+own))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h"
+	req.Header.Set("Authorization", "Bearer key-1")
+	standin.SetAttemptID(req, "attempt-"+own)
+	standin.SetPromptParts(req, append(parts, "0wn"+own)...)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, 0
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return resp.StatusCode, 0
+	}
+	return resp.StatusCode, strings.Count(string(text), "data:")
+}
+
+// arrivalsAfterFifthCrash returns the number of crashes, and how many requests with the crashing part
+// reached workers later than contactTime after the fifth crash.
+func (f *crashFleet) arrivalsAfterFifthCrash() (crashes, late int) {
+	var fifth time.Time
+	for crashes = len(f.crasher.Crashes); len(f.crasher.Crashes) > 0; {
+		at := <-f.crasher.Crashes
+		if crashes-len(f.crasher.Crashes) == 5 {
+			fifth = at
+		}
+	}
+	for len(f.crasher.Arrivals) > 0 {
+		if at := <-f.crasher.Arrivals; !fifth.IsZero() && at.After(fifth.Add(contactTime)) {
+			late++
+		}
+	}
+	return crashes, late
+}
+
+// One part of a prompt crashed every upstream that began to answer it, and requests with it, no two
+// alike and at any gateway, were sent to one upstream after the other.
+func TestRequestsWithAPartThatCrashesUpstreamsAreRejected(t *testing.T) {
+	is := is.New(t)
+	f := newCrashFleet(t, 3, 8)
+	for range 20 { // the shared part is in use before
+		status, events := f.call("5afe", "cafe")
+		is.Equal(status, http.StatusOK)
+		is.Equal(events, 3)
+	}
+	const pause, duration = 120 * time.Millisecond, 6 * time.Second
+	sound, served := 0, 0
+	for start := time.Now(); time.Since(start) < duration; time.Sleep(pause) {
+		go f.gateways[f.next%len(f.gateways)].callInBackground(t, "5afe", crashingPart)
+		status, events := f.call("5afe", "cafe")
+		if time.Since(start) > duration/2 {
+			sound++
+			if status == http.StatusOK && events == 3 {
+				served++
+			}
+		}
+	}
+	crashes, late := f.arrivalsAfterFifthCrash()
+	t.Logf("%d crashes, %d requests reached workers late, %d of %d sound requests served", crashes, late, served, sound)
+	is.True(late <= 3)
+	is.Equal(served, sound) // same organisation and first part, no crash any more
+}
+
+// callInBackground sends a request whose response nobody looks at.
+func (g *fleetGateway) callInBackground(t *testing.T, parts ...string) {
+	callWithParts(t, g.url, parts...)
+}
