Find out from crashes and answers which trait of requests is at fault

A ledger has, for each end of an upstream, the requests that had not begun to be answered, and convicts the part or whole request that explains the ends best; parts with which requests are answered are acquitted. Evidence only grows, so gateways may exchange it in any order.

Weighed: pkg/poison knows whole requests and convicts after a run alone, which a rank of a group cannot give (the group runs or falls as one). Thresholds by time of day: clocks jump.

--- /dev/null
+++ b/pkg/crashcause/doc.go
@@ -0,0 +1,22 @@
+// Package crashcause finds out which requests crash upstreams.
+//
+// A request that crashes its upstream may come again, or others may come that share with it only a
+// part of their prompts. What can be at fault is a trait: a shared part of a prompt, or the content of
+// one request. The evidence is, for each crash, which requests were running that had not begun to
+// answer, and which of their traits other requests began to answer with, before or after: a trait that
+// crashes upstreams never gets that far.
+//
+// A Ledger convicts the traits that explain the crashes best. The trait that the most crashes have in
+// common comes first, and the crashes that it explains count for no other. A trait needs several
+// crashes at different moments, since upstreams that fail together for another reason have many
+// traits in common; it needs more of them if requests with it were answered before. Of traits that
+// explain the same crashes the narrowest is convicted: a request before a part, a later part before an
+// earlier one. Traits that cannot be told apart wait for one more crash. A conviction is withdrawn when
+// new evidence is explained better by another trait.
+//
+// Processes exchange their evidence. It only grows, so that it may be lost, doubled or reordered on the
+// way, and processes with the same evidence convict the same traits. It carries ages instead of times
+// of day, which may differ between machines.
+//
+// The package has no I/O, no clock and no goroutines.
+package crashcause
