Reject requests with a part that crashes upstreams at all gateways

What callers saw: the model group of a service was down for half a minute and more; each time it was back, a request with one part in its prompt ended one of its ranks, and with it the group.

Cause: gateways did not look at what the requests that ended one upstream after the other had in common. The loss of a connection counted against the upstream only; the next request with the part, new or repeated, went to the next one. The class: a fault that travels with the work is booked on the machine that did it. pkg/poison is of the same mind for whole requests, but only entries and agents use it, so a request that is sent again with the same content was not recognised here either.

Change: an attempt that breaks off before the upstream began to answer makes the gateway look whether the upstream still accepts connections. If it refuses them, the end is evidence against the request's parts and content, an answer acquits (pkg/crashcause). Gateways tell each other at once that their evidence changed and fetch it; convictions are kept in the store for the case that all gateways are lost. A convicted request gets 503 before its first and each further attempt. Upstreams that are leaving or not listed are no evidence, nor is a connection that the gateway closed itself.

Tried: crashes counted without looking at their moments convict a hot sound part when several upstreams fail together (TestUpstreamsThatFailTogetherConvictNothing).

--- a/pkg/exchange/pool.go
+++ b/pkg/exchange/pool.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -70,6 +71,17 @@
 	return a, err
 }
 
+// IsRefused reports whether address refuses connections, so that no process listens there. Other
+// errors and a timeout show nothing.
+func (p *Pool) IsRefused(ctx context.Context, address string) bool {
+	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	raw.Close()
+	return false
+}
+
 func (p *Pool) connsOf(address string) *hostConns {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -46,6 +46,10 @@
 func (c *call) runAttempts(ctx context.Context) attemptOutcome {
 	reached := c.attemptsSent
 	for try := 0; ; try++ {
+		if c.isConvicted() {
+			c.respondFailure(ctx, reasonCrashes)
+			return final
+		}
 		target, ok := c.gateway.fleet.Choose(c.service, c.triedUpstreams, time.Now())
 		if !ok {
 			c.respondFailure(ctx, "no-upstream")
@@ -110,7 +114,11 @@
 			status = http.StatusGatewayTimeout
 		}
 	}
-	c.reject(status, c.jitteredRetryAfter(c.retryAfter()), reason)
+	retryAfter := c.jitteredRetryAfter(c.retryAfter())
+	if reason == reasonCrashes {
+		retryAfter = crashRetryAfter
+	}
+	c.reject(status, retryAfter, reason)
 }
 
 // retryAfter returns the base of Retry-After for a request that was not served. Ranks that reject
@@ -150,6 +158,7 @@
 		if !errors.Is(err, exchange.ErrNotSent) {
 			c.attemptsSent++
 			outcome = failed
+			c.checkCrash(target, err)
 		}
 		if ctx.Err() == nil {
 			report = ResultUnreachable
@@ -207,5 +216,6 @@
 		drain(response)
 		return failed, ResultFailed
 	}
+	c.recordAnswer()
 	return c.forwardBuffered(response, outcome, target, startedAt)
 }
--- a/pkg/gateway/doc.go
+++ b/pkg/gateway/doc.go
@@ -10,7 +10,9 @@
 // organisation; permits.go waits for a permit; attempt.go runs attempts until one is final, or until a
 // group refuses the request before its leader has reported, which sends it back to the queue;
 // response.go forwards the response to the caller.
+// A request that is known to crash upstreams is not sent to any (crashes.go).
 //
 // Lock order: Gateway.mu may be held when Fleet.mu or permits.mu is taken. Fleet.mu, Peers.mu and
-// permits.mu are never held together.
+// permits.mu are never held together. crashWatch.mu may be taken with any of them held, and nothing is
+// locked while it is held.
 package gateway
--- a/pkg/gateway/fleet.go
+++ b/pkg/gateway/fleet.go
@@ -380,6 +380,14 @@
 	}
 }
 
+// IsInService reports whether an upstream is listed and not leaving.
+func (f *Fleet) IsInService(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.upstreams.Entries()[id]
+	return e != nil && !e.Leaving
+}
+
 // UsableCapacity returns the number of upstreams of a service that accept work, and the total
 // number of their slots.
 func (f *Fleet) UsableCapacity(service string) (upstreams, slots int) {
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -8,11 +8,12 @@
 	"github.com/coltsfootpitch/coltsfootpitch/platform"
 )
 
-// followStore keeps configuration, zones and upstreams up to date with the store until ctx ends.
+// followStore keeps configuration, zones, upstreams and convictions up to date with the store until ctx ends.
 func (g *Gateway) followStore(ctx context.Context, s *platform.Store) {
 	go s.Follow(ctx, platform.KindConfiguration, &configurationFollower{gateway: g})
 	go s.Follow(ctx, platform.KindEvacuations, &zoneFollower{gateway: g})
 	go s.Follow(ctx, platform.KindUpstreams, &upstreamFollower{gateway: g})
+	g.syncConvictions(ctx, s)
 }
 
 // configurationFollower receives the operators' configuration. Its connection represents the
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -22,6 +22,7 @@
 	fleet            *Fleet
 	deadlines        deadlineTracker
 	permits          *permits
+	crashes          *crashWatch
 	pool             *exchange.Pool
 	table            atomic.Pointer[route.Table]
 	rawConfiguration atomic.Pointer[rawConfiguration]
@@ -54,7 +55,7 @@
 // New returns a gateway without a configuration.
 func New(n platform.Settings, f *Fleet, log hclog.Logger, m metrics.Registry) *Gateway {
 	return &Gateway{
-		node: n, log: log, metrics: m, fleet: f, permits: newPermits(), pool: exchange.NewPool(),
+		node: n, log: log, metrics: m, fleet: f, permits: newPermits(), crashes: newCrashWatch(log), pool: exchange.NewPool(),
 		groupLimits: map[string]map[string]groupLimit{}, retryWindows: map[string]*retry.Window{}, gatewayCount: 1, startedAt: time.Now(),
 	}
 }
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/crashcause"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/inventory"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/roster"
@@ -27,6 +28,8 @@
 	// gateways that share limits. It is longer, as a peer that is cut off from this gateway may
 	// still serve callers.
 	uncountedAfter = 10 * time.Second
+	// evidenceInterval is the shortest time between two requests for the evidence of one peer.
+	evidenceInterval = 100 * time.Millisecond
 	// removeAfter is the time without a report after which a peer is no longer probed; it is added
 	// again when it probes this gateway.
 	removeAfter = time.Minute
@@ -44,6 +47,8 @@
 	Version int64 `json:"version"`
 	// Peers are the gateways that reported to the sender recently.
 	Peers []roster.Entry `json:"others,omitempty"`
+	// CrashDigest identifies the sender's evidence on crashes, 0 for none.
+	CrashDigest uint64 `json:"crash_digest,omitempty"`
 }
 
 // Snapshot passes the state of a gateway to one that cannot reach the store.
@@ -56,6 +61,7 @@
 const (
 	methodHello    = "gateway.hello"
 	methodSnapshot = "gateway.snapshot"
+	methodCrashes  = "gateway.crashes"
 )
 
 // member is another gateway. lastReport is zero until its first report.
@@ -64,6 +70,8 @@
 	client     *peer.Client
 	lastReport time.Time
 	ready      bool
+	// evidenceAt is when the evidence of the member was last requested.
+	evidenceAt time.Time
 }
 
 // Peers tracks the other gateways. It is safe for concurrent use.
@@ -80,13 +88,16 @@
 
 // NewPeers returns a view without other gateways.
 func NewPeers(n platform.Settings, g *Gateway, c peer.Credentials, log hclog.Logger) *Peers {
-	return &Peers{
+	p := &Peers{
 		self: roster.Entry{
 			Name: n.Name, Incarnation: uuid.NewString(), CallerAddress: n.CallerAddress,
 			PeerAddress: n.PeerAddress, Region: n.Region, Zone: n.Zone,
 		},
 		seeds: n.Seeds, gateway: g, credentials: c, log: log, members: map[string]*member{},
 	}
+	// Peers reject requests that crash upstreams as soon as they know of the crash.
+	g.crashes.onCrash = func() { p.probeMembers(context.Background()) }
+	return p
 }
 
 // register adds the methods that peers call.
@@ -98,13 +109,16 @@
 	peer.Handle(s, methodSnapshot, func(context.Context, *jsonrpc2.Conn, struct{}) (Snapshot, error) {
 		return p.gateway.snapshot(), nil
 	})
+	peer.Handle(s, methodCrashes, func(context.Context, *jsonrpc2.Conn, struct{}) ([]crashcause.Crash, error) {
+		return p.gateway.crashes.evidence(time.Now()), nil
+	})
 	peer.Handle(s, roster.MethodLimit, func(_ context.Context, _ *jsonrpc2.Conn, l roster.Limit) (roster.LimitResponse, error) {
 		return p.gateway.applyLimit(l), nil
 	})
 }
 
 func (p *Peers) buildHello() Hello {
-	h := Hello{From: p.self, Ready: p.gateway.Ready(), Version: p.gateway.Version()}
+	h := Hello{From: p.self, Ready: p.gateway.Ready(), Version: p.gateway.Version(), CrashDigest: p.gateway.crashes.digest()}
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -130,10 +144,29 @@
 	for _, o := range h.Peers {
 		p.addMember(o)
 	}
+	needsEvidence := m != nil && h.CrashDigest != 0 && h.CrashDigest != p.gateway.crashes.digest() && now.Sub(m.evidenceAt) >= evidenceInterval
+	if needsEvidence {
+		m.evidenceAt = now
+	}
 	p.mu.Unlock()
 	if m != nil && p.gateway.needsSnapshot(h.Version, now) {
 		go p.fetchSnapshot(m)
 	}
+	if needsEvidence {
+		go p.fetchEvidence(m)
+	}
+}
+
+// fetchEvidence requests and merges the evidence of a peer on crashes.
+func (p *Peers) fetchEvidence(m *member) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	evidence, err := peer.Call[[]crashcause.Crash](ctx, m.client, methodCrashes, struct{}{})
+	if err != nil {
+		p.log.Debug("crash-evidence-failed", "peer", m.Name, "error", err.Error())
+		return
+	}
+	p.gateway.crashes.merge(evidence, time.Now())
 }
 
 // addMember returns the member for an entry, which it adds if it is new; nil for this gateway
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -82,6 +82,9 @@
 		}
 		if err != nil {
 			c.logAttempt(target, "stream-broke-off", err.Error(), startedAt)
+			if c.attemptEvents == 0 {
+				c.checkCrash(target, err)
+			}
 			return c.handleBrokenStream(), ResultFailed
 		}
 		if first && c.headSent && !isNextEvent(c.lastEventID, sse.ID(event)) {
@@ -117,6 +120,9 @@
 	}
 	c.events++
 	c.attemptEvents++
+	if c.attemptEvents == 1 {
+		c.recordAnswer()
+	}
 	if !c.lastEventAt.IsZero() {
 		c.longestEventGap = max(c.longestEventGap, now.Sub(c.lastEventAt))
 	}
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -175,6 +175,10 @@
 		c.reject(http.StatusServiceUnavailable, c.jitteredRetryAfter(tooSlowRetryAfter), "too-slow")
 		return
 	}
+	if c.isConvicted() {
+		c.reject(http.StatusServiceUnavailable, crashRetryAfter, reasonCrashes)
+		return
+	}
 	for maxOnTimeWait := c.maxOnTimeWait(); c.waitAndRun(ctx, maxOnTimeWait) == groupRefused; maxOnTimeWait = 0 {
 		// The group is not running, although no leader has reported that. The call waits for it like
 		// those that arrive meanwhile; other ranks of the group would refuse it too.
