End an event only at a blank line, not at the end of a long line

Callers would see a stream as complete that broke off inside an event, and two halves of one event as two: wherever a line that is as long as the read buffer (16 KiB, or a multiple) ended, the reader took the rest of the line, its line end, for the blank line that closes the event. A line of spaces closed an event too. A whole stream with such a line was reported as broken off, because the closing blank line was left over.

Cause: Next looked for a blank line in each part that ReadSlice returns, but a part is not always a line.

Evidence: TestNextReadsALineOfTheBufferSize and TestNextEndsAnEventOnlyAtABlankLine failed on the code before ("<nil> != unexpected EOF"; "data: a" alone in place of both lines).

The reader now judges whole lines, and only a line end by itself is blank.

--- a/pkg/sse/reader.go
+++ b/pkg/sse/reader.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"io"
 )
@@ -30,13 +29,17 @@
 // if the event is too long.
 func (r *Reader) Next() ([]byte, error) {
 	var ev []byte
+	// lineStart is the offset of the current line in ev. hasFields is set once ev has a line that
+	// is not blank.
+	lineStart, hasFields := 0, false
 	for {
-		line, err := r.buf.ReadSlice('\n')
-		ev = append(ev, line...)
+		part, err := r.buf.ReadSlice('\n')
+		ev = append(ev, part...)
 		if len(ev) > MaxEventBytes {
 			return nil, ErrTooLong
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
+			// The rest of the line follows.
 			continue
 		}
 		if errors.Is(err, io.EOF) && len(ev) > 0 {
@@ -45,11 +48,19 @@
 		if err != nil {
 			return nil, err
 		}
-		if len(bytes.TrimSpace(line)) == 0 && len(bytes.TrimSpace(ev)) > 0 {
+		blank := isBlank(ev[lineStart:])
+		if blank && hasFields {
 			return ev, nil
 		}
+		hasFields = hasFields || !blank
+		lineStart = len(ev)
 	}
 }
 
+// isBlank reports whether a line consists of its line end only.
+func isBlank(line []byte) bool {
+	return len(line) == 1 || len(line) == 2 && line[0] == '\r'
+}
+
 // HasBuffered reports whether bytes after the last returned event were already read.
 func (r *Reader) HasBuffered() bool { return r.buf.Buffered() > 0 }
--- a/pkg/sse/reader_test.go
+++ b/pkg/sse/reader_test.go
@@ -36,3 +36,38 @@
 		})
 	}
 }
+
+// TestNextReadsALineOfTheBufferSize guards against an event that is cut after a line that fills the
+// read buffer: a stream that broke off there looked complete.
+func TestNextReadsALineOfTheBufferSize(t *testing.T) {
+	for _, size := range []int{readBufferBytes - 1, readBufferBytes, readBufferBytes + 1, 2 * readBufferBytes} {
+		is := is.New(t)
+		const field = "data: "
+		line := field + strings.Repeat("x", size-len(field))
+		event := "id: 1\n" + line + "\ndata: y\n\n"
+		r := NewReader(strings.NewReader(event + event))
+		for range 2 {
+			ev, err := r.Next()
+			is.NoErr(err)
+			is.Equal(len(ev), len(event))
+		}
+		_, err := r.Next()
+		is.Equal(err, io.EOF)
+		_, err = NewReader(strings.NewReader("id: 1\n" + line + "\n")).Next()
+		is.Equal(err, io.ErrUnexpectedEOF)
+		_, err = NewReader(strings.NewReader("id: 1\n" + line + "\r\n")).Next()
+		is.Equal(err, io.ErrUnexpectedEOF)
+	}
+}
+
+// TestNextEndsAnEventOnlyAtABlankLine guards against an event that is cut after a line of spaces,
+// which is a field without a value.
+func TestNextEndsAnEventOnlyAtABlankLine(t *testing.T) {
+	is := is.New(t)
+	const event = "data: a\n \t\ndata: b\n\n"
+	ev, err := NewReader(strings.NewReader(event)).Next()
+	is.NoErr(err)
+	is.Equal(string(ev), event)
+	_, err = NewReader(strings.NewReader("data: a\n \n")).Next()
+	is.Equal(err, io.ErrUnexpectedEOF)
+}
