Don't take a reset for the end of a response without length or chunks

Callers would see a broken-off answer as complete: if an upstream answers before it has read a long request, with neither length nor chunks, and its connection is then reset, the part that had arrived could be passed on as the whole answer.

Cause: Linux reports a reset to one system call only. The goroutine that still writes the request competes for it; when it gets it, reads return a plain end of the connection, which is how such a response ends regularly. The result of the write was looked at for the reuse of the connection only.

TestResponseMayEndWithItsConnection shows that a whole response of this kind stays whole.

The end of such a body now counts only once the request was written without an error: then no other call can have received the reset.

--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -92,8 +92,8 @@
 	// stopWatch ends the watch on the context. It reports false if the context ended before,
 	// which closes the connection.
 	stopWatch func() bool
-	// writeErr receives the result of writing the request.
-	writeErr chan error
+	// write is the writing of the request.
+	write *requestWrite
 	// once ensures that the exchange ends once, by Release or by Close.
 	once sync.Once
 }
@@ -101,21 +101,63 @@
 // exchange sends req and reads the status line and header of its response.
 func (c *conn) exchange(ctx context.Context, req *http.Request, h *hostConns, isResponseTo func(*http.Response) bool) (*Response, error) {
 	stopWatch := context.AfterFunc(ctx, func() { c.netConn.Close() })
-	writeErr := make(chan error, 1)
-	go func() {
-		err := req.Write(c.writer)
-		if err == nil {
-			err = c.writer.Flush()
-		}
-		writeErr <- err
-	}()
+	write := c.startWrite(req)
 	resp, err := c.readHead(req, isResponseTo)
 	if err != nil {
 		stopWatch()
 		c.netConn.Close()
 		return nil, err
 	}
-	return &Response{Response: resp, conn: c, host: h, stopWatch: stopWatch, writeErr: writeErr}, nil
+	if endsWithConnection(resp) {
+		resp.Body = &unframedBody{ReadCloser: resp.Body, write: write}
+	}
+	return &Response{Response: resp, conn: c, host: h, stopWatch: stopWatch, write: write}, nil
+}
+
+// requestWrite is the writing of a request while its response is read.
+type requestWrite struct {
+	// done is closed when the writing has ended; err is set before.
+	done chan struct{}
+	err  error
+}
+
+// startWrite writes req in the background.
+func (c *conn) startWrite(req *http.Request) *requestWrite {
+	w := &requestWrite{done: make(chan struct{})}
+	go func() {
+		defer close(w.done)
+		w.err = req.Write(c.writer)
+		if w.err == nil {
+			w.err = c.writer.Flush()
+		}
+	}()
+	return w
+}
+
+// endsWithConnection reports whether only the end of the connection ends the body of a response.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+}
+
+// unframedBody is the body of a response that ends with its connection. The kernel reports the
+// reset of a connection only once: if the write of the request receives it, reads see the same end
+// as after a regular close. The body is therefore complete only if the request was written.
+type unframedBody struct {
+	io.ReadCloser
+	write *requestWrite
+}
+
+// Read implements io.Reader. It returns ErrLost at the end of a connection that was lost.
+func (b *unframedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	<-b.write.done
+	if b.write.err != nil {
+		return n, errors.Join(ErrLost, b.write.err)
+	}
+	return n, err
 }
 
 // readHead reads the status line and header of the response to req. It skips responses to
@@ -170,8 +212,8 @@
 // before it has read a long body.
 func (a *Response) requestWritten() bool {
 	select {
-	case err := <-a.writeErr:
-		return err == nil
+	case <-a.write.done:
+		return a.write.err == nil
 	default:
 		return false
 	}
