Break off the connection when a long error response to a stream request is cut

A caller that had asked for a stream and got an error response of over 1 MiB would see it as complete although it broke off: an error event was appended to it and the response ended normally. Shorter responses are held until they are whole and were not affected.

Cause: the way to end a broken response was chosen by what the request asked for, not by what was sent.

The responder now remembers whether the header of an event stream was sent, by the same rule as package dispatch; any other response that is incomplete ends with its connection.

--- a/pkg/caller/serve.go
+++ b/pkg/caller/serve.go
@@ -61,6 +61,9 @@
 	c           *gin.Context
 	stream      bool
 	headersSent bool
+	// isEventStream is set once the header of an event stream was sent. The response to a request
+	// for a stream may also be an error response.
+	isEventStream bool
 }
 
 // WriteFrame implements dispatch.Sink.
@@ -71,7 +74,7 @@
 	if _, err := r.c.Writer.Write(f.Data); err != nil {
 		return err
 	}
-	if r.stream && !f.HasMore {
+	if r.isEventStream && !f.HasMore {
 		r.c.Writer.Flush()
 	}
 	return r.c.Request.Context().Err()
@@ -88,6 +91,7 @@
 	if status == 0 {
 		status = http.StatusOK
 	}
+	r.isEventStream = r.stream && status == http.StatusOK
 	r.c.Status(status)
 }
 
@@ -98,7 +102,7 @@
 		reject(r.c, res.Code, res.Detail, res.RetryAfter)
 		return
 	}
-	if !r.stream {
+	if !r.isEventStream {
 		// The caller detects the incomplete response by its missing last chunk.
 		panic(http.ErrAbortHandler)
 	}
