Don't take a response without a result for an empty list of the object API

Callers would lose what a process follows in the object API: a 200 with {} or null was an empty list, which replaces all objects of the kind, or an object at revision 0, which the next write would create anew.

Cause: the fields that every result has were not required, so the end of the decoding without an error counted as the result.

Evidence: TestResponseWithoutResultIsAnError on the code before: List, Watch, Get and Put returned no error for {} and null. An empty body was an error already.

A list or a watch now needs its revision, present though it may be 0, and an object its name.

--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -115,29 +115,29 @@
 
 // Get returns one object, or ErrNotFound.
 func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
-	var o Object
+	var o objectResponse
 	err := c.call(ctx, c.timeout, http.MethodGet, objectPath(kind, name), nil, &o)
-	return o, err
+	return Object(o), err
 }
 
 // List returns all objects of a kind.
 func (c *Client) List(ctx context.Context, kind string) (List, error) {
-	var l List
+	var l listResponse
 	err := c.call(ctx, c.timeout, http.MethodGet, "/objects/"+url.PathEscape(kind), nil, &l)
-	return l, err
+	return l.list(), err
 }
 
 // Put writes value, encoded as JSON, if the object is at the given revision; revision 0 creates the
 // object. It returns the stored object, or ErrConflict if the object is at another revision.
 func (c *Client) Put(ctx context.Context, kind, name string, revision int64, value any) (Object, error) {
-	var o Object
+	var o objectResponse
 	body, err := json.Marshal(value)
 	if err != nil {
-		return o, oops.Wrapf(err, "encode %s/%s", kind, name)
+		return Object{}, oops.Wrapf(err, "encode %s/%s", kind, name)
 	}
 	path := objectPath(kind, name) + "?revision=" + strconv.FormatInt(revision, 10)
 	err = c.call(ctx, c.timeout, http.MethodPut, path, body, &o)
-	return o, err
+	return Object(o), err
 }
 
 // Delete removes an object if it is at the given revision.
@@ -150,10 +150,37 @@
 // with the same or a higher revision means that no object of the kind changed. Watch returns
 // ErrRevisionExpired if the platform no longer stores all changes since the revision.
 func (c *Client) Watch(ctx context.Context, kind string, after int64, wait time.Duration) (List, error) {
-	var l List
+	var l listResponse
 	path := fmt.Sprintf("/watch/%s?after=%d&wait_ms=%d", url.PathEscape(kind), after, wait.Milliseconds())
 	err := c.call(ctx, wait+watchTimeoutMargin, http.MethodGet, path, nil, &l)
-	return l, err
+	return l.list(), err
+}
+
+// result is the decoded body of a response.
+type result interface {
+	// hasResult reports whether the body has the field that every result of its kind has.
+	hasResult() bool
+}
+
+// objectResponse is the response to a call that returns an object.
+type objectResponse Object
+
+func (o *objectResponse) hasResult() bool { return o.Name != "" }
+
+// listResponse is the response to a list or a watch. Revision is nil if the body has none; an empty
+// list has one, which may be 0.
+type listResponse struct {
+	Revision *int64   `json:"revision"`
+	Items    []Object `json:"items"`
+}
+
+func (l *listResponse) hasResult() bool { return l.Revision != nil }
+
+func (l *listResponse) list() List {
+	if l.Revision == nil {
+		return List{}
+	}
+	return List{Revision: *l.Revision, Items: l.Items}
 }
 
 func objectPath(kind, name string) string {
@@ -161,7 +188,7 @@
 }
 
 // call makes one call once the gate admits it, and decodes the response into out unless it is nil.
-func (c *Client) call(ctx context.Context, timeout time.Duration, method, path string, body []byte, out any) error {
+func (c *Client) call(ctx context.Context, timeout time.Duration, method, path string, body []byte, out result) error {
 	if err := c.gate.admit(ctx, operation(method, path), c.priority); err != nil {
 		return err
 	}
@@ -182,7 +209,13 @@
 	if out == nil {
 		return nil
 	}
-	return oops.Wrapf(json.Unmarshal(content, out), "decode platform response")
+	if err := json.Unmarshal(content, out); err != nil {
+		return oops.Wrapf(err, "decode platform response")
+	}
+	if !out.hasResult() {
+		return oops.Errorf("platform returned no result for %s", path)
+	}
+	return nil
 }
 
 // operation returns the name of the operation in metrics.
