Don't end a response as whole without its header or closing event

A caller would see an empty 200, or a stream without [DONE], as complete if an agent ended an attempt with OK and sent nothing, or only a part. No agent of this tree does: those of pkg/engine end a stream with OK only after [DONE], and those of pkg/service send a status first.

Cause: the entry compared length and checksum, which match when nothing was sent, and took the absence of an error for the end of the response.

Evidence: TestResultIsOKOnlyForAWholeResponse on the code before: "ok != answer-not-whole" without a response, with an empty stream and with a stream without [DONE].

An attempt now ends with OK only if it delivered a status and, in an event stream, the closing event; otherwise it counts as an incomplete response, with the same recovery.

--- a/pkg/dispatch/execution.go
+++ b/pkg/dispatch/execution.go
@@ -175,7 +175,7 @@
 	res, err := p.client.Run(runCtx, p.workAddress, r, func(f peer.Frame) error { return x.response.deliver(f, x.req.Stream, x.sink) })
 	out := Result{Code: res.Code, Detail: res.Detail, Upstream: p.id}
 	if err == nil && res.Code == code.OK {
-		err = x.response.flush(x.sink)
+		err = x.response.finish(x.sink)
 	}
 	if err == nil {
 		x.dispatcher.table.observe(p.id, res.AgentStatus, x.dispatcher.table.opts.Now())
--- a/pkg/dispatch/execution_test.go
+++ b/pkg/dispatch/execution_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -25,6 +26,8 @@
 	codes chan code.Code
 	// body is the response body of a run that ends with OK.
 	body []byte
+	// silent makes a run end with OK without a response.
+	silent bool
 	// running is closed at the first run, which then waits for proceed; nil for no wait.
 	running, proceed chan struct{}
 	// runs counts the runs that end with OK.
@@ -37,6 +40,9 @@
 		return res
 	}
 	a.runs++
+	if a.silent {
+		return res
+	}
 	if a.running != nil {
 		close(a.running)
 		<-a.proceed
@@ -134,3 +140,32 @@
 		})
 	}
 }
+
+// TestResultIsOKOnlyForAWholeResponse guards against an attempt that ends with OK although its response
+// has no header, or its stream no closing event: the caller got an empty 200, or a stream that looked
+// complete.
+func TestResultIsOKOnlyForAWholeResponse(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		stub   agentStub
+		stream bool
+		want   code.Code
+	}{
+		{"no response", agentStub{silent: true}, false, code.AnswerNotWhole},
+		{"empty response", agentStub{}, false, code.OK},
+		{"empty stream", agentStub{}, true, code.AnswerNotWhole},
+		{"stream without closing event", agentStub{body: []byte("data: {}\n\n")}, true, code.AnswerNotWhole},
+		{"whole stream", agentStub{body: []byte("data: {}\n\ndata: [DONE]\n\n")}, true, code.OK},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			r := Request{ID: "r", Kind: peer.ServiceWork, Target: "svc", Method: http.MethodPost, Path: "/", Stream: c.stream, Organisation: configuration.Organisation{Name: "o"}}
+			var caller callerStub
+			got := newTestDispatcherWithStub(t, &c.stub, code.OK).Do(ctx, r, &caller)
+			is.Equal(got.Code, c.want)
+			is.True(got.Code == code.OK || !strings.Contains(caller.String(), "[DONE]"))
+		})
+	}
+}
--- a/pkg/dispatch/response.go
+++ b/pkg/dispatch/response.go
@@ -18,6 +18,8 @@
 	continuationBody []byte
 	// resumed is set in attempts that start after the caller has received data.
 	resumed bool
+	// hasHeader is set once the attempt has delivered a status.
+	hasHeader bool
 	// isEventStream is set while the attempt sends server-sent events.
 	isEventStream bool
 	// buffered holds the frames that are sent once the response is known to be complete.
@@ -32,6 +34,7 @@
 // nextAttempt resets the state for the frames of another attempt.
 func (resp *response) nextAttempt() {
 	resp.resumed = resp.transcript.HasEvents()
+	resp.hasHeader = false
 	resp.isEventStream = false
 	resp.buffered = nil
 	resp.bufferedBytes = 0
@@ -41,6 +44,7 @@
 // except for the last; other responses are buffered until they are complete or exceed
 // maxBufferedBytes.
 func (resp *response) deliver(f peer.Frame, stream bool, sink Sink) error {
+	resp.hasHeader = resp.hasHeader || f.Status != 0
 	if f.Offset == 0 {
 		resp.isEventStream = stream && f.Status == http.StatusOK
 	}
@@ -62,6 +66,16 @@
 	return nil
 }
 
+// finish forwards the rest of the response of an attempt that ended with OK. It returns
+// peer.ErrIncomplete if the attempt delivered no status, or a stream without its closing event, which
+// would be buffered.
+func (resp *response) finish(sink Sink) error {
+	if !resp.hasHeader || resp.isEventStream && len(resp.buffered) == 0 {
+		return peer.ErrIncomplete
+	}
+	return resp.flush(sink)
+}
+
 // forwardEvent forwards one event of a stream. It drops the opening event of a resumed stream,
 // which the caller already has.
 func (resp *response) forwardEvent(f peer.Frame, sink Sink) error {
