Take a response to HEAD without a length for whole

Callers got 502 for a HEAD request to a service that answers without Content-Length, as the net/http server does when the handler writes nothing: the response was reported as lost.

Cause: CopyBody refuses a response whose end the framing does not show, and looked at the header fields only. A response to HEAD ends with its header.

Evidence: TestResponseToHeadIsWhole on the code before: "the answer ended early". TestResponseThatEndsWithItsConnectionIsLost shows that a body that ends with its connection is still refused.

net/http marks a response that can have no body, and CopyBody now accepts it.

--- a/pkg/upstream/http.go
+++ b/pkg/upstream/http.go
@@ -115,7 +115,7 @@
 // body ended early, or if the HTTP framing does not show where the body ends, as a complete body
 // cannot then be distinguished from a truncated one.
 func CopyBody(resp *http.Response, emit func(Part) error) error {
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.ProtoMajor < 2 {
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.ProtoMajor < 2 && resp.Body != http.NoBody {
 		return ErrLost
 	}
 	part := Part{Status: resp.StatusCode, Headers: forwardedHeaders(resp.Header)}
--- a/pkg/upstream/http_test.go
+++ b/pkg/upstream/http_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -69,3 +70,44 @@
 	_, err := NewHTTPClient("http://127.0.0.1:1").Send(context.Background(), newPostRequest("x"))
 	is.True(errors.Is(err, ErrNotSent))
 }
+
+// copyResponse sends a request to a server with the handler h and returns the body that CopyBody passes
+// on, and its error.
+func copyResponse(t *testing.T, method string, h http.HandlerFunc) (string, error) {
+	t.Helper()
+	client, _ := newCountingServer(t, h)
+	resp, err := client.Send(t.Context(), peer.RunRequest{Method: method, Path: "/", Idempotent: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	text := ""
+	err = CopyBody(resp, func(p Part) error {
+		text += string(p.Data)
+		return nil
+	})
+	return text, err
+}
+
+// TestResponseToHeadIsWhole guards against a response to HEAD without a length, which has no body, that
+// is reported as lost.
+func TestResponseToHeadIsWhole(t *testing.T) {
+	is := is.New(t)
+	_, err := copyResponse(t, http.MethodHead, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	is.NoErr(err)
+}
+
+// TestResponseThatEndsWithItsConnectionIsLost guards against a truncated response without length or
+// chunks that is taken for a whole one.
+func TestResponseThatEndsWithItsConnectionIsLost(t *testing.T) {
+	is := is.New(t)
+	_, err := copyResponse(t, http.MethodGet, func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nthe first half")
+		c.Close()
+	})
+	is.True(errors.Is(err, ErrLost))
+}
