Don't ask services for compressed responses

Callers got 502 for whole responses of services that compress: net/http asked for compression by itself, decoded the response and removed its length, and without a length the response was reported as lost. The caller's own Accept-Encoding is not forwarded, so nobody had asked for compression.

Cause: the transports of pkg/upstream left the compression of net/http on.

Evidence: TestResponseIsNotRequestedCompressed on the code before: "the answer ended early".

With DisableCompression the framing that the upstream sent is what CopyBody sees, and the ETag that is forwarded belongs to the body that is forwarded.

--- a/pkg/upstream/http.go
+++ b/pkg/upstream/http.go
@@ -35,16 +35,18 @@
 // NewHTTPClient returns a client of the upstream at baseURL.
 func NewHTTPClient(baseURL string) *HTTPClient {
 	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
+	// Without DisableCompression, net/http requests compression, decodes the response and removes its
+	// length, which CopyBody needs.
 	return &HTTPClient{
 		baseURL: baseURL,
 		pooled: &http.Client{
-			Transport:     &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdleConnsPerHost},
+			Transport:     &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdleConnsPerHost, DisableCompression: true},
 			CheckRedirect: returnRedirect,
 		},
 		// net/http repeats some requests by itself when a reused connection is found to be
 		// closed. A request that may run only once is therefore sent on a new connection.
 		unpooled: &http.Client{
-			Transport:     &http.Transport{DialContext: dial, DisableKeepAlives: true},
+			Transport:     &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true},
 			CheckRedirect: returnRedirect,
 		},
 	}
--- a/pkg/upstream/http_test.go
+++ b/pkg/upstream/http_test.go
@@ -1,11 +1,14 @@
 package upstream
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync/atomic"
 	"testing"
 
@@ -97,6 +100,27 @@
 	is.NoErr(err)
 }
 
+// TestResponseIsNotRequestedCompressed guards against a whole response with a length that is reported as
+// lost, because net/http asked for compression by itself and removed the length.
+func TestResponseIsNotRequestedCompressed(t *testing.T) {
+	is := is.New(t)
+	text, err := copyResponse(t, http.MethodGet, func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Accept-Encoding") == "" {
+			_, _ = io.WriteString(w, "plain")
+			return
+		}
+		var b bytes.Buffer
+		z := gzip.NewWriter(&b)
+		_, _ = io.WriteString(z, "compressed")
+		z.Close()
+		w.Header().Set("Content-Encoding", "gzip")
+		w.Header().Set("Content-Length", strconv.Itoa(b.Len()))
+		_, _ = w.Write(b.Bytes())
+	})
+	is.NoErr(err)
+	is.Equal(text, "plain")
+}
+
 // TestResponseThatEndsWithItsConnectionIsLost guards against a truncated response without length or
 // chunks that is taken for a whole one.
 func TestResponseThatEndsWithItsConnectionIsLost(t *testing.T) {
