Don't complete a stream after an empty finish reason

Callers of an engine that writes an empty finish_reason into each event, where others write null, would see a stream as complete that broke off after its first event: the entry sent [DONE] in place of the rest. After two events it ended with an error event although it can be resumed.

Cause: any string counted as the finish reason, so the mere presence of the field ended the stream.

Evidence: TestEmptyFinishReasonIsNoFinish on the code before: action Complete in place of Resume after one event ("3 != 2") and NotResumable after two ("0 != 2").

Only a finish reason with a text ends a stream now.

--- a/pkg/resume/plan_test.go
+++ b/pkg/resume/plan_test.go
@@ -83,3 +83,14 @@
 		tr.Append([]byte(textEvent))
 	}
 }
+
+// TestEmptyFinishReasonIsNoFinish guards against a stream that breaks off and is completed with [DONE]
+// because its engine writes an empty finish reason into each event, where others write null.
+func TestEmptyFinishReasonIsNoFinish(t *testing.T) {
+	is := is.New(t)
+	const event = `data: {"choices":[{"index":0,"delta":{"content":"a "},"finish_reason":""}]}` + "\n\n"
+	is.Equal(newTranscript(event).Plan([]byte(plainBody)).Action, Resume)
+	p := newTranscript(event, event).Plan([]byte(plainBody))
+	is.Equal(p.Action, Resume)
+	is.Equal(gjson.GetBytes(p.Body, "messages.1.content").String(), "a a ")
+}
--- a/pkg/resume/transcript.go
+++ b/pkg/resume/transcript.go
@@ -126,7 +126,7 @@
 		case k.Str == "delta":
 			ok = c.readDelta(v)
 		case k.Str == "finish_reason":
-			c.finished = v.Type == gjson.String
+			c.finished = v.Type == gjson.String && v.Str != ""
 		default:
 			ok = v.Type == gjson.Null
 		}
