--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -138,14 +138,14 @@
 // checkCrash records the end of the upstream if it ended while it ran the request, which it had not begun
 // to answer. It returns at once.
 func (c *call) checkCrash(target Target, err error) {
-	if errors.Is(err, net.ErrClosed) || !c.gateway.fleet.IsInService(target.ID) {
-		return // the gateway itself gave the attempt up, or the upstream was about to leave
+	if errors.Is(err, net.ErrClosed) {
+		return // the gateway itself gave the attempt up
 	}
 	r := crashcause.Request{Fingerprint: c.fingerprint(), Parts: c.request.PromptParts}
 	brokeAt := time.Now()
 	id := c.request.ID
 	go func() {
-		if !c.gateway.hasEnded(target.Address) {
+		if !c.gateway.hasCrashed(target) {
 			return
 		}
 		changed := c.gateway.crashes.change(func(l *crashcause.Ledger) bool {
@@ -158,13 +158,17 @@
 	}()
 }
 
-// hasEnded reports whether no process accepts connections at the address of an upstream.
-func (g *Gateway) hasEnded(address string) bool {
-	if g.refusesConnections(address) {
+// hasCrashed reports whether no process accepts connections at an upstream that was not about to
+// leave.
+func (g *Gateway) hasCrashed(target Target) bool {
+	if !g.fleet.IsInService(target.ID) {
+		return false
+	}
+	if g.refusesConnections(target.Address) {
 		return true
 	}
 	time.Sleep(crashRecheckDelay)
-	return g.refusesConnections(address)
+	return g.fleet.IsInService(target.ID) && g.refusesConnections(target.Address)
 }
 
 func (g *Gateway) refusesConnections(address string) bool {
