Tell the other gateways when an upstream falls silent

When an instance freezes, the rank beside it reads nothing until it wakes; each gateway that had no stream there sent one request before it noticed.

Cause as traced before: silence shows only to a gateway that has work there and waits for three pauses between events. Nine gateways make four or five such requests.

Change: a gateway tells all peers at once when an upstream falls silent and repeats it with each probe; the others avoid it until they hear an event from it or no longer hear that it is silent. It stays a last resort. The requests of the first 0.36 s, in which nobody can notice, are as before.

The new test cannot be built on the code before; TestSilentUpstreamGetsNoNewWork is unchanged.

--- a/pkg/gateway/doc.go
+++ b/pkg/gateway/doc.go
@@ -12,7 +12,8 @@
 // response.go forwards the response to the caller.
 // A request that is known to crash upstreams is not sent to any (crashes.go).
 //
-// Lock order: Gateway.mu may be held when Fleet.mu or permits.mu is taken. Fleet.mu, Peers.mu and
+// Lock order: Gateway.mu may be held when Fleet.mu or permits.mu is taken, and silenceReporter.mu when
+// Fleet.mu is. Fleet.mu, Peers.mu and
 // permits.mu are never held together. crashWatch.mu may be taken with any of them held, and nothing is
 // locked while it is held.
 package gateway
--- a/pkg/gateway/fleet.go
+++ b/pkg/gateway/fleet.go
@@ -34,13 +34,6 @@
 	eventProgress map[string]eventProgress
 }
 
-// eventProgress is the time of the newest event of a service's streams, and the target pause between
-// the events of that stream.
-type eventProgress struct {
-	at  time.Time
-	gap time.Duration
-}
-
 // observation is the state of one upstream as this gateway observes it.
 type observation struct {
 	running int
@@ -66,6 +59,8 @@
 	// progressAt is when the upstream last sent an event of a stream, or when this gateway sent work
 	// to it while it had none there.
 	progressAt time.Time
+	// toldSilentUntil is the time until which the upstream counts as silent because a peer reported that.
+	toldSilentUntil time.Time
 }
 
 const (
@@ -73,9 +68,6 @@
 	sampleWeight = 0.15
 	// loadTTL is how long a reported load is valid; the leader reports it ten times a second.
 	loadTTL = time.Second
-	// silentEventGaps is the number of target pauses between events without an event after which an
-	// upstream with streams in progress counts as silent.
-	silentEventGaps = 3
 	// failureDecayTime is the time in which a failure loses two thirds of its weight. Without the
 	// decay an upstream that is no longer chosen could not show that it has recovered.
 	failureDecayTime = 1500 * time.Millisecond
@@ -266,7 +258,7 @@
 		c := pick.Candidate{
 			ID: id, Running: s.totalWork(f.gatewayCount, now), Capacity: e.Capacity, Failures: s.decayedFailureRate(now), Cold: cold,
 			Unconfirmed: e.Unconfirmed || f.upstreams.IsSuperseded(id), OtherZone: e.Zone != f.zone,
-			Suspended: now.Before(s.suspendedUntil) || now.Before(s.stalledUntil) || f.isSilent(service, s, now),
+			Suspended: now.Before(s.suspendedUntil) || now.Before(s.stalledUntil) || f.isSilent(service, s, now) || now.Before(s.toldSilentUntil),
 		}
 		if now.Sub(s.reportedAt) <= loadTTL {
 			c.Slowdown = s.slowdown
@@ -280,24 +272,6 @@
 	return candidates, ids
 }
 
-// RecordEvent records an event of a stream from an upstream. gap is the target pause between the events
-// of the stream, 0 if it has none.
-func (f *Fleet) RecordEvent(service, id string, gap time.Duration, now time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.observation(id).progressAt = now
-	f.eventProgress[service] = eventProgress{at: now, gap: gap}
-}
-
-// isSilent reports whether an upstream has work in progress and sends nothing while others of the
-// service do: its instance may be frozen, and attempts there would wait without a sign of failure.
-// The caller holds f.mu.
-func (f *Fleet) isSilent(service string, s *observation, now time.Time) bool {
-	newest := f.eventProgress[service]
-	limit := silentEventGaps * newest.gap
-	return limit > 0 && s.running > 0 && now.Sub(s.progressAt) > limit && now.Sub(newest.at) < newest.gap
-}
-
 // meanResponseTime returns the mean response time over the upstreams of a service, 0 if unknown.
 func (f *Fleet) meanResponseTime(service string) time.Duration {
 	sum, n := time.Duration(0), 0
--- a/pkg/gateway/fleet_test.go
+++ b/pkg/gateway/fleet_test.go
@@ -125,3 +125,27 @@
 	now = now.Add(2 * time.Second) // neither sends anything
 	is.True(chooseCounts(f, 10, now)["a"] >= 4)
 }
+
+// An instance froze: each gateway without a stream at the rank beside it sent one request there before
+// it noticed, and the rank read them after their callers had left.
+func TestUpstreamThatIsSilentAtAPeerGetsNoNewWork(t *testing.T) {
+	is := is.New(t)
+	const gap = 120 * time.Millisecond
+	now := time.Unix(100, 0)
+	f, peer := newFleet(now, "a", "b"), newFleet(now, "a", "b")
+	is.Equal(chooseCounts(peer, 2, now)["a"], 1)
+	peer.RecordEvent("s", "a", gap, now)
+	is.Equal(len(peer.silentUpstreams(now)), 0)
+	now = now.Add(silentEventGaps*gap + time.Millisecond)
+	peer.RecordEvent("s", "b", gap, now)
+	silent := peer.silentUpstreams(now)
+	is.Equal(silent, []string{"a"})
+
+	f.SetSilent(silent, now)
+	is.Equal(chooseCounts(f, 4, now)["a"], 0)
+	f.RecordEvent("s", "a", gap, now) // it goes on here
+	is.True(chooseCounts(f, 4, now)["a"] > 0)
+	f.SetSilent(silent, now)
+	now = now.Add(toldSilenceTTL + time.Millisecond) // the peer no longer says so
+	is.True(chooseCounts(f, 8, now)["a"] > 0)
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -16,13 +16,16 @@
 
 // Gateway serves callers' requests. It is safe for concurrent use.
 type Gateway struct {
-	node             platform.Settings
-	log              hclog.Logger
-	metrics          metrics.Registry
-	fleet            *Fleet
-	deadlines        deadlineTracker
-	permits          *permits
-	crashes          *crashWatch
+	node      platform.Settings
+	log       hclog.Logger
+	metrics   metrics.Registry
+	fleet     *Fleet
+	deadlines deadlineTracker
+	permits   *permits
+	crashes   *crashWatch
+	// onSilence is called when an upstream has fallen silent; it is set before the first request.
+	onSilence        func()
+	silence          silenceReporter
 	pool             *exchange.Pool
 	table            atomic.Pointer[route.Table]
 	rawConfiguration atomic.Pointer[rawConfiguration]
@@ -55,7 +58,7 @@
 // New returns a gateway without a configuration.
 func New(n platform.Settings, f *Fleet, log hclog.Logger, m metrics.Registry) *Gateway {
 	return &Gateway{
-		node: n, log: log, metrics: m, fleet: f, permits: newPermits(), crashes: newCrashWatch(log), pool: exchange.NewPool(),
+		node: n, log: log, metrics: m, fleet: f, permits: newPermits(), crashes: newCrashWatch(log), onSilence: func() {}, pool: exchange.NewPool(),
 		groupLimits: map[string]map[string]groupLimit{}, retryWindows: map[string]*retry.Window{}, gatewayCount: 1, startedAt: time.Now(),
 	}
 }
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -49,6 +49,8 @@
 	Peers []roster.Entry `json:"others,omitempty"`
 	// CrashDigest identifies the sender's evidence on crashes, 0 for none.
 	CrashDigest uint64 `json:"crash_digest,omitempty"`
+	// Silent are the IDs of the upstreams that have work of the sender and send nothing while others do.
+	Silent []string `json:"silent,omitempty"`
 }
 
 // Snapshot passes the state of a gateway to one that cannot reach the store.
@@ -95,8 +97,8 @@
 		},
 		seeds: n.Seeds, gateway: g, credentials: c, log: log, members: map[string]*member{},
 	}
-	// Peers reject requests that crash upstreams as soon as they know of the crash.
-	g.crashes.onCrash = func() { p.probeMembers(context.Background()) }
+	tellPeers := func() { p.probeMembers(context.Background()) }
+	g.crashes.onCrash, g.onSilence = tellPeers, tellPeers
 	return p
 }
 
@@ -120,6 +122,7 @@
 func (p *Peers) buildHello() Hello {
 	h := Hello{From: p.self, Ready: p.gateway.Ready(), Version: p.gateway.Version(), CrashDigest: p.gateway.crashes.digest()}
 	now := time.Now()
+	h.Silent = p.gateway.fleet.silentUpstreams(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, m := range p.members {
@@ -132,6 +135,7 @@
 
 // handleHello records the report of a peer and adds the peers that it names.
 func (p *Peers) handleHello(h Hello, now time.Time) {
+	p.gateway.fleet.SetSilent(h.Silent, now)
 	p.mu.Lock()
 	m := p.addMember(h.From)
 	if m != nil {
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -104,6 +104,7 @@
 		now := time.Now()
 		c.recordEvent(event, now)
 		c.gateway.fleet.RecordEvent(c.service, target.ID, c.route.TargetEventGap, now)
+		c.gateway.reportSilence(now)
 	}
 }
 
