Convict parts that only crashed together together, and unanswered ones first

The model test found two ways to reject sound requests. A sound part that came only with the crashing one, and lay deeper in the prompt, was convicted in its place (one-part test); all requests with it were rejected, so that no answer could acquit it.

Change: traits that explain the same crashes, each with a request that has all of them, make one conviction of requests that have all of them; the depth of a part no longer counts. Traits that were never answered come before those that were, whatever the number of crashes. Crashes within 2 s are one episode instead of 1 s: less than contact_ms, so that no crash later than that after the fifth is needed. An answer acquits a restored conviction.

--- a/pkg/crashcause/doc.go
+++ b/pkg/crashcause/doc.go
@@ -6,13 +6,14 @@
 // answer, and which of their traits other requests began to answer with, before or after: a trait that
 // crashes upstreams never gets that far.
 //
-// A Ledger convicts the traits that explain the crashes best. The trait that the most crashes have in
-// common comes first, and the crashes that it explains count for no other. A trait needs several
-// crashes at different moments, since upstreams that fail together for another reason have many
-// traits in common; it needs more of them if requests with it were answered before. Of traits that
-// explain the same crashes the narrowest is convicted: a request before a part, a later part before an
-// earlier one. Traits that cannot be told apart wait for one more crash. A conviction is withdrawn when
-// new evidence is explained better by another trait.
+// A Ledger convicts the traits that explain the crashes best: those with which no request was answered
+// before, and of these the one that the most crashes have in common. The crashes that it explains count
+// for no other. A trait needs several crashes at different moments, since upstreams that fail together
+// for another reason have many traits in common; it needs more of them if requests with it were
+// answered before. Traits that only ever crashed together are convicted together: requests that have
+// all of them are rejected, and the first request with some of them tells which is at fault. Others
+// that cannot be told apart wait for one more crash. A conviction is withdrawn when new evidence is
+// explained better by other traits.
 //
 // Processes exchange their evidence. It only grows, so that it may be lost, doubled or reordered on the
 // way, and processes with the same evidence convict the same traits. It carries ages instead of times
--- a/pkg/crashcause/explain.go
+++ b/pkg/crashcause/explain.go
@@ -15,29 +15,25 @@
 	minAnsweredCrashes  = 5
 	minAnsweredEpisodes = 3
 	// episodeTime is the time within which crashes may have one cause outside of the requests.
-	episodeTime = time.Second
+	episodeTime = 2 * time.Second
 )
 
 // explanation is how well a trait explains a set of crashes.
 type explanation struct {
 	trait          Trait
-	depth          int
 	answeredBefore bool
-	crashes        []string
-	times          []time.Time
+	// crashes are the upstreams whose ends it explains, sorted, and times when they ended.
+	crashes []string
+	times   []time.Time
 }
 
-// isSufficient reports whether the crashes convict the trait. A trait that cannot be told apart from
-// others needs one crash more.
-func (e *explanation) isSufficient(isTied bool) bool {
+// isSufficient reports whether the crashes convict the trait, if it needs this many more than usual.
+func (e *explanation) isSufficient(more int) bool {
 	crashes, episodes := minCrashes, minEpisodes
 	if e.answeredBefore {
 		crashes, episodes = minAnsweredCrashes, minAnsweredEpisodes
 	}
-	if isTied {
-		crashes++
-	}
-	return len(e.crashes) >= crashes && e.episodes() >= episodes
+	return len(e.crashes) >= crashes+more && e.episodes() >= episodes
 }
 
 // episodes returns the number of episodes in which the crashes lie.
@@ -54,23 +50,20 @@
 	return n
 }
 
-// compare returns a negative number if e is to be preferred to o, 0 if they cannot be told apart.
+// compare returns a negative number if e is to be preferred to o, 0 if neither is.
 func (e *explanation) compare(o *explanation) int {
-	switch {
-	case len(e.crashes) != len(o.crashes):
-		return len(o.crashes) - len(e.crashes)
-	case e.answeredBefore != o.answeredBefore:
+	if e.answeredBefore != o.answeredBefore {
 		if e.answeredBefore {
 			return 1
 		}
 		return -1
 	}
-	return o.depth - e.depth
+	return len(o.crashes) - len(e.crashes)
 }
 
-// explain returns the traits that the evidence convicts.
-func (l *Ledger) explain() map[Trait]bool {
-	convicted := map[Trait]bool{}
+// explain returns the convictions that follow from the evidence, sorted.
+func (l *Ledger) explain() []Conviction {
+	var convicted []Conviction
 	unexplained := make(map[string]*crash, len(l.crashes))
 	for id, c := range l.crashes {
 		unexplained[id] = c
@@ -78,10 +71,11 @@
 	for {
 		best := bestExplanations(unexplained)
 		if len(best) == 0 {
+			slices.Sort(convicted)
 			return convicted
 		}
+		convicted = append(convicted, convictions(best, unexplained)...)
 		for _, e := range best {
-			convicted[e.trait] = true
 			for _, id := range e.crashes {
 				delete(unexplained, id)
 			}
@@ -89,11 +83,11 @@
 	}
 }
 
-// bestExplanations returns the trait that convicts best, or several that cannot be told apart.
+// bestExplanations returns the traits that convict best, which cannot be told apart.
 func bestExplanations(crashes map[string]*crash) []*explanation {
 	var sufficient []*explanation
 	for _, e := range explanations(crashes) {
-		if e.isSufficient(false) {
+		if e.isSufficient(0) {
 			sufficient = append(sufficient, e)
 		}
 	}
@@ -105,10 +99,40 @@
 	for tied < len(sufficient) && sufficient[0].compare(sufficient[tied]) == 0 {
 		tied++
 	}
-	if tied > 1 && !sufficient[0].isSufficient(true) {
+	best := sufficient[:tied]
+	if len(convictions(best, crashes)) > 1 && !best[0].isSufficient(1) {
 		return nil
 	}
-	return sufficient[:tied]
+	return best
+}
+
+// convictions returns one conviction for the traits that always crash together, and one each for those
+// that do not: whether one of several traits of the same requests is at fault shows only in
+// requests that do not have all of them.
+func convictions(tied []*explanation, crashes map[string]*crash) []Conviction {
+	var out []Conviction
+	for _, e := range tied {
+		var together []Trait
+		for _, o := range tied {
+			if alwaysTogether(e, o, crashes) {
+				together = append(together, o.trait)
+			}
+		}
+		if c := newConviction(together); !slices.Contains(out, c) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// alwaysTogether reports whether two traits explain the same crashes, each with a request that has both.
+func alwaysTogether(a, b *explanation, crashes map[string]*crash) bool {
+	if a == b {
+		return true
+	}
+	return slices.Equal(a.crashes, b.crashes) && !slices.ContainsFunc(a.crashes, func(id string) bool {
+		return !crashes[id].hasRequestWith(a.trait, b.trait)
+	})
 }
 
 // explanations returns, for each trait, the crashes that it explains: all with a request that has it,
@@ -116,7 +140,7 @@
 func explanations(crashes map[string]*crash) map[Trait]*explanation {
 	out := map[Trait]*explanation{}
 	for id, c := range crashes {
-		for t, depth := range c.depths {
+		for t := range c.traits {
 			if c.answeredSince[t] {
 				continue
 			}
@@ -125,11 +149,13 @@
 				e = &explanation{trait: t}
 				out[t] = e
 			}
-			e.depth = max(e.depth, depth)
 			e.answeredBefore = e.answeredBefore || c.answeredBefore[t]
 			e.crashes = append(e.crashes, id)
 			e.times = append(e.times, c.at)
 		}
 	}
+	for _, e := range out {
+		slices.Sort(e.crashes)
+	}
 	return out
 }
--- a/pkg/crashcause/ledger.go
+++ b/pkg/crashcause/ledger.go
@@ -1,9 +1,6 @@
 package crashcause
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// EvidenceTTL is how long a crash counts, and a conviction that was restored.
@@ -19,21 +16,31 @@
 	at time.Time
 	// requests are those that were running without having begun to answer, by key.
 	requests map[string]Request
-	// depths has their traits. answeredBefore and answeredSince are the traits of requests that began to
+	// traits are theirs. answeredBefore and answeredSince are the traits of requests that began to
 	// be answered before the crash and after it.
-	depths         map[Trait]int
+	traits         map[Trait]bool
 	answeredBefore map[Trait]bool
 	answeredSince  map[Trait]bool
 }
 
-// Ledger has the evidence of one process and the traits that it convicts. It is not safe for concurrent
+// hasRequestWith reports whether one request of the crash has both traits.
+func (c *crash) hasRequestWith(a, b Trait) bool {
+	for _, r := range c.requests {
+		if traits := r.traits(); traits[a] && traits[b] {
+			return true
+		}
+	}
+	return false
+}
+
+// Ledger has the evidence of one process and the convictions that follow from it. It is not safe for concurrent
 // use.
 type Ledger struct {
 	crashes   map[string]*crash
 	answered  memory
-	convicted map[Trait]bool
+	convicted []Conviction
 	// restored are the convictions of an earlier ledger, with the time at which they expire.
-	restored map[Trait]time.Time
+	restored map[Conviction]time.Time
 	// expiresAt is when the oldest crash expires; zero without crashes.
 	expiresAt time.Time
 	digest    uint64
@@ -41,7 +48,7 @@
 
 // New returns a ledger without evidence.
 func New() *Ledger {
-	return &Ledger{crashes: map[string]*crash{}, convicted: map[Trait]bool{}, restored: map[Trait]time.Time{}}
+	return &Ledger{crashes: map[string]*crash{}, restored: map[Conviction]time.Time{}}
 }
 
 // IsEmpty reports whether the ledger has neither crashes nor convictions.
@@ -51,17 +58,26 @@
 // evidence on a crash.
 func (l *Ledger) RecordAnswer(r Request, now time.Time) bool {
 	changed := false
-	r.eachTrait(func(t Trait, depth int) {
-		if depth < requestDepth {
-			l.answered.record(t, now)
-		}
-		for _, c := range l.crashes {
-			if _, ok := c.depths[t]; ok && !c.answeredSince[t] && now.After(c.at) {
+	for _, t := range r.partTraits() {
+		l.answered.record(t, now)
+	}
+	if l.IsEmpty() {
+		return false
+	}
+	traits := r.traits()
+	for _, c := range l.crashes {
+		for t := range traits {
+			if c.traits[t] && !c.answeredSince[t] && now.After(c.at) {
 				c.answeredSince[t] = true
 				changed = true
 			}
 		}
-	})
+	}
+	for restored := range l.restored {
+		if restored.covers(traits) {
+			delete(l.restored, restored)
+		}
+	}
 	if changed {
 		l.update(now)
 	}
@@ -83,12 +99,13 @@
 	c := l.crashes[upstream]
 	changed := false
 	if c == nil {
-		c = &crash{at: at, requests: map[string]Request{}, depths: map[Trait]int{}, answeredBefore: map[Trait]bool{}, answeredSince: map[Trait]bool{}}
+		c = &crash{at: at, requests: map[string]Request{}, traits: map[Trait]bool{}, answeredBefore: map[Trait]bool{}, answeredSince: map[Trait]bool{}}
 		l.crashes[upstream] = c
 		changed = true
 	}
 	if at.Before(c.at) {
 		c.at = at
+		changed = true
 	}
 	for _, r := range requests {
 		if _, ok := c.requests[r.key()]; ok || len(c.requests) >= maxRequests {
@@ -96,10 +113,10 @@
 		}
 		c.requests[r.key()] = r
 		changed = true
-		r.eachTrait(func(t Trait, depth int) {
-			c.depths[t] = max(depth, c.depths[t])
+		for t := range r.traits() {
+			c.traits[t] = true
 			l.compareWithAnswers(c, t)
-		})
+		}
 	}
 	return changed
 }
@@ -145,31 +162,34 @@
 }
 
 // Restore adds convictions of an earlier ledger, which hold until EvidenceTTL has passed.
-func (l *Ledger) Restore(traits []Trait, now time.Time) {
-	for _, t := range traits {
-		l.restored[t] = now.Add(EvidenceTTL)
+func (l *Ledger) Restore(convictions []Conviction, now time.Time) {
+	for _, c := range convictions {
+		l.restored[c] = now.Add(EvidenceTTL)
 	}
 }
 
-// FindConvicted returns a convicted trait of a request, or false if it has none.
-func (l *Ledger) FindConvicted(r Request, now time.Time) (found Trait, ok bool) {
+// FindConviction returns a conviction that covers a request, or false if there is none.
+func (l *Ledger) FindConviction(r Request, now time.Time) (Conviction, bool) {
 	if !l.expiresAt.IsZero() && now.After(l.expiresAt) {
 		l.update(now)
 	}
-	r.eachTrait(func(t Trait, _ int) {
-		if l.convicted[t] || now.Before(l.restored[t]) {
-			found, ok = t, true
+	if len(l.convicted) == 0 && len(l.restored) == 0 {
+		return "", false
+	}
+	traits := r.traits()
+	for _, c := range l.convicted {
+		if c.covers(traits) {
+			return c, true
 		}
-	})
-	return found, ok
-}
-
-// Convictions returns the traits that the evidence convicts, sorted. Restored ones are left out.
-func (l *Ledger) Convictions() []Trait {
-	out := make([]Trait, 0, len(l.convicted))
-	for t := range l.convicted {
-		out = append(out, t)
 	}
-	slices.Sort(out)
-	return out
+	for c, expiresAt := range l.restored {
+		if now.Before(expiresAt) && c.covers(traits) {
+			return c, true
+		}
+	}
+	return "", false
 }
+
+// Convictions returns the convictions that follow from the evidence, sorted. Restored ones are left
+// out.
+func (l *Ledger) Convictions() []Conviction { return l.convicted }
--- a/pkg/crashcause/trait.go
+++ b/pkg/crashcause/trait.go
@@ -1,6 +1,9 @@
 package crashcause
 
-import "strings"
+import (
+	"slices"
+	"strings"
+)
 
 // Trait is what requests that crash upstreams may have in common. Its text is a valid name of an object
 // in the store.
@@ -11,6 +14,32 @@
 	requestPrefix = "request-"
 )
 
+// Conviction is a set of traits: requests that have all of them crash upstreams. Its text is a valid name
+// of an object in the store.
+type Conviction string
+
+const traitSeparator = "+"
+
+// newConviction returns the conviction of requests that have all of the traits.
+func newConviction(traits []Trait) Conviction {
+	texts := make([]string, 0, len(traits))
+	for _, t := range traits {
+		texts = append(texts, string(t))
+	}
+	slices.Sort(texts)
+	return Conviction(strings.Join(texts, traitSeparator))
+}
+
+// covers reports whether a request with these traits has all of the conviction.
+func (c Conviction) covers(traits map[Trait]bool) bool {
+	for _, t := range strings.Split(string(c), traitSeparator) {
+		if !traits[Trait(t)] {
+			return false
+		}
+	}
+	return true
+}
+
 // Request has the traits of a request.
 type Request struct {
 	// Fingerprint identifies the content of the request, empty if not known.
@@ -19,18 +48,25 @@
 	Parts []string `json:"parts,omitempty"`
 }
 
-// requestDepth is the depth of the trait of a whole request, which is narrower than any part.
-const requestDepth = 1 << 20
+// partTraits returns the traits of the parts of the prompt.
+func (r Request) partTraits() []Trait {
+	traits := make([]Trait, 0, len(r.Parts)+1)
+	for _, part := range r.Parts {
+		traits = append(traits, Trait(partPrefix+part))
+	}
+	return traits
+}
 
-// eachTrait calls f with the traits of a request. Depth says how narrow a trait is: the deeper a part
-// lies in the prompt, the fewer requests share it.
-func (r Request) eachTrait(f func(t Trait, depth int)) {
-	for i, part := range r.Parts {
-		f(Trait(partPrefix+part), i)
+// traits returns all traits of the request.
+func (r Request) traits() map[Trait]bool {
+	set := map[Trait]bool{}
+	for _, t := range r.partTraits() {
+		set[t] = true
 	}
 	if r.Fingerprint != "" {
-		f(Trait(requestPrefix+r.Fingerprint), requestDepth)
+		set[Trait(requestPrefix+r.Fingerprint)] = true
 	}
+	return set
 }
 
 // key identifies a request within a crash.
--- a/pkg/gateway/convictions.go
+++ b/pkg/gateway/convictions.go
@@ -12,7 +12,7 @@
 	"github.com/coltsfootpitch/coltsfootpitch/platform"
 )
 
-// kindConvictions holds one object for each convicted trait, named by it, so that convictions outlive
+// kindConvictions holds one object for each conviction, named by it, so that convictions outlive
 // a loss of all gateways.
 const kindConvictions = "convictions"
 
@@ -42,7 +42,7 @@
 	s.OnRewind(func() { rewound <- struct{}{}; notify() })
 	go func() {
 		g.retryUntilDone(ctx, "convictions-unread", func() error { return g.restoreConvictions(ctx, s) })
-		written := map[crashcause.Trait]bool{}
+		written := map[crashcause.Conviction]bool{}
 		for {
 			select {
 			case <-ctx.Done():
@@ -73,7 +73,7 @@
 	if err != nil {
 		return err
 	}
-	var traits []crashcause.Trait
+	var restored []crashcause.Conviction
 	for _, o := range l.Objects {
 		var c conviction
 		if err := json.Unmarshal(o.Spec, &c); err != nil {
@@ -86,19 +86,19 @@
 			}
 			continue
 		}
-		traits = append(traits, crashcause.Trait(o.Name))
+		restored = append(restored, crashcause.Conviction(o.Name))
 	}
-	if len(traits) > 0 {
-		g.crashes.restore(traits, time.Now())
-		g.log.Info("convictions-restored", "traits", traits)
+	if len(restored) > 0 {
+		g.crashes.restore(restored, time.Now())
+		g.log.Info("convictions-restored", "convictions", restored)
 	}
 	return nil
 }
 
 // writeConvictions creates the objects of new convictions and removes those of withdrawn ones; written
-// has the traits whose objects this gateway wrote.
-func (g *Gateway) writeConvictions(ctx context.Context, s *platform.Store, written map[crashcause.Trait]bool) error {
-	current := map[crashcause.Trait]bool{}
+// has the convictions whose objects this gateway wrote.
+func (g *Gateway) writeConvictions(ctx context.Context, s *platform.Store, written map[crashcause.Conviction]bool) error {
+	current := map[crashcause.Conviction]bool{}
 	for _, t := range g.crashes.convictions() {
 		current[t] = true
 		if written[t] {
--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -38,7 +38,7 @@
 
 	mu        sync.Mutex
 	ledger    *crashcause.Ledger
-	convicted []crashcause.Trait
+	convicted []crashcause.Conviction
 }
 
 func newCrashWatch(log hclog.Logger) *crashWatch {
@@ -70,10 +70,10 @@
 	return w.ledger.IsEmpty()
 }
 
-func (w *crashWatch) findConvicted(r crashcause.Request, now time.Time) (crashcause.Trait, bool) {
+func (w *crashWatch) findConviction(r crashcause.Request, now time.Time) (crashcause.Conviction, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.ledger.FindConvicted(r, now)
+	return w.ledger.FindConviction(r, now)
 }
 
 func (w *crashWatch) digest() uint64 {
@@ -92,14 +92,14 @@
 	w.change(func(l *crashcause.Ledger) bool { return l.Merge(evidence, now) })
 }
 
-func (w *crashWatch) restore(traits []crashcause.Trait, now time.Time) {
+func (w *crashWatch) restore(convictions []crashcause.Conviction, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.ledger.Restore(traits, now)
+	w.ledger.Restore(convictions, now)
 }
 
-// convictions returns the traits that the evidence convicts.
-func (w *crashWatch) convictions() []crashcause.Trait {
+// convictions returns the convictions that follow from the evidence.
+func (w *crashWatch) convictions() []crashcause.Conviction {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.convicted
@@ -122,9 +122,9 @@
 
 // isConvicted reports whether the request is known to crash upstreams.
 func (c *call) isConvicted() bool {
-	trait, convicted := c.gateway.crashes.findConvicted(c.traits(), time.Now())
+	conviction, convicted := c.gateway.crashes.findConviction(c.traits(), time.Now())
 	if convicted {
-		c.gateway.log.Info("crashing-request-stopped", "request", c.request.ID, "trait", trait)
+		c.gateway.log.Info("crashing-request-stopped", "request", c.request.ID, "conviction", conviction)
 	}
 	return convicted
 }
