Tests: other places that take the end of a response for granted (red)

Each test fails on this code; no product code is changed.

- The same cause: a signed 200 that is no stream completes a broken one; the reader of events takes the rest of a long line or a line of spaces for a blank line; a comment counts as an event; a caller without chunks sees a broken stream as complete; the rest of a skipped response is read as a response; a repeated refusal is taken for the response to a later attempt.
- Code for a fresh response that runs after a part was sent: the time limit of repeatable attempts, resumption before an event without an id.
- The opposite: whole responses that are taken for broken ones (HEAD, since; a blank line after the last event).
- Beside it: an unused body holds a broken stream, a caller that does not read keeps its permit, an idle connection is closed although a request has arrived.

--- /dev/null
+++ b/pkg/gateway/review_test.go
@@ -0,0 +1,355 @@
+package gateway
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/roster"
+	"github.com/coltsfootpitch/coltsfootpitch/platform"
+	"github.com/coltsfootpitch/coltsfootpitch/platform/standin"
+)
+
+// rawResponse returns a signed response to the request; fields are further header lines.
+func rawResponse(w *standin.Worker, rw http.ResponseWriter, status, fields, body string) string {
+	w.Sign(rw)
+	var text bytes.Buffer
+	fmt.Fprintf(&text, "HTTP/1.1 %s\r\n", status)
+	_ = rw.Header().Write(&text)
+	fmt.Fprintf(&text, "%s\r\n%s", fields, body)
+	return text.String()
+}
+
+// writeRaw writes text to the connection of a request and closes it when closeAfter is set.
+func writeRaw(rw http.ResponseWriter, text string, closeAfter bool) {
+	conn, _, err := http.NewResponseController(rw).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	go func() {
+		if _, err := io.WriteString(conn, text); err != nil || closeAfter {
+			conn.Close()
+		}
+	}()
+}
+
+// lineOfReaderSize is a line of an event that fills the buffer of the reader of events exactly, without
+// its line feed.
+var lineOfReaderSize = "data: " + strings.Repeat("x", 16<<10-len("data: "))
+
+// A stream broke off, and the attempt that should have resumed it got a signed 200 that is not an event
+// stream: the caller received the events so far as a complete response.
+func TestLaterEmptySuccessThatIsNoStreamDoesNotCompleteABrokenStream(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(t, 2)
+	b.configure("1")
+	b.setBehaviours(breakAfterTwoEvents, respondWith(http.StatusOK, ""))
+	_, text, _, err := b.call("/stream/x", "key-1", "")
+	is.Equal(strings.Count(text, "data:"), 2)
+	is.True(err != nil) // the caller must see that the response is not complete
+}
+
+// unframedStream sends a stream with neither length nor chunks and ends it with its connection.
+func unframedStream(events string) behaviour {
+	return func(w *standin.Worker) func(http.ResponseWriter, *http.Request) {
+		return func(rw http.ResponseWriter, _ *http.Request) {
+			writeRaw(rw, rawResponse(w, rw, "200 OK", "Content-Type: text/event-stream\r\nConnection: close\r\n", events), true)
+		}
+	}
+}
+
+// An unframed stream ended before its first event or inside it, and the reader of events took other bytes
+// for the end of an event: the caller received it as a complete response.
+func TestUnframedStreamWithoutAWholeEventIsNotComplete(t *testing.T) {
+	for name, events := range map[string]string{
+		"after a line of the reader's size": "id: 1\n" + lineOfReaderSize + "\n",
+		"after a line of spaces":            "id: 1\n \n",
+		"after a comment":                   ": ok\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newTestbed(t, 1)
+			b.configure("1")
+			b.setBehaviours(unframedStream(events), unframedStream(events))
+			status, _, _, err := b.call("/live/x", "key-1", "")
+			is.True(err != nil || status != http.StatusOK)
+		})
+	}
+}
+
+// A stream broke off inside an event, after a line that fills the reader's buffer: the event counted as
+// sent, and the resumed stream was joined to its first part.
+func TestCutAfterALineOfTheReadersSizeIsNotJoinedToTheResumedStream(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(t, 2)
+	b.configure("1")
+	b.setBehaviours(
+		func(w *standin.Worker) func(http.ResponseWriter, *http.Request) {
+			return func(rw http.ResponseWriter, _ *http.Request) {
+				w.Sign(rw)
+				rw.Header().Set("Content-Type", "text/event-stream")
+				_, _ = io.WriteString(rw, "id: 1\n"+lineOfReaderSize+"\n")
+				_ = http.NewResponseController(rw).Flush()
+				panic(http.ErrAbortHandler)
+			}
+		},
+		func(w *standin.Worker) func(http.ResponseWriter, *http.Request) { return w.Stream(2, 0) },
+	)
+	_, text, _, err := b.call("/stream/x", "key-1", "")
+	is.NoErr(err)
+	is.Equal(text, "id: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\n")
+}
+
+// A stream to a caller that speaks HTTP/1.0 broke off: without chunks the caller cannot tell the close
+// of its connection from the end of the response.
+func TestBrokenStreamIsNotCompleteForCallersWithoutChunks(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(t, 1)
+	b.configure("1")
+	b.workers[0].SetHandler(b.workers[0].Stream(3, 2))
+	conn, err := net.Dial("tcp", b.server.Listener.Addr().String())
+	is.NoErr(err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST /live/x HTTP/1.0\r\nHost: h\r\nAuthorization: Bearer key-1\r\nContent-Length: 0\r\n\r\n")
+	is.NoErr(err)
+	text, err := io.ReadAll(conn)
+	statusLine, _, _ := strings.Cut(string(text), "\r\n")
+	is.True(err != nil || !strings.Contains(statusLine, " 200 ")) // the caller must see that the response is not complete
+}
+
+// A rank refused a call that then waited for its group, and sent the refusal a second time where the
+// response to the second attempt was due: the caller was told that its request had not run.
+func TestRefusalOfAnEarlierAttemptIsNotTheResponseToALaterOne(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(t, 2)
+	b.configureGroup()
+	b.store.Remove(platform.KindUpstreams, b.workers[1].ID)
+	b.waitUntil("one worker to be left", func() bool { n, _ := b.gateway.fleet.UsableCapacity("plain"); return n == 1 })
+	w := b.workers[0]
+	var refused atomic.Pointer[string]
+	var ran atomic.Int32
+	w.SetHandler(func(rw http.ResponseWriter, r *http.Request) {
+		if refused.CompareAndSwap(nil, &r.RemoteAddr) {
+			w.Shed(rw, r)
+			return
+		}
+		ran.Add(1)
+		if r.RemoteAddr != *refused.Load() {
+			w.Stream(1, 0)(rw, r)
+			return
+		}
+		refusal := httptest.NewRecorder()
+		for name, values := range rw.Header() {
+			refusal.Header()[name] = values
+		}
+		w.Shed(refusal, r)
+		var text bytes.Buffer
+		fmt.Fprintf(&text, "HTTP/1.1 %d Service Unavailable\r\nContent-Length: 0\r\n", refusal.Code)
+		_ = refusal.Header().Write(&text)
+		text.WriteString("\r\n" + rawResponse(w, rw, "200 OK", "Content-Type: text/event-stream\r\nContent-Length: 14\r\n", "id: 1\ndata: a\n\n"))
+		writeRaw(rw, text.String(), false)
+	})
+	status := make(chan int, 1)
+	go func() {
+		s, _, _, _ := b.call("/live/x", "key-1", "")
+		status <- s
+	}()
+	waitFor(t, "the refused call to wait", func() bool { _, n := b.gateway.permits.usage("plain"); return n == 1 })
+	b.gateway.applyLimit(roster.Limit{Service: "plain", Group: "g", FencingToken: 1, Share: 5})
+	got := <-status
+	is.Equal(ran.Load(), int32(1))
+	is.True(got != http.StatusServiceUnavailable) // the request has run
+}
+
+// A response to an earlier request was longer than the limit up to which such responses are skipped: the
+// rest of its body was taken for the response to the next request.
+func TestRestOfALongSkippedResponseIsNotAResponse(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(t, 1)
+	b.configure("1")
+	w := b.workers[0]
+	_, _, _, err := b.call("/once/x", "key-1", "")
+	is.NoErr(err)
+	w.SetHandler(func(rw http.ResponseWriter, _ *http.Request) {
+		own := rawResponse(w, rw, "200 OK", "Content-Length: 3\r\n", "own")
+		body := strings.Repeat("x", 256<<10) + rawResponse(w, rw, "200 OK", "Content-Length: 5\r\n", "other")
+		standin.SetAttemptID(&http.Request{Header: rw.Header()}, "earlier")
+		writeRaw(rw, rawResponse(w, rw, "200 OK", fmt.Sprintf("Content-Length: %d\r\n", len(body)), body)+own, false)
+	})
+	_, text, _, _ := b.call("/once/x", "key-1", "")
+	is.True(text != "other") // bytes of another response's body
+}
+
+// A long response to an idempotent request was cut off when the time limit of attempts that can be
+// repeated ran out, although its beginning had been sent and the call had time left.
+func TestLongResponseIsNotCutByTheTimeLimitOfRepeatableAttempts(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(t, 2)
+	b.configure("1")
+	const beginning, rest = 300 << 10, 10 << 10
+	for _, w := range b.workers {
+		w.SetHandler(func(rw http.ResponseWriter, _ *http.Request) {
+			w.Sign(rw)
+			rw.Header().Set("Content-Length", fmt.Sprint(beginning+rest))
+			_, _ = io.WriteString(rw, strings.Repeat("x", beginning))
+			_ = http.NewResponseController(rw).Flush()
+			time.Sleep(450 * time.Millisecond) // longer than a third of the route's 900 ms
+			_, _ = io.WriteString(rw, strings.Repeat("y", rest))
+		})
+	}
+	_, text, _, err := b.call("/safe/x", "key-1", "")
+	is.NoErr(err)
+	is.Equal(len(text), beginning+rest)
+}
+
+// The response to a HEAD request on a streaming route has no body, and neither length nor chunks: it was
+// taken for a stream that broke off before its first event.
+func TestResponseToHeadOnAStreamingRouteIsComplete(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(t, 1)
+	b.configure("1")
+	b.workers[0].SetHandler(b.workers[0].Stream(3, 0))
+	req, err := http.NewRequest(http.MethodHead, b.server.URL+"/live/x", nil)
+	is.NoErr(err)
+	req.Host = "h"
+	req.Header.Set("Authorization", "Bearer key-1")
+	resp, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	is.Equal(resp.StatusCode, http.StatusOK)
+}
+
+// An event without an id was followed by a break, and the stream resumed after the last id: the caller
+// received that event twice.
+func TestStreamIsNotResumedBeforeAnEventWithoutID(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(t, 2)
+	b.configure("1")
+	b.setBehaviours(
+		func(w *standin.Worker) func(http.ResponseWriter, *http.Request) {
+			return func(rw http.ResponseWriter, _ *http.Request) {
+				w.Sign(rw)
+				rw.Header().Set("Content-Type", "text/event-stream")
+				_, _ = io.WriteString(rw, "id: 1\ndata: token 1\n\ndata: token 2\n\n")
+				_ = http.NewResponseController(rw).Flush()
+				panic(http.ErrAbortHandler)
+			}
+		},
+		func(w *standin.Worker) func(http.ResponseWriter, *http.Request) { return w.Stream(3, 0) },
+	)
+	_, text, _, _ := b.call("/stream/x", "key-1", "")
+	is.Equal(strings.Count(text, "token 2"), 1)
+}
+
+// A blank line followed the last event of a stream whose framing shows its end: the caller's connection
+// was closed as if the stream had broken off.
+func TestBlankLineAfterTheLastEventDoesNotBreakTheStream(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(t, 1)
+	b.configure("1")
+	w := b.workers[0]
+	w.SetHandler(func(rw http.ResponseWriter, _ *http.Request) {
+		w.Sign(rw)
+		rw.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(rw, "id: 1\ndata: a\n\n\n")
+	})
+	_, text, _, err := b.call("/live/x", "key-1", "")
+	is.NoErr(err)
+	is.Equal(strings.TrimSpace(text), "id: 1\ndata: a")
+}
+
+// A stream broke off, and the body of the error that the next attempt got never came: the caller waited
+// for it until the deadline, although no part of it is used.
+func TestBodyOfAnUnusedErrorDoesNotHoldABrokenStream(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(t, 2)
+	b.configure("1")
+	b.setBehaviours(breakAfterTwoEvents, func(w *standin.Worker) func(http.ResponseWriter, *http.Request) {
+		return func(rw http.ResponseWriter, r *http.Request) {
+			w.Sign(rw)
+			rw.Header().Set("Content-Length", "9")
+			rw.WriteHeader(http.StatusInternalServerError)
+			_ = http.NewResponseController(rw).Flush()
+			<-r.Context().Done()
+		}
+	})
+	start := time.Now()
+	_, _, _, err := b.call("/stream/x", "key-1", "")
+	is.True(err != nil)
+	is.True(time.Since(start) < time.Second) // the route's timeout is 4 s
+}
+
+// A caller stopped reading a long response: its call kept the handler and a permit beyond the deadline.
+func TestCallerThatDoesNotReadIsLeftAtTheDeadline(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(t, 1)
+	b.configure("1")
+	w := b.workers[0]
+	w.SetHandler(func(rw http.ResponseWriter, _ *http.Request) {
+		w.Sign(rw)
+		for {
+			if _, err := io.WriteString(rw, strings.Repeat("x", 64<<10)); err != nil {
+				return
+			}
+		}
+	})
+	conn, err := net.Dial("tcp", b.server.Listener.Addr().String())
+	is.NoErr(err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST /once/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key-1\r\nContent-Length: 0\r\n\r\n")
+	is.NoErr(err)
+	running := func() int { n, _ := b.gateway.permits.usage("plain"); return n }
+	waitFor(t, "the call to run", func() bool { return running() == 1 })
+	time.Sleep(1500 * time.Millisecond) // the route's timeout is 900 ms
+	is.Equal(running(), 0)
+}
+
+// hookedConn is a connection whose Close runs a hook first.
+type hookedConn struct {
+	net.Conn
+	onClose func()
+}
+
+func (c *hookedConn) Close() error                    { c.onClose(); return nil }
+func (c *hookedConn) SetReadDeadline(time.Time) error { return nil }
+
+// A request arrived on a connection that had been chosen to be closed as idle: the connection was closed
+// under the request.
+func TestConnectionThatBecameActiveIsNotClosedAsIdle(t *testing.T) {
+	is := is.New(t)
+	idle := newIdleConns()
+	var active atomic.Pointer[hookedConn]
+	closedActive := false
+	conns := [2]*hookedConn{{}, {}}
+	for i, c := range conns {
+		other := conns[1-i]
+		c.onClose = func() {
+			if active.Load() == c {
+				closedActive = true
+				return
+			}
+			done := make(chan struct{})
+			go func() {
+				idle.recordState(other, http.StateActive)
+				close(done)
+			}()
+			select {
+			case <-done:
+				active.Store(other)
+			case <-time.After(100 * time.Millisecond): // the connections are chosen and closed in one step
+			}
+		}
+		idle.recordState(c, http.StateIdle)
+	}
+	idle.closeIdle(time.Now().Add(time.Minute), time.Second)
+	is.True(!closedActive)
+}
