Fail a later attempt whose success is no stream of events

What callers saw: the events before a break as a complete stream, when the attempt that was to resume it got a signed 200 without events and with another Content-Type.

Cause: after the head was sent, handleResponse told streams from other responses by their status only. A 200 of any kind went to forwardStream, which met the end of an empty, framed body and took it for the end of the stream. The class: an end without an error passed for evidence that the response is whole.

Change: once the head was sent, only a 200 whose Content-Type is text/event-stream can go on with the stream. Any other one falls to the case that fails the attempt, as a 404 or 500 does. The first attempt is not bound by that, since nothing was sent that it could complete wrongly.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -200,7 +200,7 @@
 		c.logAttempt(target, "attempt-failed", http.StatusText(outcome.Status), startedAt)
 		drain(response)
 		return failed, ResultFailed
-	case c.route.Streaming && outcome.Status == http.StatusOK:
+	case c.route.Streaming && outcome.Status == http.StatusOK && (!c.headSent || isEventStream(response)):
 		return c.forwardStream(response, target, startedAt)
 	case c.headSent:
 		c.logAttempt(target, "attempt-failed", "no stream in place of the one that broke off: "+http.StatusText(outcome.Status), startedAt)
--- a/pkg/gateway/brokenstream_test.go
+++ b/pkg/gateway/brokenstream_test.go
@@ -82,3 +82,15 @@
 	is.NoErr(err)
 	is.Equal(status, http.StatusBadGateway) // it may have run, and nothing was sent to the caller
 }
+
+// A stream broke off, and the attempt that should have resumed it got a signed 200 that is not an event
+// stream: the caller received the events so far as a complete response.
+func TestLaterEmptySuccessThatIsNoStreamDoesNotCompleteABrokenStream(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(t, 2)
+	b.configure("1")
+	b.setBehaviours(breakAfterTwoEvents, respondWith(http.StatusOK, ""))
+	_, text, _, err := b.call("/stream/x", "key-1", "")
+	is.Equal(strings.Count(text, "data:"), 2)
+	is.True(err != nil) // the caller must see that the response is not complete
+}
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"time"
@@ -104,6 +105,12 @@
 	}
 }
 
+// isEventStream reports whether a response declares its body as a stream of events.
+func isEventStream(response *exchange.Response) bool {
+	mediaType, _, _ := mime.ParseMediaType(response.Header.Get("Content-Type"))
+	return mediaType == "text/event-stream"
+}
+
 // isStreamComplete reports whether a stream that ended between two events is complete. One that ends
 // with its connection shows its end only by its events: before the first one, it has been broken off.
 func (c *call) isStreamComplete(response *exchange.Response) bool {
--- a/pkg/gateway/review_test.go
+++ b/pkg/gateway/review_test.go
@@ -46,18 +46,6 @@
 // its line feed.
 var lineOfReaderSize = "data: " + strings.Repeat("x", 16<<10-len("data: "))
 
-// A stream broke off, and the attempt that should have resumed it got a signed 200 that is not an event
-// stream: the caller received the events so far as a complete response.
-func TestLaterEmptySuccessThatIsNoStreamDoesNotCompleteABrokenStream(t *testing.T) {
-	is := is.New(t)
-	b := newTestbed(t, 2)
-	b.configure("1")
-	b.setBehaviours(breakAfterTwoEvents, respondWith(http.StatusOK, ""))
-	_, text, _, err := b.call("/stream/x", "key-1", "")
-	is.Equal(strings.Count(text, "data:"), 2)
-	is.True(err != nil) // the caller must see that the response is not complete
-}
-
 // unframedStream sends a stream with neither length nor chunks and ends it with its connection.
 func unframedStream(events string) behaviour {
 	return func(w *standin.Worker) func(http.ResponseWriter, *http.Request) {
