Take only a whole line that is blank for the end of an event

What callers saw: a stream that broke off inside an event, joined to the stream that resumed it; or an unframed stream that ended inside an event as a complete one.

Cause: sse.Reader looked at what ReadSlice returned, not at lines. After a line that fills the buffer, the line break follows by itself and looked like a blank line. A line of spaces looked like one too.

Change: a line is blank if it begins where a line begins and consists of its line break, which is what the format of event streams says.

--- a/pkg/sse/reader.go
+++ b/pkg/sse/reader.go
@@ -30,13 +30,15 @@
 // if the event is too long.
 func (r *Reader) Next() ([]byte, error) {
 	var ev []byte
-	for {
-		line, err := r.buf.ReadSlice('\n')
-		ev = append(ev, line...)
+	for lineStart := true; ; {
+		text, err := r.buf.ReadSlice('\n')
+		ev = append(ev, text...)
 		if len(ev) > MaxEventBytes {
 			return nil, ErrTooLong
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
+			// The rest of the line may be its line break alone.
+			lineStart = false
 			continue
 		}
 		if errors.Is(err, io.EOF) && len(ev) > 0 {
@@ -45,11 +47,17 @@
 		if err != nil {
 			return nil, err
 		}
-		if len(bytes.TrimSpace(line)) == 0 && len(bytes.TrimSpace(ev)) > 0 {
+		if lineStart && isBlankLine(text) && !isWhiteSpace(ev) {
 			return ev, nil
 		}
+		lineStart = true
 	}
 }
 
+// isBlankLine reports whether a line consists of its line break only.
+func isBlankLine(line []byte) bool { return string(line) == "\n" || string(line) == "\r\n" }
+
+func isWhiteSpace(text []byte) bool { return len(bytes.TrimSpace(text)) == 0 }
+
 // HasBuffered reports whether bytes after the last returned event were already read.
 func (r *Reader) HasBuffered() bool { return r.buf.Buffered() > 0 }
--- a/pkg/sse/reader_test.go
+++ b/pkg/sse/reader_test.go
@@ -10,6 +10,8 @@
 
 func TestNext(t *testing.T) {
 	long := "data: " + strings.Repeat("x", 3*readBufferBytes) + "\n\n"
+	line := func(size int) string { return "data: " + strings.Repeat("x", size-len("data: ")) }
+	fullLine, fullLineCR := line(readBufferBytes), line(readBufferBytes-1)+"\r"
 	cases := []struct {
 		name, text string
 		want       []string
@@ -20,6 +22,16 @@
 		{"carriage returns", "data: a\r\n\r\n", []string{"data: a\r\n\r\n"}, io.EOF},
 		{"longer than the buffer", long, []string{long}, io.EOF},
 		{"cut within an event", "data: a\n\ndata: b\n", []string{"data: a\n\n"}, io.ErrUnexpectedEOF},
+		{"cut after a line that fills the buffer", "id: 1\n" + fullLine + "\n", nil, io.ErrUnexpectedEOF},
+		{"cut after a line that fills the buffer with its carriage return", "id: 1\n" + fullLineCR + "\n", nil, io.ErrUnexpectedEOF},
+		{"line that fills the buffer", fullLine + "\nid: 1\n\n", []string{fullLine + "\nid: 1\n\n"}, io.EOF},
+		{"blank line after a line that fills the buffer", fullLine + "\n\ndata: b\n\n", []string{fullLine + "\n\n", "data: b\n\n"}, io.EOF},
+		{"cut after a line of spaces", "id: 1\n \n", nil, io.ErrUnexpectedEOF},
+		{"cut after a line of a carriage return and a space", "id: 1\n\r \n", nil, io.ErrUnexpectedEOF},
+		{"line of spaces", "id: 1\n \ndata: a\n\n", []string{"id: 1\n \ndata: a\n\n"}, io.EOF},
+		{"blank lines between events", "data: a\n\n\n\r\ndata: b\n\n", []string{"data: a\n\n", "\n\r\ndata: b\n\n"}, io.EOF},
+		{"cut in the first line of an event", "data: a\n\n\nd", []string{"data: a\n\n"}, io.ErrUnexpectedEOF},
+		{"no events", "", nil, io.EOF},
 		{"too long", "data: " + strings.Repeat("x", MaxEventBytes) + "\n\n", nil, ErrTooLong},
 	}
 	for _, c := range cases {
