Let white space follow the last event of a stream

What callers saw: a closed connection at the end of a whole stream, if a blank line followed its last event.

Cause: sse.Reader reported any bytes before the end of the stream as an event that was cut. White space begins no event.

Evidence: TestBlankLineAfterTheLastEventDoesNotBreakTheStream and the cases of sse.TestNext on white space after the last event fail without the change and pass with it.

Change: the end of the stream after white space only is io.EOF. A stream whose length or chunks are incomplete still ends in an error, since its body reports that before io.EOF.

--- a/pkg/gateway/brokenstream_test.go
+++ b/pkg/gateway/brokenstream_test.go
@@ -121,3 +121,20 @@
 	is.NoErr(err)
 	is.Equal(text, "id: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\n")
 }
+
+// A blank line followed the last event of a stream whose framing shows its end: the caller's connection
+// was closed as if the stream had broken off.
+func TestBlankLineAfterTheLastEventDoesNotBreakTheStream(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(t, 1)
+	b.configure("1")
+	w := b.workers[0]
+	w.SetHandler(func(rw http.ResponseWriter, _ *http.Request) {
+		w.Sign(rw)
+		rw.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(rw, "id: 1\ndata: a\n\n\n")
+	})
+	_, text, _, err := b.call("/live/x", "key-1", "")
+	is.NoErr(err)
+	is.Equal(strings.TrimSpace(text), "id: 1\ndata: a")
+}
--- a/pkg/sse/reader.go
+++ b/pkg/sse/reader.go
@@ -26,8 +26,8 @@
 }
 
 // Next returns the next event with its closing blank line. It returns io.EOF if the stream
-// ends after a complete event, io.ErrUnexpectedEOF if it ends within an event, and ErrTooLong
-// if the event is too long.
+// ends after a complete event, whatever white space follows it, io.ErrUnexpectedEOF if it ends
+// within an event, and ErrTooLong if the event is too long.
 func (r *Reader) Next() ([]byte, error) {
 	var ev []byte
 	for lineStart := true; ; {
@@ -41,7 +41,7 @@
 			lineStart = false
 			continue
 		}
-		if errors.Is(err, io.EOF) && len(ev) > 0 {
+		if errors.Is(err, io.EOF) && !isWhiteSpace(ev) {
 			return nil, io.ErrUnexpectedEOF
 		}
 		if err != nil {
--- a/pkg/sse/reader_test.go
+++ b/pkg/sse/reader_test.go
@@ -30,6 +30,8 @@
 		{"cut after a line of a carriage return and a space", "id: 1\n\r \n", nil, io.ErrUnexpectedEOF},
 		{"line of spaces", "id: 1\n \ndata: a\n\n", []string{"id: 1\n \ndata: a\n\n"}, io.EOF},
 		{"blank lines between events", "data: a\n\n\n\r\ndata: b\n\n", []string{"data: a\n\n", "\n\r\ndata: b\n\n"}, io.EOF},
+		{"blank lines after the last event", "data: a\n\n\n\r\n", []string{"data: a\n\n"}, io.EOF},
+		{"spaces after the last event", "data: a\n\n  ", []string{"data: a\n\n"}, io.EOF},
 		{"cut in the first line of an event", "data: a\n\n\nd", []string{"data: a\n\n"}, io.ErrUnexpectedEOF},
 		{"no events", "", nil, io.EOF},
 		{"too long", "data: " + strings.Repeat("x", MaxEventBytes) + "\n\n", nil, ErrTooLong},
