Count no comment as an event of a stream

What callers saw: a comment and then the regular end of a response, where an unframed stream had ended before its first event.

A comment, which upstreams send to keep a connection alive, shows nothing about the end of a stream.

Evidence: the case "after a comment" of TestUnframedStreamWithoutAWholeEventIsNotComplete fails without the change and passes with it.

Change: what has no data field is forwarded, but is not counted. Receivers of event streams do not dispatch it either.

--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -122,8 +122,10 @@
 	if id := sse.ID(event); id != "" {
 		c.lastEventID = id
 	}
-	c.events++
-	c.attemptEvents++
+	if sse.HasData(event) {
+		c.events++
+		c.attemptEvents++
+	}
 	if !c.lastEventAt.IsZero() {
 		c.longestEventGap = max(c.longestEventGap, now.Sub(c.lastEventAt))
 	}
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -53,8 +53,8 @@
 	// the whole response was.
 	headSent  bool
 	completed bool
-	// framing is that of the newest response of an upstream. events is the number of events sent to the
-	// caller, and attemptEvents the number of those that came from the newest response.
+	// framing is that of the newest response of an upstream. events is the number of events with data
+	// sent to the caller, and attemptEvents the number of those that came from the newest response.
 	framing       exchange.Framing
 	events        int
 	attemptEvents int
