Let a response that cannot have a body be complete

What callers saw: 502 for a HEAD request on a route for streams.

Cause: the response to such a request has no body. Where it has neither length nor chunks either, Framing called it framed by the end of its connection, and forwardStream took it for an unframed stream that ended before its first event.

Evidence: TestResponseToHeadOnAStreamingRouteIsComplete fails without the change and passes with it.

Change: http.ReadResponse sets http.NoBody only where the head shows that no body follows. Such a response is whole with its head, as if it stated the length 0.

--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -110,10 +110,11 @@
 	FramedByClose Framing = "close"
 )
 
-// Framing returns how the response marks the end of its body.
+// Framing returns how the response marks the end of its body. One that cannot have a body, such as
+// that to a HEAD request, counts as framed by length.
 func (a *Response) Framing() Framing {
 	switch {
-	case a.ContentLength >= 0:
+	case a.ContentLength >= 0 || a.Body == http.NoBody:
 		return FramedByLength
 	case len(a.TransferEncoding) > 0:
 		return FramedByChunks
--- a/pkg/gateway/brokenstream_test.go
+++ b/pkg/gateway/brokenstream_test.go
@@ -191,3 +191,20 @@
 		})
 	}
 }
+
+// The response to a HEAD request on a streaming route has no body, and neither length nor chunks: it was
+// taken for a stream that broke off before its first event.
+func TestResponseToHeadOnAStreamingRouteIsComplete(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(t, 1)
+	b.configure("1")
+	b.workers[0].SetHandler(b.workers[0].Stream(3, 0))
+	req, err := http.NewRequest(http.MethodHead, b.server.URL+"/live/x", nil)
+	is.NoErr(err)
+	req.Host = "h"
+	req.Header.Set("Authorization", "Bearer key-1")
+	resp, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	is.Equal(resp.StatusCode, http.StatusOK)
+}
