Don't repeat a request on the connection of its earlier response

What callers would see: 503 with the statement that the request has not run, although its second attempt did run. It takes a rank that refuses a call, which then waits for its group, and that sends its refusal a second time on the kept connection.

Cause: responses on a reused connection are told apart by the id of the request, which all attempts of a call share. A late copy of the first attempt's refusal passed for the response to the second.

Evidence: TestRefusalOfAnEarlierAttemptIsNotTheResponseToALaterOne fails without the change and passes with it.

Change: a connection whose latest response would pass for the response to the next request is closed in place of being reused. A copy then meets the end of its connection; on another connection the first response is the upstream's answer to this attempt. Only calls that are sent to the same upstream again, and requests without an id, pay with a further connection.

--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -49,8 +49,8 @@
 	netConn net.Conn
 	reader  *bufio.Reader
 	writer  *bufio.Writer
-	// used is set once the connection has carried an exchange.
-	used bool
+	// lastHead has the status and header of the latest response, nil before the first.
+	lastHead *http.Response
 	// expiresAt is when an idle connection is closed.
 	expiresAt time.Time
 }
@@ -61,6 +61,12 @@
 	}
 }
 
+// mayRepeat reports whether a late copy of the latest response could not be told from the response to
+// another request.
+func (c *conn) mayRepeat(isResponseTo func(*http.Response) bool) bool {
+	return c.lastHead != nil && isResponseTo(c.lastHead)
+}
+
 // isReusable reports whether an idle connection is open and has no unread bytes.
 func (c *conn) isReusable() bool {
 	if c.reader.Buffered() > 0 {
@@ -156,7 +162,7 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if !c.used || isResponseTo(resp) {
+		if c.lastHead == nil || isResponseTo(resp) {
 			return resp, nil
 		}
 		skipped++
@@ -185,7 +191,7 @@
 			a.host.releaseSlot()
 			return
 		}
-		a.conn.used = true
+		a.conn.lastHead = &http.Response{StatusCode: a.StatusCode, Header: a.Header}
 		a.host.putIdle(a.conn, idleTimeout(a.Response.Header))
 	})
 }
--- a/pkg/exchange/pool.go
+++ b/pkg/exchange/pool.go
@@ -51,15 +51,15 @@
 }
 
 // Do sends req to address (host:port) and returns the response once its header has arrived.
-// isResponseTo reports whether a response belongs to req; it is called only on a connection
-// that carried another exchange before. maxConns limits the connections to the address; 0
+// isResponseTo reports whether a response belongs to req, by its status and header; it is called only
+// on a connection that carried another exchange before. maxConns limits the connections to the address; 0
 // means no limit. When ctx ends, the connection is closed.
 //
 // The error is ErrNotSent if nothing was sent, ErrInvalidResponse if the received bytes are not
 // a response to req, and otherwise ErrLost.
 func (p *Pool) Do(ctx context.Context, address string, req *http.Request, maxConns int, isResponseTo func(*http.Response) bool) (*Response, error) {
 	h := p.connsOf(address)
-	c, err := p.acquireConn(ctx, h, address, maxConns)
+	c, err := p.acquireConn(ctx, h, address, maxConns, isResponseTo)
 	if err != nil {
 		return nil, errors.Join(ErrNotSent, err)
 	}
@@ -86,8 +86,8 @@
 
 // acquireConn returns an idle connection, or opens one if there is none. The error is
 // errConnLimit if the limit allows no further connection.
-func (p *Pool) acquireConn(ctx context.Context, h *hostConns, address string, maxConns int) (*conn, error) {
-	if c := h.popIdle(time.Now()); c != nil {
+func (p *Pool) acquireConn(ctx context.Context, h *hostConns, address string, maxConns int, isResponseTo func(*http.Response) bool) (*conn, error) {
+	if c := h.popIdle(time.Now(), isResponseTo); c != nil {
 		return c, nil
 	}
 	if !h.reserveSlot(maxConns) {
@@ -102,15 +102,16 @@
 }
 
 // popIdle returns the most recently used idle connection that is still reusable, and nil if
-// there is none. It closes the ones it finds unusable.
-func (h *hostConns) popIdle(now time.Time) *conn {
+// there is none. It closes the ones it finds unusable. One whose latest response passes for the
+// response to the next request is unusable: upstreams may send a response twice.
+func (h *hostConns) popIdle(now time.Time, isResponseTo func(*http.Response) bool) *conn {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for len(h.idle) > 0 {
 		last := len(h.idle) - 1
 		c := h.idle[last]
 		h.idle = h.idle[:last]
-		if now.Before(c.expiresAt) && c.isReusable() {
+		if now.Before(c.expiresAt) && c.isReusable() && !c.mayRepeat(isResponseTo) {
 			return c
 		}
 		c.netConn.Close()
