Skip no response that is longer than the limit

What callers would see: bytes from the body of another request's response as the response to their own. It takes a late response of more than 256 KiB on a reused connection, and bytes in it that look like a signed response with the right id.

Cause: readHead skipped a response to an earlier request up to maxSkippedBodyBytes, and read the next head from whatever followed, which was the rest of that body.

Evidence: TestRestOfALongSkippedResponseIsNotAResponse fails without the change and passes with it.

Change: the exchange fails if the limit is reached before the body ends, since only the end of a body shows where the next response begins.

--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -166,8 +166,8 @@
 			return resp, nil
 		}
 		skipped++
-		_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBodyBytes))
-		if err != nil || resp.Close || skipped > maxSkippedResponses {
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBodyBytes+1))
+		if err != nil || n > maxSkippedBodyBytes || resp.Close || skipped > maxSkippedResponses {
 			return nil, ErrInvalidResponse
 		}
 	}
--- a/pkg/gateway/foreignresponse_test.go
+++ b/pkg/gateway/foreignresponse_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -12,6 +13,7 @@
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/roster"
 	"github.com/coltsfootpitch/coltsfootpitch/platform"
+	"github.com/coltsfootpitch/coltsfootpitch/platform/standin"
 )
 
 // A rank refused a call that then waited for its group, and sent the refusal a second time where the
@@ -57,3 +59,22 @@
 	is.Equal(ran.Load(), int32(1))
 	is.True(got != http.StatusServiceUnavailable) // the request has run
 }
+
+// A response to an earlier request was longer than the limit up to which such responses are skipped: the
+// rest of its body was taken for the response to the next request.
+func TestRestOfALongSkippedResponseIsNotAResponse(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(t, 1)
+	b.configure("1")
+	w := b.workers[0]
+	_, _, _, err := b.call("/once/x", "key-1", "")
+	is.NoErr(err)
+	w.SetHandler(func(rw http.ResponseWriter, _ *http.Request) {
+		own := rawResponse(w, rw, "200 OK", "Content-Length: 3\r\n", "own")
+		body := strings.Repeat("x", 256<<10) + rawResponse(w, rw, "200 OK", "Content-Length: 5\r\n", "other")
+		standin.SetAttemptID(&http.Request{Header: rw.Header()}, "earlier")
+		writeRaw(rw, rawResponse(w, rw, "200 OK", fmt.Sprintf("Content-Length: %d\r\n", len(body)), body)+own, false)
+	})
+	_, text, _, _ := b.call("/once/x", "key-1", "")
+	is.True(text != "other") // bytes of another response's body
+}
--- a/pkg/gateway/review_test.go
+++ b/pkg/gateway/review_test.go
@@ -32,25 +32,6 @@
 	is.True(err != nil || !strings.Contains(statusLine, " 200 ")) // the caller must see that the response is not complete
 }
 
-// A response to an earlier request was longer than the limit up to which such responses are skipped: the
-// rest of its body was taken for the response to the next request.
-func TestRestOfALongSkippedResponseIsNotAResponse(t *testing.T) {
-	is := is.New(t)
-	b := newTestbed(t, 1)
-	b.configure("1")
-	w := b.workers[0]
-	_, _, _, err := b.call("/once/x", "key-1", "")
-	is.NoErr(err)
-	w.SetHandler(func(rw http.ResponseWriter, _ *http.Request) {
-		own := rawResponse(w, rw, "200 OK", "Content-Length: 3\r\n", "own")
-		body := strings.Repeat("x", 256<<10) + rawResponse(w, rw, "200 OK", "Content-Length: 5\r\n", "other")
-		standin.SetAttemptID(&http.Request{Header: rw.Header()}, "earlier")
-		writeRaw(rw, rawResponse(w, rw, "200 OK", fmt.Sprintf("Content-Length: %d\r\n", len(body)), body)+own, false)
-	})
-	_, text, _, _ := b.call("/once/x", "key-1", "")
-	is.True(text != "other") // bytes of another response's body
-}
-
 // A long response to an idempotent request was cut off when the time limit of attempts that can be
 // repeated ran out, although its beginning had been sent and the call had time left.
 func TestLongResponseIsNotCutByTheTimeLimitOfRepeatableAttempts(t *testing.T) {
