End the time limit of an attempt with the head of its response

What callers would see: a long response to an idempotent request, cut off in its body while its call had time left.

Cause: the time limit that leaves time for another attempt went on after the beginning of a response had been sent, when no other attempt can follow any more.

Change: sendHead lifts the limit, and the deadline of the call alone holds from then on. Up to there nothing changes: an attempt that hangs before its head, or in a body that is still buffered, is ended as before. Streams are not idempotent and never had the limit.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -165,13 +165,27 @@
 }
 
 // attemptContext limits the time of an attempt that another one may follow, so that an upstream
-// that hangs leaves time for a retry.
+// that hangs leaves time for a retry. The limit ends with liftAttemptLimit.
 func (c *call) attemptContext(ctx context.Context, isLast bool) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	c.attemptTimer = nil
 	if isLast || !c.route.Idempotent {
-		return context.WithCancel(ctx)
+		return ctx, cancel
 	}
 	const parts = 3
-	return context.WithTimeout(ctx, max(c.route.TargetLatency, c.timeLeft()/parts))
+	timer := time.AfterFunc(max(c.route.TargetLatency, c.timeLeft()/parts), cancel)
+	c.attemptTimer = timer
+	return ctx, func() {
+		timer.Stop()
+		cancel()
+	}
+}
+
+// liftAttemptLimit lets the attempt take the time of its call, once no other attempt can replace it.
+func (c *call) liftAttemptLimit() {
+	if c.attemptTimer != nil {
+		c.attemptTimer.Stop()
+	}
 }
 
 // logAttempt counts and logs an attempt that did not deliver the final response.
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -147,6 +147,7 @@
 	}
 	c.writer.WriteHeader(response.StatusCode)
 	c.headSent = true
+	c.liftAttemptLimit()
 }
 
 func (c *call) sendEvent(control *http.ResponseController, event []byte) bool {
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -53,6 +53,8 @@
 	// the whole response was.
 	headSent  bool
 	completed bool
+	// attemptTimer ends the newest attempt when its time limit has passed, nil if it has none.
+	attemptTimer *time.Timer
 	// framing is that of the newest response of an upstream. events is the number of events with data
 	// sent to the caller, and attemptEvents the number of those that came from the newest response.
 	framing       exchange.Framing
