Limit the time of reading a body that is not used

What callers would see: no answer until the deadline, if the body of an error or a refusal that is not forwarded never comes. A broken stream was not ended meanwhile, and another upstream that could have served the request was not asked.

Cause: drain reads the rest of such a response so that its connection can be reused, and waited for it as long as the call had time.

Evidence: TestBodyOfAnUnusedErrorDoesNotHoldABrokenStream and the new TestBodyOfARefusalDoesNotHoldTheNextAttempt fail without the change, after 4 s each, and pass with it.

Change: drain closes the connection after 50 ms. A connection is worth no more than the short wait in which a body that was sent with its head arrives.

--- a/pkg/gateway/brokenstream_test.go
+++ b/pkg/gateway/brokenstream_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -230,3 +231,46 @@
 	_, text, _, _ := b.call("/stream/x", "key-1", "")
 	is.Equal(strings.Count(text, "token 2"), 1)
 }
+
+// A stream broke off, and the body of the error that the next attempt got never came: the caller waited
+// for it until the deadline, although no part of it is used.
+func TestBodyOfAnUnusedErrorDoesNotHoldABrokenStream(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(t, 2)
+	b.configure("1")
+	b.setBehaviours(breakAfterTwoEvents, func(w *standin.Worker) func(http.ResponseWriter, *http.Request) {
+		return func(rw http.ResponseWriter, r *http.Request) {
+			w.Sign(rw)
+			rw.Header().Set("Content-Length", "9")
+			rw.WriteHeader(http.StatusInternalServerError)
+			_ = http.NewResponseController(rw).Flush()
+			<-r.Context().Done()
+		}
+	})
+	start := time.Now()
+	_, _, _, err := b.call("/stream/x", "key-1", "")
+	is.True(err != nil)
+	is.True(time.Since(start) < time.Second) // the route's timeout is 4 s
+}
+
+// The body of a refusal never came: the caller waited for it until the deadline, although another upstream
+// could have served the request.
+func TestBodyOfARefusalDoesNotHoldTheNextAttempt(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(t, 2)
+	b.configure("1")
+	refuseWithoutBody := func(w *standin.Worker) func(http.ResponseWriter, *http.Request) {
+		return func(rw http.ResponseWriter, r *http.Request) {
+			rw.Header().Set("Content-Length", "9")
+			w.Shed(rw, r)
+			_ = http.NewResponseController(rw).Flush()
+			<-r.Context().Done()
+		}
+	}
+	b.setBehaviours(refuseWithoutBody, func(w *standin.Worker) func(http.ResponseWriter, *http.Request) { return w.Stream(3, 0) })
+	start := time.Now()
+	_, text, _, err := b.call("/stream/x", "key-1", "")
+	is.NoErr(err)
+	is.Equal(strings.Count(text, "data:"), 3)
+	is.True(time.Since(start) < time.Second) // the route's timeout is 4 s
+}
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -17,12 +17,17 @@
 	// maxBufferedBytes is the size up to which a response is read completely before any of it is
 	// sent, so that after a broken connection the request can run on another upstream.
 	maxBufferedBytes = 256 << 10
-	// maxDrainBytes limits the body of a rejection that is read in order to reuse its connection.
+	// maxDrainBytes and maxDrainTime limit the body of an unused response that is read in order to reuse
+	// its connection. A short body arrives with its head.
 	maxDrainBytes = 16 << 10
+	maxDrainTime  = 50 * time.Millisecond
 )
 
-// drain reads the rest of a short response, so that its connection can be reused.
+// drain reads the rest of a short response, so that its connection can be reused. It closes the
+// connection if the rest does not arrive at once.
 func drain(response *exchange.Response) {
+	timer := time.AfterFunc(maxDrainTime, response.Close)
+	defer timer.Stop()
 	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxDrainBytes))
 	if err == nil && n < maxDrainBytes {
 		response.Release()
--- a/pkg/gateway/review_test.go
+++ b/pkg/gateway/review_test.go
@@ -10,8 +10,6 @@
 	"time"
 
 	"github.com/matryer/is"
-
-	"github.com/coltsfootpitch/coltsfootpitch/platform/standin"
 )
 
 // A stream to a caller that speaks HTTP/1.0 broke off: without chunks the caller cannot tell the close
@@ -31,27 +29,6 @@
 	is.True(err != nil || !strings.Contains(statusLine, " 200 ")) // the caller must see that the response is not complete
 }
 
-// A stream broke off, and the body of the error that the next attempt got never came: the caller waited
-// for it until the deadline, although no part of it is used.
-func TestBodyOfAnUnusedErrorDoesNotHoldABrokenStream(t *testing.T) {
-	is := is.New(t)
-	b := newTestbed(t, 2)
-	b.configure("1")
-	b.setBehaviours(breakAfterTwoEvents, func(w *standin.Worker) func(http.ResponseWriter, *http.Request) {
-		return func(rw http.ResponseWriter, r *http.Request) {
-			w.Sign(rw)
-			rw.Header().Set("Content-Length", "9")
-			rw.WriteHeader(http.StatusInternalServerError)
-			_ = http.NewResponseController(rw).Flush()
-			<-r.Context().Done()
-		}
-	})
-	start := time.Now()
-	_, _, _, err := b.call("/stream/x", "key-1", "")
-	is.True(err != nil)
-	is.True(time.Since(start) < time.Second) // the route's timeout is 4 s
-}
-
 // A caller stopped reading a long response: its call kept the handler and a permit beyond the deadline.
 func TestCallerThatDoesNotReadIsLeftAtTheDeadline(t *testing.T) {
 	is := is.New(t)
