Reset the connection of a caller without chunks when its response breaks off

What callers that speak HTTP/1.0 would see: the events before a break as a complete response.

Cause: a broken response was ended by closing the caller's connection. That shows a break where the response has a length or chunks. To a caller with HTTP/1.0 a response of unknown length is sent with neither, and the close is its regular end.

Change: the connection of such a caller is reset in place of closed, which reading reports as an error.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -123,12 +123,11 @@
 	return overloadRetryAfter
 }
 
-// abort closes the caller's connection, so that an incomplete response does not look complete. It
-// panics with http.ErrAbortHandler.
+// abort ends an incomplete response with breakOff and logs that.
 func (c *call) abort(reason string) {
 	c.gateway.count("answers_broken_off")
 	c.logEnd(0, reason)
-	panic(http.ErrAbortHandler)
+	c.breakOff()
 }
 
 // attempt sends the request to an upstream and forwards the response. isLast is set when no further
--- a/pkg/gateway/brokenstream_test.go
+++ b/pkg/gateway/brokenstream_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -274,3 +275,20 @@
 	is.Equal(strings.Count(text, "data:"), 3)
 	is.True(time.Since(start) < time.Second) // the route's timeout is 4 s
 }
+
+// A stream to a caller that speaks HTTP/1.0 broke off: without chunks the caller cannot tell the close
+// of its connection from the end of the response.
+func TestBrokenStreamIsNotCompleteForCallersWithoutChunks(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(t, 1)
+	b.configure("1")
+	b.workers[0].SetHandler(b.workers[0].Stream(3, 2))
+	conn, err := net.Dial("tcp", b.server.Listener.Addr().String())
+	is.NoErr(err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST /live/x HTTP/1.0\r\nHost: h\r\nAuthorization: Bearer key-1\r\nContent-Length: 0\r\n\r\n")
+	is.NoErr(err)
+	text, err := io.ReadAll(conn)
+	statusLine, _, _ := strings.Cut(string(text), "\r\n")
+	is.True(err != nil || !strings.Contains(statusLine, " 200 ")) // the caller must see that the response is not complete
+}
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -35,6 +35,8 @@
 	request *platform.Request
 	route   *route.Route
 	service string
+	// canReadChunks is set if the caller speaks HTTP/1.1 or later.
+	canReadChunks bool
 	// id identifies the call within this process.
 	id           string
 	organisation string
@@ -91,6 +93,7 @@
 		return
 	}
 	c := &call{gateway: g, writer: w, request: request, startedAt: start, id: strconv.FormatUint(g.requestCount.Add(1), 36), lastEventID: request.LastEventID}
+	c.canReadChunks = r.ProtoAtLeast(1, 1)
 	if status := c.resolve(table); status != 0 {
 		c.reject(status, unconfiguredRetryAfter, "not-allowed")
 		return
@@ -100,10 +103,32 @@
 	c.serve(ctx)
 	if c.headSent && !c.completed {
 		// The server would end the response as a complete one when this handler returns.
-		panic(http.ErrAbortHandler)
+		c.breakOff()
 	}
 }
 
+// breakOff closes the caller's connection, so that an incomplete response does not look complete. It
+// panics with http.ErrAbortHandler.
+func (c *call) breakOff() {
+	if !c.canReadChunks {
+		// A response without chunks and length ends with its connection; only a reset shows a break.
+		resetConnection(c.writer)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// resetConnection closes the connection of a request with a TCP reset.
+func resetConnection(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return // the connection is lost already
+	}
+	if c, ok := conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = c.SetLinger(0)
+	}
+	conn.Close()
+}
+
 // readBody reads a request body within the limits. It returns a status other than 0 when the body
 // is too large or cannot be read.
 func readBody(w http.ResponseWriter, r *http.Request, limits route.Limits) ([]byte, int) {
