Leave a caller that does not read when its call's time is up

What callers would see: less room. A caller that stopped reading a long response kept its call, with a permit and the connection to the upstream, as long as its own connection lasted.

Cause: the deadline of a call ends attempts, but not a write to the caller. Such a write blocks once the buffers of the connection are full, and nothing limited it.

Change: writes to the caller end 200 ms after the deadline of the call, and the response is broken off.

--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -24,6 +24,9 @@
 	storeStaleAfter = time.Second
 	// defaultTimeout limits a request without a deadline on a route without a timeout.
 	defaultTimeout = time.Minute
+	// writeGrace is how long after its deadline a call may still write. A caller that does not read holds
+	// the call no longer than that.
+	writeGrace = 200 * time.Millisecond
 	// defaultMaxBodyBytes limits a request body when the configuration states no limit.
 	defaultMaxBodyBytes = 4 << 20
 )
@@ -100,6 +103,10 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	control := http.NewResponseController(w)
+	_ = control.SetWriteDeadline(c.deadline.Add(writeGrace))
+	// The connection may carry further requests, whose deadlines are later.
+	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
 	c.serve(ctx)
 	if c.headSent && !c.completed {
 		// The server would end the response as a complete one when this handler returns.
