Let the server close idle connections of callers

What callers would see: a request on a kept connection that is closed without an answer, after the gateway had read it.

Cause: closeIdle chose idle connections under its lock and closed them after that. A connection on which a request had been read meanwhile was closed under that request.

Evidence: TestConnectionThatBecameActiveIsNotClosedAsIdle and the new TestRequestThatWasReadIsNotCutByTheIdleTimeout fail without the change and pass with it, 20 of 20 times. The second one, with a real server, also fails if recordState does not remove the deadline.

Change: closeIdle ends the wait for a request by a read deadline, under its lock, and the server closes the connection. A request whose head had been read removes the deadline as it becomes active. TestIdleConnectionIsClosed checks that idle connections are still closed.

--- a/pkg/gateway/idle.go
+++ b/pkg/gateway/idle.go
@@ -24,21 +24,21 @@
 		i.idleSince[c] = time.Now()
 		return
 	}
+	if _, wasIdle := i.idleSince[c]; wasIdle && s == http.StateActive {
+		// closeIdle may have chosen the connection after the server had read this request.
+		_ = c.SetReadDeadline(time.Time{})
+	}
 	delete(i.idleSince, c)
 }
 
-// closeIdle closes the connections that have been idle for longer than limit.
+// closeIdle lets the server close the connections that have been idle for longer than limit. It ends
+// their wait for a request: closing them here could cut a request that just arrived.
 func (i *idleConns) closeIdle(now time.Time, limit time.Duration) {
 	i.mu.Lock()
-	var old []net.Conn
+	defer i.mu.Unlock()
 	for c, since := range i.idleSince {
 		if now.Sub(since) > limit {
-			old = append(old, c)
-			delete(i.idleSince, c)
+			_ = c.SetReadDeadline(time.Now())
 		}
 	}
-	i.mu.Unlock()
-	for _, c := range old {
-		c.Close()
-	}
 }
