--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -49,8 +49,8 @@
 	netConn net.Conn
 	reader  *bufio.Reader
 	writer  *bufio.Writer
-	// used is set once the connection has carried an exchange.
-	used bool
+	// lastHead has the status and header of the latest response, nil before the first.
+	lastHead *http.Response
 	// expiresAt is when an idle connection is closed.
 	expiresAt time.Time
 }
@@ -61,6 +61,12 @@
 	}
 }
 
+// mayRepeat reports whether a late copy of the latest response could not be told from the response to
+// another request.
+func (c *conn) mayRepeat(isResponseTo func(*http.Response) bool) bool {
+	return c.lastHead != nil && isResponseTo(c.lastHead)
+}
+
 // isReusable reports whether an idle connection is open and has no unread bytes.
 func (c *conn) isReusable() bool {
 	if c.reader.Buffered() > 0 {
@@ -111,11 +117,15 @@
 )
 
 // Framing returns how the response marks the end of its body.
-func (a *Response) Framing() Framing {
+func (a *Response) Framing() Framing { return framingOf(a.Response) }
+
+// framingOf returns how a response marks the end of its body. One that cannot have a body, such as that
+// to a HEAD request, counts as framed by length.
+func framingOf(resp *http.Response) Framing {
 	switch {
-	case a.ContentLength >= 0:
+	case resp.ContentLength >= 0 || resp.Body == http.NoBody:
 		return FramedByLength
-	case len(a.TransferEncoding) > 0:
+	case len(resp.TransferEncoding) > 0:
 		return FramedByChunks
 	}
 	return FramedByClose
@@ -131,7 +141,7 @@
 		c.netConn.Close()
 		return nil, err
 	}
-	if endsWithConnection(resp) {
+	if framingOf(resp) == FramedByClose {
 		resp.Body = &unframedBody{ReadCloser: resp.Body, write: write}
 	}
 	return &Response{Response: resp, conn: c, host: h, stopWatch: stopWatch, write: write}, nil
@@ -157,11 +167,6 @@
 	return w
 }
 
-// endsWithConnection reports whether only the end of the connection ends the body of a response.
-func endsWithConnection(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
-}
-
 // unframedBody is the body of a response that ends with its connection. The kernel reports the
 // reset of a connection only once: if the write of the request receives it, reads see the same end
 // as after a regular close. The body is therefore complete only if the request was written.
@@ -197,7 +202,7 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if !c.used || isResponseTo(resp) {
+		if c.lastHead == nil || isResponseTo(resp) {
 			return resp, nil
 		}
 		skipped++
@@ -226,7 +231,7 @@
 			a.host.releaseSlot()
 			return
 		}
-		a.conn.used = true
+		a.conn.lastHead = &http.Response{StatusCode: a.StatusCode, Header: a.Header}
 		a.host.putIdle(a.conn, idleTimeout(a.Response.Header))
 	})
 }
--- a/pkg/exchange/exchange_test.go
+++ b/pkg/exchange/exchange_test.go
@@ -64,7 +64,7 @@
 	raw, err := net.Dial("tcp", address)
 	is.NoErr(err)
 	c := newConn(raw)
-	c.used = true
+	c.lastHead = &http.Response{}
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
 	response, err := c.exchange(ctx, newTestRequest("2", http.NoBody, 0), &hostConns{}, isResponseTo("2"))
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -131,12 +131,11 @@
 	return overloadRetryAfter
 }
 
-// abort closes the caller's connection, so that an incomplete response does not look complete. It
-// panics with http.ErrAbortHandler.
+// abort ends an incomplete response with breakOff and logs that.
 func (c *call) abort(reason string) {
 	c.gateway.count("answers_broken_off")
 	c.logEnd(0, reason)
-	panic(http.ErrAbortHandler)
+	c.breakOff()
 }
 
 // attempt sends the request to an upstream and forwards the response. isLast is set when no further
@@ -174,13 +173,27 @@
 }
 
 // attemptContext limits the time of an attempt that another one may follow, so that an upstream
-// that hangs leaves time for a retry.
+// that hangs leaves time for a retry. The limit ends with liftAttemptLimit.
 func (c *call) attemptContext(ctx context.Context, isLast bool) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	c.attemptTimer = nil
 	if isLast || !c.route.Idempotent {
-		return context.WithCancel(ctx)
+		return ctx, cancel
 	}
 	const parts = 3
-	return context.WithTimeout(ctx, max(c.route.TargetLatency, c.timeLeft()/parts))
+	timer := time.AfterFunc(max(c.route.TargetLatency, c.timeLeft()/parts), cancel)
+	c.attemptTimer = timer
+	return ctx, func() {
+		timer.Stop()
+		cancel()
+	}
+}
+
+// liftAttemptLimit lets the attempt take the time of its call, once no other attempt can replace it.
+func (c *call) liftAttemptLimit() {
+	if c.attemptTimer != nil {
+		c.attemptTimer.Stop()
+	}
 }
 
 // logAttempt counts and logs an attempt that did not deliver the final response.
@@ -209,7 +222,7 @@
 		c.logAttempt(target, "attempt-failed", http.StatusText(outcome.Status), startedAt)
 		drain(response)
 		return failed, ResultFailed
-	case c.route.Streaming && outcome.Status == http.StatusOK:
+	case c.route.Streaming && outcome.Status == http.StatusOK && (!c.headSent || isEventStream(response)):
 		return c.forwardStream(response, target, startedAt)
 	case c.headSent:
 		c.logAttempt(target, "attempt-failed", "no stream in place of the one that broke off: "+http.StatusText(outcome.Status), startedAt)
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"time"
@@ -16,12 +17,17 @@
 	// maxBufferedBytes is the size up to which a response is read completely before any of it is
 	// sent, so that after a broken connection the request can run on another upstream.
 	maxBufferedBytes = 256 << 10
-	// maxDrainBytes limits the body of a rejection that is read in order to reuse its connection.
+	// maxDrainBytes and maxDrainTime limit the body of an unused response that is read in order to reuse
+	// its connection. A short body arrives with its head.
 	maxDrainBytes = 16 << 10
+	maxDrainTime  = 50 * time.Millisecond
 )
 
-// drain reads the rest of a short response, so that its connection can be reused.
+// drain reads the rest of a short response, so that its connection can be reused. It closes the
+// connection if the rest does not arrive at once.
 func drain(response *exchange.Response) {
+	timer := time.AfterFunc(maxDrainTime, response.Close)
+	defer timer.Stop()
 	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxDrainBytes))
 	if err == nil && n < maxDrainBytes {
 		response.Release()
@@ -108,6 +114,12 @@
 	}
 }
 
+// isEventStream reports whether a response declares its body as a stream of events.
+func isEventStream(response *exchange.Response) bool {
+	mediaType, _, _ := mime.ParseMediaType(response.Header.Get("Content-Type"))
+	return mediaType == "text/event-stream"
+}
+
 // isStreamComplete reports whether a stream that ended between two events is complete. One that ends
 // with its connection shows its end only by its events: before the first one, it has been broken off.
 func (c *call) isStreamComplete(response *exchange.Response) bool {
@@ -116,13 +128,17 @@
 
 // recordEvent updates the event id and timing of the call after an event was sent to the caller.
 func (c *call) recordEvent(event []byte, now time.Time) {
-	if id := sse.ID(event); id != "" {
+	id, hasData := sse.ID(event), sse.HasData(event)
+	if id != "" || hasData {
+		// After an event without an id, an older one would repeat that event.
 		c.lastEventID = id
 	}
-	c.events++
-	c.attemptEvents++
-	if c.attemptEvents == 1 {
-		c.recordAnswer()
+	if hasData {
+		c.events++
+		c.attemptEvents++
+		if c.attemptEvents == 1 {
+			c.recordAnswer()
+		}
 	}
 	if !c.lastEventAt.IsZero() {
 		c.longestEventGap = max(c.longestEventGap, now.Sub(c.lastEventAt))
@@ -145,6 +161,7 @@
 	}
 	c.writer.WriteHeader(response.StatusCode)
 	c.headSent = true
+	c.liftAttemptLimit()
 }
 
 func (c *call) sendEvent(control *http.ResponseController, event []byte) bool {
@@ -155,10 +172,10 @@
 }
 
 // handleBrokenStream returns the outcome for a stream that broke off. If events were sent and the
-// route is not resumable, it aborts the caller's connection, so that the response is visibly
-// incomplete.
+// stream cannot be resumed after the last of them, it aborts the caller's connection, so that the
+// response is visibly incomplete.
 func (c *call) handleBrokenStream() attemptOutcome {
-	if !c.route.Resumable && c.headSent {
+	if c.headSent && (!c.route.Resumable || c.lastEventID == "") {
 		c.abort("stream-broke-off")
 	}
 	return failed
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -24,6 +24,9 @@
 	storeStaleAfter = time.Second
 	// defaultTimeout limits a request without a deadline on a route without a timeout.
 	defaultTimeout = time.Minute
+	// writeGrace is how long after its deadline a call may still write. A caller that does not read holds
+	// the call no longer than that.
+	writeGrace = 200 * time.Millisecond
 	// defaultMaxBodyBytes limits a request body when the configuration states no limit.
 	defaultMaxBodyBytes = 4 << 20
 )
@@ -35,6 +38,8 @@
 	request *platform.Request
 	route   *route.Route
 	service string
+	// canReadChunks is set if the caller speaks HTTP/1.1 or later.
+	canReadChunks bool
 	// id identifies the call within this process.
 	id           string
 	organisation string
@@ -53,12 +58,14 @@
 	// the whole response was.
 	headSent  bool
 	completed bool
-	// framing is that of the newest response of an upstream. events is the number of events sent to the
-	// caller, and attemptEvents the number of those that came from the newest response.
+	// attemptTimer ends the newest attempt when its time limit has passed, nil if it has none.
+	attemptTimer *time.Timer
+	// framing is that of the newest response of an upstream. events is the number of events with data
+	// sent to the caller, and attemptEvents the number of those that came from the newest response.
 	framing       exchange.Framing
 	events        int
 	attemptEvents int
-	// lastEventID is the id of the last event sent to the caller.
+	// lastEventID is the id of the last event sent to the caller, empty if that has none.
 	lastEventID string
 	// permitWait is the time until a permit was granted, timeToFirstEvent the time until the first
 	// event, longestEventGap the longest pause between two events, and lastEventAt when the newest
@@ -89,19 +96,46 @@
 		return
 	}
 	c := &call{gateway: g, writer: w, request: request, startedAt: start, id: strconv.FormatUint(g.requestCount.Add(1), 36), lastEventID: request.LastEventID}
+	c.canReadChunks = r.ProtoAtLeast(1, 1)
 	if status := c.resolve(table); status != 0 {
 		c.reject(status, unconfiguredRetryAfter, "not-allowed")
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	control := http.NewResponseController(w)
+	_ = control.SetWriteDeadline(c.deadline.Add(writeGrace))
+	// The connection may carry further requests, whose deadlines are later.
+	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
 	c.serve(ctx)
 	if c.headSent && !c.completed {
 		// The server would end the response as a complete one when this handler returns.
-		panic(http.ErrAbortHandler)
+		c.breakOff()
 	}
 }
 
+// breakOff closes the caller's connection, so that an incomplete response does not look complete. It
+// panics with http.ErrAbortHandler.
+func (c *call) breakOff() {
+	if !c.canReadChunks {
+		// A response without chunks and length ends with its connection; only a reset shows a break.
+		resetConnection(c.writer)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// resetConnection closes the connection of a request with a TCP reset.
+func resetConnection(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return // the connection is lost already
+	}
+	if c, ok := conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = c.SetLinger(0)
+	}
+	conn.Close()
+}
+
 // readBody reads a request body within the limits. It returns a status other than 0 when the body
 // is too large or cannot be read.
 func readBody(w http.ResponseWriter, r *http.Request, limits route.Limits) ([]byte, int) {
--- a/pkg/sse/reader.go
+++ b/pkg/sse/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"io"
 )
@@ -25,42 +26,38 @@
 }
 
 // Next returns the next event with its closing blank line. It returns io.EOF if the stream
-// ends after a complete event, io.ErrUnexpectedEOF if it ends within an event, and ErrTooLong
-// if the event is too long.
+// ends after a complete event, whatever white space follows it, io.ErrUnexpectedEOF if it ends
+// within an event, and ErrTooLong if the event is too long.
 func (r *Reader) Next() ([]byte, error) {
 	var ev []byte
-	// lineStart is the offset of the current line in ev. hasFields is set once ev has a line that
-	// is not blank.
-	lineStart, hasFields := 0, false
-	for {
-		part, err := r.buf.ReadSlice('\n')
-		ev = append(ev, part...)
+	for lineStart := true; ; {
+		text, err := r.buf.ReadSlice('\n')
+		ev = append(ev, text...)
 		if len(ev) > MaxEventBytes {
 			return nil, ErrTooLong
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
-			// The rest of the line follows.
+			// The rest of the line may be its line break alone.
+			lineStart = false
 			continue
 		}
-		if errors.Is(err, io.EOF) && len(ev) > 0 {
+		if errors.Is(err, io.EOF) && !isWhiteSpace(ev) {
 			return nil, io.ErrUnexpectedEOF
 		}
 		if err != nil {
 			return nil, err
 		}
-		blank := isBlank(ev[lineStart:])
-		if blank && hasFields {
+		if lineStart && isBlankLine(text) && !isWhiteSpace(ev) {
 			return ev, nil
 		}
-		hasFields = hasFields || !blank
-		lineStart = len(ev)
+		lineStart = true
 	}
 }
 
-// isBlank reports whether a line consists of its line end only.
-func isBlank(line []byte) bool {
-	return len(line) == 1 || len(line) == 2 && line[0] == '\r'
-}
+// isBlankLine reports whether a line consists of its line break only.
+func isBlankLine(line []byte) bool { return string(line) == "\n" || string(line) == "\r\n" }
+
+func isWhiteSpace(text []byte) bool { return len(bytes.TrimSpace(text)) == 0 }
 
 // HasBuffered reports whether bytes after the last returned event were already read.
 func (r *Reader) HasBuffered() bool { return r.buf.Buffered() > 0 }
