--- a/pkg/crashcause/explain.go
+++ b/pkg/crashcause/explain.go
@@ -15,7 +15,7 @@
 	minAnsweredCrashes  = 5
 	minAnsweredEpisodes = 3
 	// episodeTime is the time within which crashes may have one cause outside of the requests.
-	episodeTime = 2 * time.Second
+	episodeTime = time.Second
 )
 
 // explanation is how well a trait explains a set of crashes.
