Test: a seeded soak of gateway processes under overlapping disturbances

A schedule stops, kills and hangs up gateways, one, two or all, writes configurations, replaces workers, and makes the store fail or hang.

--- a/Makefile
+++ b/Makefile
@@ -10,10 +10,10 @@
 demo: build
 	$(BIN)/coltsfoot-demo
 
-# The scenarios in ./test build the binaries themselves, which the test cache cannot see.
+# The scenarios in ./test and the soak build the binaries themselves, which the test cache cannot see.
 test: build
-	$(GO) test -race -json $$($(GO) list ./... | grep -v '/test$$') | $(GATE)
-	$(GO) test -race -count=1 -json ./test | $(GATE)
+	$(GO) test -race -json $$($(GO) list ./... | grep -v '/test\(/soak\)\?$$') | $(GATE)
+	$(GO) test -race -count=1 -p 1 -json ./test ./test/soak | $(GATE)
 
 bench:
 	$(GO) test -p 1 -run '^$$' -bench . -benchmem ./...
--- /dev/null
+++ b/test/soak/schedule_test.go
@@ -0,0 +1,211 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/coltsfootpitch/coltsfootpitch/platform"
+	"github.com/coltsfootpitch/coltsfootpitch/platform/standin"
+)
+
+// configurationText has the routes of all versions; a version may have an added one.
+const configurationText = `{"version":%d,"routes":[
+ {"name":"safe","host":"h","path_prefix":"/safe/","type":"safe","service":"plain","max_attempts":2,"timeout_ms":%[2]d,"target_latency_ms":400},
+ {"name":"once","host":"h","path_prefix":"/once/","type":"unsafe","service":"plain","max_attempts":2,"timeout_ms":%[2]d,"target_latency_ms":400},
+ {"name":"stream","host":"h","path_prefix":"/stream/","type":"streaming","resumable":true,"service":"plain","max_attempts":3,"timeout_ms":%[2]d,"target_latency_ms":500,"session_affinity":true},
+ {"name":"live","host":"h","path_prefix":"/live/","type":"streaming","service":"plain","max_attempts":2,"timeout_ms":%[2]d,"target_latency_ms":500}%[3]s],
+ "services":[{"name":"plain","max_connections":50}],
+ "limits":{"max_body_bytes":1000,"idle_timeout_ms":15000},
+ "tenants":[{"name":"o","api_keys":["key-1"]}]}`
+
+const addedRouteText = `,
+ {"name":"added","host":"h","path_prefix":"/added/","type":"safe","service":"plain","max_attempts":2,"timeout_ms":%d,"target_latency_ms":400}`
+
+// interval is a span of time.
+type interval struct{ from, to time.Time }
+
+// schedule plays random events against gateways, workers and the store.
+type schedule struct {
+	t        *testing.T
+	random   *rand.Rand
+	gateways []*gateway
+	store    *standin.Store
+	service  *standin.FaultyService
+	version  int
+	// cycles are the stops and starts in progress.
+	cycles sync.WaitGroup
+	// crashingPaused is set while callers send no requests with the crashing part.
+	crashingPaused atomic.Bool
+
+	// mu guards the fields below.
+	mu sync.Mutex
+	// storeFaults are the times in which the store failed or hung, and inStoreFault is set meanwhile.
+	storeFaults  []interval
+	inStoreFault bool
+}
+
+// configure writes a new configuration.
+func (s *schedule) configure() {
+	s.version += 1 + s.random.IntN(5)
+	timeout := callerTimeout + between(s.random, 0, 2*time.Second)
+	added := ""
+	if s.random.IntN(2) == 0 {
+		added = fmt.Sprintf(addedRouteText, timeout.Milliseconds())
+	}
+	text := fmt.Sprintf(configurationText, s.version, timeout.Milliseconds(), added)
+	s.store.PutRaw(platform.KindConfiguration, platform.NameConfiguration, []byte(text))
+}
+
+// event is a kind of event with its share among all.
+type event struct {
+	name   string
+	weight int
+	play   func(s *schedule)
+}
+
+var events = []event{
+	{"stop one gateway", 5, func(s *schedule) { s.cycle(1, (*gateway).stopWhole) }},
+	{"stop two gateways", 3, func(s *schedule) { s.cycle(2, (*gateway).stopWhole) }},
+	{"stop all gateways", 1, func(s *schedule) { s.cycle(len(s.gateways), (*gateway).stopWhole) }},
+	{"kill a gateway that stops", 1, func(s *schedule) {
+		after := between(s.random, time.Millisecond, 4*time.Second)
+		s.cycle(1, func(g *gateway) { g.stop(after) })
+	}},
+	{"kill one gateway", 3, func(s *schedule) { s.cycle(1, (*gateway).kill) }},
+	{"kill two gateways", 1, func(s *schedule) { s.cycle(2, (*gateway).kill) }},
+	{"kill all gateways", 1, func(s *schedule) { s.cycle(len(s.gateways), (*gateway).kill) }},
+	{"hang up", 3, func(s *schedule) { s.gateways[s.random.IntN(len(s.gateways))].hangUp() }},
+	{"configure", 4, (*schedule).configure},
+	{"drain a worker", 2, func(s *schedule) { s.replaceWorker(true) }},
+	{"remove a worker", 2, func(s *schedule) { s.replaceWorker(false) }},
+	{"add a worker", 1, func(s *schedule) { s.service.Add() }},
+	{"fail the store", 2, func(s *schedule) {
+		s.disturbStore(func(on bool) {
+			status := 0
+			if on {
+				status = http.StatusServiceUnavailable
+			}
+			s.store.FailAll(status)
+		})
+	}},
+	{"hang the store", 2, func(s *schedule) { s.disturbStore(s.store.Hang) }},
+}
+
+// calmTime is the time without events at the end, after which the rules with time bounds hold at all
+// gateways, and lastTime the time after that.
+const (
+	calmTime = contactTime + restartDelay
+	lastTime = 3 * time.Second
+)
+
+// run plays events until the time is over. It then restarts all gateways at once, and leaves them alone.
+// The crashing part comes again only when the rules with time bounds hold: gateways that have forgotten
+// it would otherwise have the time to find out again.
+func (s *schedule) run(duration time.Duration) {
+	longestPause := between(s.random, time.Second, 4*time.Second)
+	total := 0
+	for _, e := range events {
+		total += e.weight
+	}
+	for end := time.Now().Add(duration); ; {
+		pause := between(s.random, 100*time.Millisecond, longestPause)
+		if time.Now().Add(pause).After(end) {
+			break
+		}
+		time.Sleep(pause)
+		chosen := s.random.IntN(total)
+		for _, e := range events {
+			if chosen -= e.weight; chosen < 0 {
+				s.t.Logf("%s %s", time.Now().Format("15:04:05.000"), e.name)
+				e.play(s)
+				break
+			}
+		}
+	}
+	s.cycles.Wait()
+	s.crashingPaused.Store(true)
+	last := (*gateway).stopWhole
+	if s.random.IntN(2) == 0 {
+		last = (*gateway).kill
+	}
+	s.cycle(len(s.gateways), last)
+	s.cycles.Wait()
+	time.Sleep(calmTime)
+	s.crashingPaused.Store(false)
+	time.Sleep(lastTime)
+}
+
+// cycle stops up to count gateways and starts them again. It leaves those out that are in a cycle.
+func (s *schedule) cycle(count int, stop func(*gateway)) {
+	for _, i := range s.random.Perm(len(s.gateways))[:min(count, len(s.gateways))] {
+		g := s.gateways[i]
+		if !g.inCycle.TryLock() {
+			continue
+		}
+		s.cycles.Go(func() {
+			defer g.inCycle.Unlock()
+			stop(g)
+			g.restart()
+		})
+	}
+}
+
+func (g *gateway) stopWhole() { g.stop(0) }
+
+// hangUp sends SIGHUP to a process that has started.
+func (g *gateway) hangUp() {
+	g.mu.Lock()
+	// Before a process has set its handlers, a SIGHUP ends it.
+	const settleTime = 2 * time.Second
+	canSend := time.Since(g.starts[len(g.starts)-1]) > settleTime && len(g.ends) < len(g.starts)
+	g.mu.Unlock()
+	if canSend {
+		g.signal(syscall.SIGHUP)
+	}
+}
+
+// replaceWorker makes a worker leave, and adds one if there are few.
+func (s *schedule) replaceWorker(drain bool) {
+	const fewestWorkers = 6
+	s.service.Leave(drain)
+	if s.service.WorkerCount() < fewestWorkers {
+		s.service.Add()
+	}
+}
+
+// disturbStore turns a fault of the store on for a second or two.
+func (s *schedule) disturbStore(set func(on bool)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.inStoreFault {
+		return
+	}
+	s.inStoreFault = true
+	from, length := time.Now(), between(s.random, 500*time.Millisecond, 2*time.Second)
+	set(true)
+	time.AfterFunc(length, func() {
+		set(false)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.inStoreFault = false
+		s.storeFaults = append(s.storeFaults, interval{from, time.Now()})
+	})
+}
+
+// wasStoreDisturbed reports whether the store was disturbed between two times.
+func (s *schedule) wasStoreDisturbed(from, to time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, f := range s.storeFaults {
+		if f.from.Before(to) && f.to.After(from) {
+			return true
+		}
+	}
+	return false
+}
