--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -185,8 +185,11 @@
 		p.members[entry.Name] = m
 		return m
 	}
-	m.Entry = entry
-	return m
+	// Requests to the peer read the entry without the lock.
+	updated := *m
+	updated.Entry = entry
+	p.members[entry.Name] = &updated
+	return &updated
 }
 
 // fetchSnapshot requests and applies the state of a peer while the store is unreachable.
