Take stop signals from before the listeners open

What callers saw: a gateway that got SIGTERM while it was starting ended at once, without serving what its listeners had accepted. Cause: the signal was subscribed to after app.Start.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -81,6 +81,10 @@
 		log.Error("start-failed", "error", err.Error())
 		return process.ExitFailed
 	}
+	// Callers may connect before Start returns.
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
 	ctx, cancel := context.WithTimeout(context.Background(), fx.DefaultTimeout)
 	defer cancel()
 	if err := app.Start(ctx); err != nil {
@@ -88,15 +92,13 @@
 		return process.ExitFailed
 	}
 	log.Info("started", "node", s.Name, "zone", s.Zone, "address", s.Address)
-	waitForStopSignal(log)
+	waitForStopSignal(signals, log)
 	return stop(app, s, log)
 }
 
 // waitForStopSignal returns on the first SIGTERM or SIGINT. A SIGHUP only checks the settings:
 // they are fixed while a process runs.
-func waitForStopSignal(log hclog.Logger) {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+func waitForStopSignal(signals <-chan os.Signal, log hclog.Logger) {
 	for sig := range signals {
 		if sig != syscall.SIGHUP {
 			log.Info("stopping", "signal", sig.String())
