--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -105,9 +105,9 @@
 	return w.convicted
 }
 
-// traits returns what the request may have in common with others that crash upstreams. The fingerprint
+// crashTraits returns what the request may have in common with others that crash upstreams. The fingerprint
 // is left out while there is nothing to compare it with.
-func (c *call) traits() crashcause.Request {
+func (c *call) crashTraits() crashcause.Request {
 	r := crashcause.Request{Parts: c.request.PromptParts}
 	if !c.gateway.crashes.isEmpty() {
 		r.Fingerprint = c.fingerprint()
@@ -122,7 +122,7 @@
 
 // isConvicted reports whether the request is known to crash upstreams.
 func (c *call) isConvicted() bool {
-	conviction, convicted := c.gateway.crashes.findConviction(c.traits(), time.Now())
+	conviction, convicted := c.gateway.crashes.findConviction(c.crashTraits(), time.Now())
 	if convicted {
 		c.gateway.log.Info("crashing-request-stopped", "request", c.request.ID, "conviction", conviction)
 	}
@@ -131,7 +131,7 @@
 
 // recordAnswer records that an upstream began to answer the request.
 func (c *call) recordAnswer() {
-	r := c.traits()
+	r := c.crashTraits()
 	c.gateway.crashes.change(func(l *crashcause.Ledger) bool { return l.RecordAnswer(r, time.Now()) })
 }
 
