--- a/pkg/gateway/crashingpart_test.go
+++ b/pkg/gateway/crashingpart_test.go
@@ -146,18 +146,18 @@
 	return resp.StatusCode, strings.Count(string(text), "data:")
 }
 
-// arrivalsAfterFifthCrash returns the number of crashes, and how many requests with the crashing part
-// reached workers later than contactTime after the fifth crash.
-func (f *crashFleet) arrivalsAfterFifthCrash() (crashes, late int) {
-	var fifth time.Time
+// arrivalsAfterCrash returns the number of crashes, and how many requests with the crashing part reached
+// workers later than contactTime after the n-th crash.
+func (f *crashFleet) arrivalsAfterCrash(n int) (crashes, late int) {
+	var nth time.Time
 	for crashes = len(f.crasher.Crashes); len(f.crasher.Crashes) > 0; {
 		at := <-f.crasher.Crashes
-		if crashes-len(f.crasher.Crashes) == 5 {
-			fifth = at
+		if crashes-len(f.crasher.Crashes) == n {
+			nth = at
 		}
 	}
 	for len(f.crasher.Arrivals) > 0 {
-		if at := <-f.crasher.Arrivals; !fifth.IsZero() && at.After(fifth.Add(contactTime)) {
+		if at := <-f.crasher.Arrivals; !nth.IsZero() && at.After(nth.Add(contactTime)) {
 			late++
 		}
 	}
@@ -186,7 +186,7 @@
 			}
 		}
 	}
-	crashes, late := f.arrivalsAfterFifthCrash()
+	crashes, late := f.arrivalsAfterCrash(5)
 	t.Logf("%d crashes, %d requests reached workers late, %d of %d sound requests served", crashes, late, served, sound)
 	is.True(late <= 3)
 	is.Equal(served, sound) // same organisation and first part, no crash any more
