Count a plain response as an answer only when it is whole

Callers saw a request that came again end the back ends of a plain service one after the other.

Cause: evidence on a crash was taken only where the connection broke before the head of a response or the first event of a stream. A plain response counted as answered with its head, which acquitted the request, and a break in its body was booked as a failed attempt. Workers may send the head before the work. Ruled out: loss of evidence among gateways (the same test with the head held back convicts after 5 crashes).

Change: plain responses are answers when they are whole, and breaking off before that is checked for the end of the upstream, short and long ones alike. Streams already go by their first event.

--- a/pkg/crashcause/doc.go
+++ b/pkg/crashcause/doc.go
@@ -4,7 +4,8 @@
 // part of their prompts. What can be at fault is a trait: a shared part of a prompt, or the content of
 // one request. The evidence is, for each crash, which requests were running that had not begun to
 // answer, and which of their traits other requests began to answer with, before or after: a trait that
-// crashes upstreams never gets that far.
+// crashes upstreams never gets that far. A stream begins to be answered with its first event, any other
+// request when its answer is whole: the head of an answer may be sent before the work.
 //
 // A Ledger convicts the traits that explain the crashes best: those with which no request was answered
 // before, and of these the one that the most crashes have in common. The crashes that it explains count
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -229,6 +229,5 @@
 		drain(response)
 		return failed, ResultFailed
 	}
-	c.recordAnswer()
 	return c.forwardBuffered(response, outcome, target, startedAt)
 }
--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -129,14 +129,15 @@
 	return convicted
 }
 
-// recordAnswer records that an upstream began to answer the request.
+// recordAnswer records that an upstream answered the request: with the first event of a stream, or with a
+// whole response of another kind.
 func (c *call) recordAnswer() {
 	r := c.crashTraits()
 	c.gateway.crashes.change(func(l *crashcause.Ledger) bool { return l.RecordAnswer(r, time.Now()) })
 }
 
-// checkCrash records the end of the upstream if it ended while it ran the request, which it had not begun
-// to answer. It returns at once.
+// checkCrash records the end of the upstream if it ended while it ran the request, which it had not
+// answered as recordAnswer has it. It returns at once.
 func (c *call) checkCrash(target Target, err error) {
 	if errors.Is(err, net.ErrClosed) {
 		return // the gateway itself gave the attempt up
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -39,11 +39,13 @@
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
 	if err != nil {
 		c.logAttempt(target, "attempt-failed", "response body ended early: "+err.Error(), startedAt)
+		c.checkCrash(target, err)
 		return failed, ResultFailed
 	}
 	if len(body) == maxBufferedBytes {
-		return c.forwardLong(response, outcome, body)
+		return c.forwardLong(response, outcome, target, body)
 	}
+	c.recordAnswer()
 	response.Release()
 	c.sendHead(response, len(body))
 	if _, err := c.writer.Write(body); err != nil {
@@ -58,15 +60,17 @@
 }
 
 // forwardLong sends the caller a response that is too long to buffer; body is its beginning.
-func (c *call) forwardLong(response *exchange.Response, outcome platform.Outcome, body []byte) (attemptOutcome, AttemptResult) {
+func (c *call) forwardLong(response *exchange.Response, outcome platform.Outcome, target Target, body []byte) (attemptOutcome, AttemptResult) {
 	c.sendHead(response, int(response.ContentLength))
 	if _, err := c.writer.Write(body); err != nil {
 		c.logEnd(0, "caller-gone")
 		return final, ResultNeutral
 	}
 	if _, err := io.Copy(c.writer, response.Body); err != nil {
+		c.checkCrash(target, err)
 		c.abort("answer-broke-off")
 	}
+	c.recordAnswer()
 	response.Release()
 	c.recordDelivered(outcome.Status)
 	return final, ResultSucceeded
