--- a/pkg/gateway/crashingpart_test.go
+++ b/pkg/gateway/crashingpart_test.go
@@ -1,41 +1,23 @@
 package gateway
 
 import (
-	"context"
-	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptest"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
-	"github.com/rcrowley/go-metrics"
 
-	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
-	"github.com/coltsfootpitch/coltsfootpitch/platform"
 	"github.com/coltsfootpitch/coltsfootpitch/platform/standin"
 )
 
-// crashFleet is a fleet of gateways that know each other, with workers that crash on one part of a
-// prompt.
+// crashFleet is a fleet with workers that crash on one part of a prompt.
 type crashFleet struct {
-	t        *testing.T
-	store    *standin.Store
-	crasher  *standin.Crasher
-	gateways []*fleetGateway
-	next     int
-}
-
-// fleetGateway is one gateway of a crashFleet.
-type fleetGateway struct {
-	*Gateway
-	url  string
-	stop func()
+	*gatewayFleet
+	crasher *standin.Crasher
+	next    int
 }
 
 const (
@@ -48,71 +30,16 @@
 
 func newCrashFleet(t *testing.T, gateways, workers int) *crashFleet {
 	t.Helper()
-	f := &crashFleet{t: t, store: standin.NewStore()}
-	t.Cleanup(f.store.Close)
+	f := &crashFleet{gatewayFleet: newGatewayFleet(t)}
 	f.crasher = standin.NewCrasher(f.store, "plain", "z", crashingPart, 300*time.Millisecond, 30*time.Millisecond)
 	for i := range workers {
 		w := f.crasher.Add("i-" + strconv.Itoa(i))
 		t.Cleanup(w.Close)
 	}
-	f.store.PutRaw(platform.KindConfiguration, platform.NameConfiguration, configuration("1"))
-	for i := range gateways {
-		f.gateways = append(f.gateways, f.start(i))
-	}
-	f.waitUntil("the gateways to know each other and the workers", func() bool {
-		for _, g := range f.gateways {
-			upstreams, _ := g.fleet.UsableCapacity("plain")
-			g.mu.Lock()
-			known := g.gatewayCount
-			g.mu.Unlock()
-			if !g.Ready() || upstreams < workers || known < gateways {
-				return false
-			}
-		}
-		return true
-	})
+	f.startAll(gateways, workers)
 	return f
 }
 
-// start starts a gateway with its own listeners.
-func (f *crashFleet) start(i int) *fleetGateway {
-	f.t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	n := platform.Settings{
-		Name: fmt.Sprintf("edge-%d", i), Zone: "z", StoreAddress: f.store.Address(), StopTimeout: 8 * time.Second,
-		PeerAddress: l.Addr().String(),
-		RetryLimits: platform.RetryLimits{Ratio: 0.2, Allowance: 94, Window: 10 * time.Second},
-	}
-	m := metrics.NewRegistry()
-	store := platform.NewStore(n.StoreAddress, m, hclog.NewNullLogger())
-	g := New(n, NewFleet(n), hclog.NewNullLogger(), m)
-	p := NewPeers(n, g, peer.Credentials{}, hclog.NewNullLogger())
-	peerServer := peer.NewServer(peer.Credentials{})
-	p.register(peerServer)
-	ctx, cancel := context.WithCancel(context.Background())
-	g.followStore(ctx, store)
-	go func() { _ = peerServer.Serve(l) }()
-	go p.run(ctx, store)
-	callers := httptest.NewServer(g)
-	stop := func() {
-		cancel()
-		callers.CloseClientConnections()
-		callers.Close()
-		_ = peerServer.Close()
-	}
-	f.t.Cleanup(stop)
-	return &fleetGateway{Gateway: g, url: callers.URL, stop: stop}
-}
-
-func (f *crashFleet) waitUntil(description string, condition func() bool) {
-	f.t.Helper()
-	b := testbed{t: f.t}
-	b.waitUntil(description, condition)
-}
-
 // call sends a request with these prompt parts to the next gateway and returns the status, and the
 // number of events if the response was whole.
 func (f *crashFleet) call(parts ...string) (status, events int) {
