Keep the limits that upstreams name, all gateways together

Callers' requests went to back ends in need at the usual rate: the header with the limit was passed on unread.

Cause: no part of the gateway knew such limits. Ruled out as design: fixed shares of a limit of a few requests a second among nine gateways (the tokens of the first moment alone are more than allowed).

Change: for each limited upstream one gateway, chosen by rendezvous hashing among those that hear each other, grants each request (pkg/requestlimit, pure; the shell in pkg/gateway). What upstreams said travels with heartbeats and questions. What is left goes to other upstreams or is rejected at once as not run. New coordinators wait; gateways that are cut off grant a part only. pick.TokenBucket got a burst and a wait.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -50,9 +50,13 @@
 			c.respondFailure(ctx, reasonCrashes)
 			return final
 		}
-		target, ok := c.gateway.fleet.Choose(c.service, c.triedUpstreams, time.Now())
+		target, ok := c.chooseAdmitted(ctx)
 		if !ok {
-			c.respondFailure(ctx, "no-upstream")
+			reason := "no-upstream"
+			if c.gateway.fleet.LimitWait(c.service, time.Now()) > 0 {
+				reason = reasonLimited
+			}
+			c.respondFailure(ctx, reason)
 			return final
 		}
 		c.triedUpstreams = append(c.triedUpstreams, target.ID)
@@ -84,6 +88,24 @@
 	}
 }
 
+// chooseAdmitted reserves a slot at the best upstream whose limit allows the request. It returns false when
+// there is none.
+func (c *call) chooseAdmitted(ctx context.Context) (Target, bool) {
+	for ctx.Err() == nil {
+		target, ok := c.gateway.fleet.Choose(c.service, c.triedUpstreams, time.Now())
+		if !ok {
+			return Target{}, false
+		}
+		if c.gateway.fleet.limits.admit(ctx, target.Incarnation) {
+			return target, true
+		}
+		c.gateway.count("limits_reached")
+		c.gateway.log.Info("upstream-limit-reached", "request", c.request.ID, "upstream", target.ID, "address", target.Address)
+		c.gateway.fleet.Return(target.ID)
+	}
+	return Target{}, false
+}
+
 // canAttemptAgain reports whether the route and the time left allow a further attempt after this
 // number of attempts that reached an upstream.
 func (c *call) canAttemptAgain(reached int) bool {
@@ -115,8 +137,11 @@
 		}
 	}
 	retryAfter := c.jitteredRetryAfter(c.retryAfter())
-	if reason == reasonCrashes {
+	switch reason {
+	case reasonCrashes:
 		retryAfter = crashRetryAfter
+	case reasonLimited:
+		retryAfter = c.jitteredRetryAfter(max(overloadRetryAfter, c.gateway.fleet.LimitWait(c.service, time.Now())))
 	}
 	c.reject(status, retryAfter, reason)
 }
@@ -206,6 +231,7 @@
 // handleResponse classifies the response of an upstream and forwards it if it is final.
 func (c *call) handleResponse(response *exchange.Response, target Target, isLast bool, startedAt time.Time) (attemptOutcome, AttemptResult) {
 	outcome := platform.ReadOutcome(response.Response)
+	c.gateway.fleet.limits.recordResponse(target.Incarnation, outcome, startedAt)
 	c.framing = response.Framing()
 	switch {
 	case outcome.NotRun:
--- a/pkg/gateway/fleet.go
+++ b/pkg/gateway/fleet.go
@@ -8,8 +8,11 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/inventory"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/pick"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/requestlimit"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/route"
 	"github.com/coltsfootpitch/coltsfootpitch/platform"
 )
@@ -19,6 +22,8 @@
 type Fleet struct {
 	zone   string
 	warmup platform.WarmupLimits
+	// limits has a lock of its own, which is taken after mu.
+	limits *requestLimits
 
 	mu        sync.Mutex
 	upstreams *inventory.Inventory
@@ -78,9 +83,9 @@
 )
 
 // NewFleet returns a fleet without upstreams.
-func NewFleet(n platform.Settings) *Fleet {
+func NewFleet(n platform.Settings, log hclog.Logger) *Fleet {
 	return &Fleet{
-		zone: n.Zone, warmup: n.WarmupLimits, upstreams: inventory.New(),
+		zone: n.Zone, warmup: n.WarmupLimits, limits: newRequestLimits(n.Name, log), upstreams: inventory.New(),
 		zonesOut: map[string]bool{}, zonesKeptOut: map[string]bool{}, services: map[string]*route.Service{},
 		observations: map[string]*observation{}, gatewayCount: 1, eventProgress: map[string]eventProgress{},
 	}
@@ -205,6 +210,8 @@
 	ID             string
 	Address        string
 	MaxConnections int
+	// Incarnation identifies the upstream in its statements on limits.
+	Incarnation requestlimit.Upstream
 	// HasRoom is set if the work known at the upstream is below its capacity, so that a rejection
 	// has another reason.
 	HasRoom bool
@@ -232,11 +239,57 @@
 	s.running++
 	s.startedSinceReport++
 	return Target{
-		ID: e.ID, Address: e.Address, MaxConnections: f.connectionLimit(service),
+		ID: e.ID, Address: e.Address, MaxConnections: f.connectionLimit(service), Incarnation: incarnationOf(e),
 		HasRoom: candidates[best].Running < candidates[best].Capacity,
 	}, true
 }
 
+// incarnationOf identifies an upstream in its statements on limits.
+func incarnationOf(e *inventory.Entry) requestlimit.Upstream {
+	u := requestlimit.Upstream{ID: e.ID}
+	if !e.StartedAt.IsZero() {
+		u.StartedAtMillis = e.StartedAt.UnixMilli()
+	}
+	return u
+}
+
+// Return frees a slot that Choose reserved and that was not used.
+func (f *Fleet) Return(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.observation(id)
+	s.running--
+	s.startedSinceReport = max(0, s.startedSinceReport-1)
+}
+
+// LimitWait returns the time until the limit of an upstream of a service allows a request, 0 if none is
+// reached.
+func (f *Fleet) LimitWait(service string, now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	shortest := time.Duration(0)
+	for _, e := range f.upstreams.Entries() {
+		if e.Service != service || e.Leaving {
+			continue
+		}
+		if wait := f.limits.denialTime(incarnationOf(e), now); wait > 0 && (shortest == 0 || wait < shortest) {
+			shortest = wait
+		}
+	}
+	return shortest
+}
+
+// PruneLimits forgets the limits of upstreams that are gone.
+func (f *Fleet) PruneLimits(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	listed := map[requestlimit.Upstream]bool{}
+	for _, e := range f.upstreams.Entries() {
+		listed[incarnationOf(e)] = true
+	}
+	f.limits.prune(func(u requestlimit.Upstream) bool { return listed[u] }, now)
+}
+
 func (f *Fleet) candidates(service string, tried []string, now time.Time) ([]pick.Candidate, []string) {
 	var candidates []pick.Candidate
 	var ids []string
@@ -250,6 +303,9 @@
 		if e.Service != service || e.Leaving || f.isZoneOut(e.Zone, now) || slices.Contains(tried, id) {
 			continue
 		}
+		if f.limits.isDenied(incarnationOf(e), now) {
+			continue
+		}
 		s := f.observation(id)
 		cold := now.Before(e.ColdUntil) && f.coldStartRate(service) > 0
 		if cold && !s.coldStarts.Ready(f.coldStartRate(service), now) {
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -13,6 +13,7 @@
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/crashcause"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/inventory"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/requestlimit"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/roster"
 	"github.com/coltsfootpitch/coltsfootpitch/platform"
 )
@@ -33,6 +34,9 @@
 	// removeAfter is the time without a report after which a peer is no longer probed; it is added
 	// again when it probes this gateway.
 	removeAfter = time.Minute
+	// forgetAfter is the time without a report after which a peer is no longer one that may be running and
+	// cut off.
+	forgetAfter = 10 * time.Minute
 	// listInterval is the time between two reads of the store for unknown peers.
 	listInterval = 5 * time.Second
 	// directoryTTL is the longest time that callers may cache a directory response.
@@ -51,6 +55,8 @@
 	CrashDigest uint64 `json:"crash_digest,omitempty"`
 	// Silent are the IDs of the upstreams that have work of the sender and send nothing while others do.
 	Silent []string `json:"silent,omitempty"`
+	// Limits are the statements of upstreams on their limits that the sender knows.
+	Limits []requestlimit.Statement `json:"limits,omitempty"`
 }
 
 // Snapshot passes the state of a gateway to one that cannot reach the store.
@@ -64,6 +70,7 @@
 	methodHello    = "gateway.hello"
 	methodSnapshot = "gateway.snapshot"
 	methodCrashes  = "gateway.crashes"
+	methodAdmit    = "gateway.admit"
 )
 
 // member is another gateway. lastReport is zero until its first report.
@@ -86,6 +93,8 @@
 
 	mu      sync.Mutex
 	members map[string]*member
+	// knownAt is when each gateway that may be running was last heard of, by name.
+	knownAt map[string]time.Time
 }
 
 // NewPeers returns a view without other gateways.
@@ -95,13 +104,16 @@
 			Name: n.Name, Incarnation: uuid.NewString(), CallerAddress: n.CallerAddress,
 			PeerAddress: n.PeerAddress, Region: n.Region, Zone: n.Zone,
 		},
-		seeds: n.Seeds, gateway: g, credentials: c, log: log, members: map[string]*member{},
+		seeds: n.Seeds, gateway: g, credentials: c, log: log, members: map[string]*member{}, knownAt: map[string]time.Time{},
 	}
-	tellPeers := func() { p.probeMembers(context.Background()) }
-	g.crashes.onCrash, g.onSilence = tellPeers, tellPeers
+	g.crashes.onCrash, g.onSilence = p.tell, p.tell
+	g.fleet.limits.peers = p
 	return p
 }
 
+// tell sends this gateway's state to all peers.
+func (p *Peers) tell() { p.probeMembers(context.Background()) }
+
 // register adds the methods that peers call.
 func (p *Peers) register(s *peer.Server) {
 	peer.Handle(s, methodHello, func(_ context.Context, _ *jsonrpc2.Conn, h Hello) (Hello, error) {
@@ -114,6 +126,9 @@
 	peer.Handle(s, methodCrashes, func(context.Context, *jsonrpc2.Conn, struct{}) ([]crashcause.Crash, error) {
 		return p.gateway.crashes.evidence(time.Now()), nil
 	})
+	peer.Handle(s, methodAdmit, func(_ context.Context, _ *jsonrpc2.Conn, r AdmitRequest) (AdmitResponse, error) {
+		return p.gateway.fleet.limits.handleAdmit(r), nil
+	})
 	peer.Handle(s, roster.MethodLimit, func(_ context.Context, _ *jsonrpc2.Conn, l roster.Limit) (roster.LimitResponse, error) {
 		return p.gateway.applyLimit(l), nil
 	})
@@ -123,6 +138,7 @@
 	h := Hello{From: p.self, Ready: p.gateway.Ready(), Version: p.gateway.Version(), CrashDigest: p.gateway.crashes.digest()}
 	now := time.Now()
 	h.Silent = p.gateway.fleet.silentUpstreams(now)
+	h.Limits = p.gateway.fleet.limits.statements(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, m := range p.members {
@@ -136,6 +152,7 @@
 // handleHello records the report of a peer and adds the peers that it names.
 func (p *Peers) handleHello(h Hello, now time.Time) {
 	p.gateway.fleet.SetSilent(h.Silent, now)
+	p.gateway.fleet.limits.merge(h.Limits, now)
 	p.mu.Lock()
 	m := p.addMember(h.From)
 	if m != nil {
@@ -144,6 +161,7 @@
 		}
 		m.lastReport = now
 		m.ready = h.Ready
+		p.knownAt[m.Name] = now
 	}
 	for _, o := range h.Peers {
 		p.addMember(o)
@@ -183,6 +201,9 @@
 	if m == nil || m.Incarnation != entry.Incarnation && m.PeerAddress != entry.PeerAddress {
 		m = &member{Entry: entry, client: peer.NewClient(entry.PeerAddress, p.credentials)}
 		p.members[entry.Name] = m
+		if _, known := p.knownAt[entry.Name]; !known {
+			p.knownAt[entry.Name] = time.Now()
+		}
 		return m
 	}
 	// Requests to the peer read the entry without the lock.
@@ -277,6 +298,13 @@
 		case sinceReport > removeAfter:
 			m.client.Close()
 			delete(p.members, name)
+		case !m.ready:
+			delete(p.knownAt, name) // it was about to stop
+		}
+	}
+	for name, at := range p.knownAt {
+		if now.Sub(at) > forgetAfter {
+			delete(p.knownAt, name)
 		}
 	}
 	p.mu.Unlock()
--- a/pkg/pick/pick.go
+++ b/pkg/pick/pick.go
@@ -80,25 +80,24 @@
 	return s
 }
 
-// TokenBucket is a token bucket that limits the starts at a cold upstream. It is not safe for
-// concurrent use.
+// TokenBucket limits the rate of starts. The zero value is full and holds one token, the smallest number that
+// allows any start. It is not safe for concurrent use.
 type TokenBucket struct {
 	tokens float64
+	// burst is the number of tokens that it holds, 0 for 1.
+	burst  float64
 	filled time.Time
 }
 
-// coldStartBurst is the number of starts that an entry may make at once: the smallest that allows
-// any start.
-const coldStartBurst = 1.0
+// NewEmptyTokenBucket returns a bucket without tokens that holds up to burst of them.
+func NewEmptyTokenBucket(burst float64, now time.Time) *TokenBucket {
+	return &TokenBucket{burst: burst, filled: now}
+}
 
 // Take refills the bucket at a rate in starts per second, takes the token for one start and
 // reports whether there was one.
 func (b *TokenBucket) Take(rate float64, now time.Time) bool {
-	if b.filled.IsZero() {
-		b.tokens = coldStartBurst
-	} else {
-		b.tokens = min(coldStartBurst, b.tokens+rate*now.Sub(b.filled).Seconds())
-	}
+	b.tokens = b.at(rate, now)
 	b.filled = now
 	if b.tokens < 1 {
 		return false
@@ -108,6 +107,18 @@
 }
 
 // Ready reports whether Take would succeed. It changes nothing.
-func (b *TokenBucket) Ready(rate float64, now time.Time) bool {
-	return b.filled.IsZero() || b.tokens+rate*now.Sub(b.filled).Seconds() >= 1
+func (b *TokenBucket) Ready(rate float64, now time.Time) bool { return b.at(rate, now) >= 1 }
+
+// Wait returns the time from the last Take until there is a token, at a rate in starts per second.
+func (b *TokenBucket) Wait(rate float64) time.Duration {
+	return time.Duration(max(0, 1-b.tokens) / rate * float64(time.Second))
+}
+
+// at returns the number of tokens at a time.
+func (b *TokenBucket) at(rate float64, now time.Time) float64 {
+	burst := max(b.burst, 1)
+	if b.filled.IsZero() {
+		return burst
+	}
+	return min(burst, b.tokens+rate*now.Sub(b.filled).Seconds())
 }
