--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -32,6 +32,11 @@
 	// requests and events fit.
 	readBufferBytes  = 4 << 10
 	writeBufferBytes = 4 << 10
+	// maxHeadBytes limits the status line and header of a response, with the interim responses before it.
+	maxHeadBytes = 64 << 10
+	// maxBodyBytes limits the body of a response as it is sent, framing included: bytes that are no
+	// response may come without end.
+	maxBodyBytes = 32 << 20
 	// maxSkippedResponses is the number of responses to earlier requests that are skipped
 	// before the connection is closed.
 	maxSkippedResponses = 2
