Bound the head and the body of an upstream's response

Callers lost gateways with their memory: an upstream that sends bytes without end was read for as long as its call lasted, and a head held whole.

Cause: http.ReadResponse has no bound on a head or on interim responses, which the transport of net/http adds and pkg/exchange left out with it; bodies ended only with the call. Chunk extensions, trailers, events and unused responses had bounds already.

Change: one bounded reader under the buffer of each connection: 64 KB for a head with the interim responses before it, 32 MB for a body as it is sent, and as much as a skipped response may have. Beyond it the response is invalid: the attempt failed, or the caller's response is visibly broken off.

A stream of nothing but comments still lasts as long as its call.

--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -25,6 +25,8 @@
 	// ErrInvalidResponse means that the upstream sent bytes that are not a response to the
 	// request.
 	ErrInvalidResponse = errors.New("exchange: the upstream sent no valid response")
+	// ErrTooLong means that the head or the body of a response exceeds what is read of it.
+	ErrTooLong = errors.New("exchange: the response is too long")
 )
 
 const (
@@ -52,8 +54,10 @@
 // conn is one connection to an upstream.
 type conn struct {
 	netConn net.Conn
-	reader  *bufio.Reader
-	writer  *bufio.Writer
+	// bound limits what reader reads from netConn.
+	bound  *boundedReader
+	reader *bufio.Reader
+	writer *bufio.Writer
 	// lastHead has the status and header of the latest response, nil before the first.
 	lastHead *http.Response
 	// expiresAt is when an idle connection is closed.
@@ -61,11 +65,28 @@
 }
 
 func newConn(raw net.Conn) *conn {
+	bound := &boundedReader{reader: raw}
 	return &conn{
-		netConn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), writer: bufio.NewWriterSize(raw, writeBufferBytes),
+		netConn: raw, bound: bound, reader: bufio.NewReaderSize(bound, readBufferBytes), writer: bufio.NewWriterSize(raw, writeBufferBytes),
 	}
 }
 
+// boundedReader reads a number of bytes and then returns ErrTooLong.
+type boundedReader struct {
+	reader io.Reader
+	left   int
+}
+
+// Read implements io.Reader.
+func (r *boundedReader) Read(p []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, ErrTooLong
+	}
+	n, err := r.reader.Read(p[:min(len(p), r.left)])
+	r.left -= n
+	return n, err
+}
+
 // mayRepeat reports whether a late copy of the latest response could not be told from the response to
 // another request.
 func (c *conn) mayRepeat(isResponseTo func(*http.Response) bool) bool {
@@ -146,6 +167,7 @@
 		c.netConn.Close()
 		return nil, err
 	}
+	c.bound.left = maxBodyBytes
 	if framingOf(resp) == FramedByClose {
 		resp.Body = &unframedBody{ReadCloser: resp.Body, write: write}
 	}
@@ -196,6 +218,7 @@
 // readHead reads the status line and header of the response to req. It skips responses to
 // earlier requests.
 func (c *conn) readHead(req *http.Request, isResponseTo func(*http.Response) bool) (*http.Response, error) {
+	c.bound.left = maxHeadBytes
 	for skipped := 0; ; {
 		resp, err := http.ReadResponse(c.reader, req)
 		if err != nil {
@@ -211,10 +234,12 @@
 			return resp, nil
 		}
 		skipped++
+		c.bound.left = maxSkippedBodyBytes + maxHeadBytes
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBodyBytes+1))
 		if err != nil || n > maxSkippedBodyBytes || resp.Close || skipped > maxSkippedResponses {
 			return nil, ErrInvalidResponse
 		}
+		c.bound.left = maxHeadBytes
 	}
 }
 
