--- a/pkg/upstream/http.go
+++ b/pkg/upstream/http.go
@@ -30,6 +30,10 @@
 	dialTimeout         = time.Second
 	healthTimeout       = time.Second
 	maxIdleConnsPerHost = 256
+	// maxHeadBytes limits the header of a response and maxDocumentBytes a document of GetJSON: upstreams in
+	// trouble may send bytes without end.
+	maxHeadBytes     = 64 << 10
+	maxDocumentBytes = 4 << 20
 )
 
 // NewHTTPClient returns a client of the upstream at baseURL.
@@ -40,13 +44,13 @@
 	return &HTTPClient{
 		baseURL: baseURL,
 		pooled: &http.Client{
-			Transport:     &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdleConnsPerHost, DisableCompression: true},
+			Transport:     &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdleConnsPerHost, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes},
 			CheckRedirect: returnRedirect,
 		},
 		// net/http repeats some requests by itself when a reused connection is found to be
 		// closed. A request that may run only once is therefore sent on a new connection.
 		unpooled: &http.Client{
-			Transport:     &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true},
+			Transport:     &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes},
 			CheckRedirect: returnRedirect,
 		},
 	}
@@ -80,7 +84,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return oops.Errorf("get %s: status %d", path, resp.StatusCode)
 	}
-	return json.NewDecoder(resp.Body).Decode(out)
+	return json.NewDecoder(io.LimitReader(resp.Body, maxDocumentBytes)).Decode(out)
 }
 
 // Send sends a request and returns the response. The caller must close the response body. The
--- a/pkg/upstream/http_test.go
+++ b/pkg/upstream/http_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -135,3 +136,27 @@
 	})
 	is.True(errors.Is(err, ErrLost))
 }
+
+// An upstream sent a header or a document without end, and the agent held all of it.
+func TestAnswersWithoutEndAreBounded(t *testing.T) {
+	is := is.New(t)
+	h, _ := newCountingServer(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/head" {
+			_, _ = w.Write([]byte(`"`))
+			for range 3 * maxDocumentBytes / 1024 {
+				_, _ = w.Write([]byte(strings.Repeat("x", 1024)))
+			}
+			_, _ = w.Write([]byte(`"`))
+			return
+		}
+		for range 2 * maxHeadBytes / 100 {
+			w.Header().Add("X-A", strings.Repeat("x", 100))
+		}
+	})
+	var out any
+	is.True(h.GetJSON(context.Background(), "/document", &out) != nil)
+	_, err := h.Send(context.Background(), peer.RunRequest{Method: http.MethodGet, Path: "/head"})
+	is.True(err != nil)
+	_, err = h.Send(context.Background(), peer.RunRequest{Method: http.MethodGet, Path: "/head", Idempotent: true})
+	is.True(err != nil)
+}
