--- a/test/soak/schedule_test.go
+++ b/test/soak/schedule_test.go
@@ -85,6 +85,10 @@
 	{"drain a worker", 2, func(s *schedule) { s.replaceWorker(true) }},
 	{"remove a worker", 2, func(s *schedule) { s.replaceWorker(false) }},
 	{"add a worker", 1, func(s *schedule) { s.service.Add() }},
+	{"limit a worker", 3, func(s *schedule) {
+		s.service.Limit(0.5+2*s.random.Float64(), between(s.random, 6*time.Second, 14*time.Second))
+	}},
+	{"freeze a gateway", 2, (*schedule).freeze},
 	{"fail the store", 2, func(s *schedule) {
 		s.disturbStore(func(on bool) {
 			status := 0
@@ -156,6 +160,22 @@
 	}
 }
 
+// freeze stops a gateway that is in no cycle for less than the contact time, so that each look back over that
+// time sees a signal.
+func (s *schedule) freeze() {
+	g := s.gateways[s.random.IntN(len(s.gateways))]
+	length := between(s.random, 200*time.Millisecond, contactTime-500*time.Millisecond)
+	if !g.inCycle.TryLock() {
+		return
+	}
+	g.signal(syscall.SIGSTOP)
+	s.cycles.Go(func() {
+		defer g.inCycle.Unlock()
+		time.Sleep(length)
+		g.signal(syscall.SIGCONT)
+	})
+}
+
 func (g *gateway) stopWhole() { g.stop(0) }
 
 // hangUp sends SIGHUP to a process that has started.
