Do not take a coordinator for silent when its caller leaves

Upstreams with a limit got no requests from a gateway for a quarter of a second whenever a caller left while their coordinator was asked: the end of the call's context counted as silence. Found by reading the change. TestLeavingCallerDoesNotMakeACoordinatorSilent failed before.

--- a/pkg/gateway/requestlimits.go
+++ b/pkg/gateway/requestlimits.go
@@ -134,10 +134,13 @@
 }
 
 // ask asks another gateway, the coordinator of an upstream, and records its decision.
-func (l *requestLimits) ask(ctx context.Context, coordinator string, u requestlimit.Upstream, s requestlimit.Statement) bool {
-	ctx, cancel := context.WithTimeout(ctx, admitTimeout)
+func (l *requestLimits) ask(callCtx context.Context, coordinator string, u requestlimit.Upstream, s requestlimit.Statement) bool {
+	ctx, cancel := context.WithTimeout(callCtx, admitTimeout)
 	defer cancel()
 	response, err := l.peers.admit(ctx, coordinator, AdmitRequest{Statement: s})
+	if callCtx.Err() != nil {
+		return false // the caller has left, which says nothing about the coordinator
+	}
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
