--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -101,7 +101,7 @@
 		}
 		c.gateway.count("limits_reached")
 		c.gateway.log.Info("upstream-limit-reached", "request", c.request.ID, "upstream", target.ID, "address", target.Address)
-		c.gateway.fleet.Return(target.ID)
+		c.gateway.fleet.Unreserve(target.ID)
 	}
 	return Target{}, false
 }
@@ -136,12 +136,14 @@
 			status = http.StatusGatewayTimeout
 		}
 	}
-	retryAfter := c.jitteredRetryAfter(c.retryAfter())
+	var retryAfter time.Duration
 	switch reason {
 	case reasonCrashes:
 		retryAfter = crashRetryAfter
 	case reasonLimited:
 		retryAfter = c.jitteredRetryAfter(max(overloadRetryAfter, c.gateway.fleet.LimitWait(c.service, time.Now())))
+	default:
+		retryAfter = c.jitteredRetryAfter(c.retryAfter())
 	}
 	c.reject(status, retryAfter, reason)
 }
--- a/pkg/gateway/fleet.go
+++ b/pkg/gateway/fleet.go
@@ -253,8 +253,8 @@
 	return u
 }
 
-// Return frees a slot that Choose reserved and that was not used.
-func (f *Fleet) Return(id string) {
+// Unreserve frees a slot that Choose reserved for an attempt that was not made.
+func (f *Fleet) Unreserve(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.observation(id)
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -47,10 +47,11 @@
 	f.gateway.log.Info("store-recovered", "kind", platform.KindConfiguration)
 }
 
-// zoneFollower receives the availability zones that operators took out.
-// Rewound needs nothing: a configuration is replaced only by one with a higher version.
+// Rewound implements platform.Follower. It needs nothing: a configuration is replaced only by one with a
+// higher version.
 func (f *configurationFollower) Rewound() {}
 
+// zoneFollower receives the availability zones that operators took out.
 type zoneFollower struct{ gateway *Gateway }
 
 // Replace implements platform.Follower.
@@ -81,9 +82,10 @@
 	f.gateway.log.Info("store-recovered", "kind", platform.KindEvacuations)
 }
 
-// upstreamFollower receives the list of upstreams.
+// Rewound implements platform.Follower.
 func (f *zoneFollower) Rewound() { f.gateway.fleet.KeepZonesOut(time.Now()) }
 
+// upstreamFollower receives the list of upstreams.
 type upstreamFollower struct{ gateway *Gateway }
 
 // Replace implements platform.Follower.
@@ -132,6 +134,7 @@
 	f.gateway.log.Info("store-recovered", "kind", platform.KindUpstreams)
 }
 
+// Rewound implements platform.Follower.
 func (f *upstreamFollower) Rewound() {
 	f.gateway.fleet.Update(func(v *inventory.Inventory, _ func(string) time.Duration) { v.MarkRewound(time.Now()) })
 }
--- a/pkg/gateway/requestlimits.go
+++ b/pkg/gateway/requestlimits.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// admitTimeout limits the question to the coordinator of a limited upstream. Other upstreams wait
-	// for its end.
+	// admitTimeout limits the call to the coordinator of a limited upstream. The request can go to another
+	// upstream only after it.
 	admitTimeout = 100 * time.Millisecond
 	// coordinatorRetryDelay is when a coordinator that did not answer is asked again.
 	coordinatorRetryDelay = 250 * time.Millisecond
@@ -40,7 +40,7 @@
 	Statement requestlimit.Statement `json:"statement"`
 }
 
-// limitPeers is what requestLimits needs of the other gateways.
+// limitPeers gives access to the other gateways.
 type limitPeers interface {
 	// limitView returns which gateways there are, with sorted live ones.
 	limitView(now time.Time) requestlimit.View
--- a/pkg/requestlimit/doc.go
+++ b/pkg/requestlimit/doc.go
@@ -1,5 +1,5 @@
-// Package requestlimit keeps the limits that upstreams name on the requests they take from all gateways
-// together.
+// Package requestlimit enforces the limits that upstreams name: how many requests per second each takes from
+// all gateways together.
 //
 // An upstream in need names its limit in each answer. A Book has what each upstream said last; gateways
 // exchange their books, and the newest statement wins. A limit ends with an answer that names none, if its
--- a/test/soak/oracle_test.go
+++ b/test/soak/oracle_test.go
@@ -150,9 +150,11 @@
 	if r.gateway.wasSignalled(syscall.SIGKILL, r.sentAt.Add(-contactTime), r.endedAt) {
 		return false
 	}
-	// Unplanned disturbances of the gateway excuse it.
-	if r.gateway.wasSignalled(syscall.SIGSTOP, r.sentAt.Add(-contactTime), r.endedAt) || r.gateway.wasSignalled(syscall.SIGCONT, r.sentAt.Add(-contactTime), r.endedAt) {
-		return false
+	// Neither rule on lost requests binds a gateway around a freeze.
+	for _, signal := range []syscall.Signal{syscall.SIGSTOP, syscall.SIGCONT} {
+		if r.gateway.wasSignalled(signal, r.sentAt.Add(-contactTime), r.endedAt) {
+			return false
+		}
 	}
 	wasPassedOn := len(arrivals) > 0
 	wasRead := r.status != 0 || r.end == endClosed && r.endedAt.Sub(r.sentAt) > lossSlack
