review: case 2, a request that crashes workers after its first event is never recognised

Tried: a streaming request that comes every 1.5 s and crashes each worker that begins to run it, 10 ms after the first event of its stream; six workers, two gateways, 40 s. Ports of the gateways are now chosen together: before, two of them were the same once (exit 2).

--- a/review/standin/bench.go
+++ b/review/standin/bench.go
@@ -79,14 +79,18 @@
 
 func (b *bench) sleepUntil(t time.Time) { time.Sleep(time.Until(t)) }
 
-// freeAddress returns a port that is free on a loopback address.
-func freeAddress(ip string) string {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		panic(err)
+// freeAddresses returns host:port pairs that are free on a loopback address.
+func freeAddresses(ip string, n int) []string {
+	var out []string
+	for range n {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			panic(err)
+		}
+		defer l.Close() // all stay open until all are chosen, so that they differ
+		out = append(out, l.Addr().String())
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return out
 }
 
 // settingsText is the settings file of a gateway, with the bounds of the site beet-intake.
@@ -135,16 +139,21 @@
 
 // startGateways starts gateways with the command of the deploy file and waits until they are ready.
 func (b *bench) startGateways(n int, storeAddress string) {
+	const listeners = 4
+	var addresses [][]string
 	var control []string
 	for i := range n {
-		control = append(control, freeAddress(fmt.Sprintf("%s%d", b.network, i+1)))
+		a := freeAddresses(fmt.Sprintf("%s%d", b.network, i+1), listeners)
+		addresses = append(addresses, a)
+		control = append(control, a[2])
 	}
 	seeds := `"` + strings.Join(control, `", "`) + `"`
 	for i := range n {
 		ip := fmt.Sprintf("%s%d", b.network, i+1)
-		g := &gateway{name: fmt.Sprintf("edge-%d", i+1), address: freeAddress(ip), ready: freeAddress(ip)}
+		a := addresses[i]
+		g := &gateway{name: fmt.Sprintf("edge-%d", i+1), address: a[0], ready: a[1]}
 		settings := filepath.Join(b.dir, g.name+".yaml")
-		text := fmt.Sprintf(settingsText, g.name, ip, g.address, g.ready, control[i], freeAddress(ip), seeds, storeAddress)
+		text := fmt.Sprintf(settingsText, g.name, ip, g.address, g.ready, a[2], a[3], seeds, storeAddress)
 		if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 			panic(err)
 		}
