review: workers of the stand-ins have a loopback address of their own

In a comparison run of case 2 another process had taken the port of a worker that was down, and the case ended with exit code 2. Workers now listen on an address that no outgoing channel uses, and come back at another port if theirs is taken.

--- a/review/standin/bench.go
+++ b/review/standin/bench.go
@@ -93,6 +93,10 @@
 	return out
 }
 
+// workerAddress returns the address of a new worker. Workers have a loopback address of their own, so that no
+// outgoing channel takes the port of one that is down.
+func (b *bench) workerAddress() string { return b.network + "200:0" }
+
 // settingsText is the settings file of a gateway, with the bounds of the site beet-intake.
 const settingsText = `node_name: "%[1]s"
 role: "gateway"
--- a/review/standin/crash.go
+++ b/review/standin/crash.go
@@ -97,7 +97,7 @@
 	}
 	const workers = 6
 	for range workers {
-		start("127.0.0.1:0")
+		start(b.workerAddress())
 	}
 	b.startGateways(2, b.store.address())
 	time.Sleep(time.Second)
--- a/review/standin/keys.go
+++ b/review/standin/keys.go
@@ -50,7 +50,7 @@
 	}
 	configure(3, first, second)
 	for i := range 3 {
-		startWorker(b, fmt.Sprintf("i-0000000%d", i+1), "records", "127.0.0.1:0", run)
+		startWorker(b, fmt.Sprintf("i-0000000%d", i+1), "records", b.workerAddress(), run)
 	}
 	b.startGateways(2, b.store.address())
 	time.Sleep(time.Second)
--- a/review/standin/silent.go
+++ b/review/standin/silent.go
@@ -129,7 +129,7 @@
 	var mu sync.Mutex
 	ran := map[string]bool{}
 	for i := range 3 {
-		startWorker(b, fmt.Sprintf("i-0000000%d", i+1), "records", "127.0.0.1:0", func(w *worker, rw http.ResponseWriter, r *http.Request, _ []byte) {
+		startWorker(b, fmt.Sprintf("i-0000000%d", i+1), "records", b.workerAddress(), func(w *worker, rw http.ResponseWriter, r *http.Request, _ []byte) {
 			id := r.Header.Get("X-Attempt-Id")
 			mu.Lock()
 			ran[id] = true
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -40,7 +40,11 @@
 func startWorker(b *bench, id, service, address string, serve func(*worker, http.ResponseWriter, *http.Request, []byte)) *worker {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
-		panic(err)
+		// Another process has the port by now, so the worker comes back at another one.
+		ip, _, _ := net.SplitHostPort(address)
+		if l, err = net.Listen("tcp", net.JoinHostPort(ip, "0")); err != nil {
+			panic(err)
+		}
 	}
 	w := &worker{
 		bench: b, id: id, service: service, address: l.Addr().String(), born: time.Now().UnixMilli(), serve: serve,
