--- a/review/standin/silent.go
+++ b/review/standin/silent.go
@@ -161,6 +161,9 @@
 	if send(kept) != 3 || send(taken) != 3 {
 		panic("the keys are not in force at the start")
 	}
+	// A change just before: the gateways begin to watch anew when they have it.
+	configure(true)
+	time.Sleep(300 * time.Millisecond)
 	silentAt := time.Now()
 	if b.trouble {
 		p.fallSilent()
