Recognise requests that crash upstreams in the midst of answers

Cause: forwardStream looked for the end of the upstream only before the first event, and the first event counted as an answer, which cleared the request of earlier crashes. A sign of progress was taken for success, as with heads of plain answers before. Ruled out: news lost among the gateways (before the first event the same case stops after 3 crashes).

Change: evidence holds how far each answer had come at a crash. A first event clears crashes before the first event only; an answer that one upstream produced as a whole clears all. Every answer that breaks off is checked for the end of its upstream, also those that the gateway gives up at the head; an answer without framing is checked although it looks whole; the rest of a stream that went on elsewhere and failures (5xx) clear nothing. Requests that break off together share one check of their upstream. A part of prompts that is suspect only because it ran among others comes last and needs more crashes (five in three episodes, seven in four if it was answered before), and a part answered before five in four in place of three episodes: as more is suspect, what is in use everywhere would be convicted by chance.

Why it works: a request that crashes whatever runs it is never answered as a whole, so that nothing clears it; sound ones that ran beside it are.

The unit tests of the ledger say now how far answers had come; what they assert is unchanged.

--- a/pkg/crashcause/doc.go
+++ b/pkg/crashcause/doc.go
@@ -2,13 +2,19 @@
 //
 // A request that crashes its upstream may come again, or others may come that share with it only a
 // part of their prompts. What can be at fault is a trait: a shared part of a prompt, or the content of
-// one request. The evidence is, for each crash, which requests were running that had not begun to
-// answer, and which of their traits other requests began to answer with, before or after: a trait that
-// crashes upstreams never gets that far. A stream begins to be answered with its first event, any other
-// request when its answer is whole: the head of an answer may be sent before the work.
+// one request. The evidence is, for each crash, which requests were running, how far the answer to each had come
+// (Progress), and which of their traits other requests have that came farther, before or after: a trait that
+// crashes upstreams never gets that far. A stream begins to be answered with its first event, any other request when
+// its answer is whole: the head of an answer may be sent before the work. An answer is whole if one upstream has
+// produced all of it; the rest of a stream that went on elsewhere shows nothing.
 //
-// A Ledger convicts the traits that explain the crashes best: those with which no request was answered
-// before, and of these the one that the most crashes have in common. The crashes that it explains count
+// So there are two kinds of explanation for a crash. A trait may crash upstreams before answers begin; then only
+// requests without an event are suspect, and each first event clears its traits. Or it may do so at any time before
+// they are whole; then all running requests are suspect, and only whole answers clear. Explanations of the second kind by
+// a part of prompts need more crashes and come last, since parts in use everywhere are at most crashes by chance.
+//
+// A Ledger convicts the traits that explain the crashes best: those with which no request came
+// farther before, and of these the one that the most crashes have in common. The crashes that it explains count
 // for no other. A trait needs several crashes at different moments, since upstreams that fail together
 // for another reason have many traits in common; it needs more of them if requests with it were
 // answered before. Traits that only ever crashed together are convicted together: requests that have
--- a/pkg/crashcause/evidence.go
+++ b/pkg/crashcause/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -14,9 +15,16 @@
 	Upstream string `json:"upstream"`
 	// AgeMillis is the time since the crash, in milliseconds.
 	AgeMillis int64 `json:"age_ms"`
-	// Requests are those that it ran and had not begun to answer.
+	// Suspects are the requests whose answers had not begun.
+	Suspects
+	// Begun are those whose answers had begun and were not whole.
+	Begun Suspects `json:"begun"`
+}
+
+// Suspects is the evidence on the requests of a crash whose answers had come to one progress.
+type Suspects struct {
 	Requests []Request `json:"requests"`
-	// AnsweredBefore and AnsweredSince are the traits of requests that began to be answered before the
+	// AnsweredBefore and AnsweredSince are the traits of requests whose answers came farther before the
 	// crash and after it.
 	AnsweredBefore []Trait `json:"answered_before,omitempty"`
 	AnsweredSince  []Trait `json:"answered_since,omitempty"`
@@ -26,16 +34,24 @@
 func (l *Ledger) Evidence(now time.Time) []Crash {
 	out := make([]Crash, 0, len(l.crashes))
 	for id, c := range l.crashes {
-		e := Crash{
+		notBegun, unfinished := c.suspects[NotBegun], c.suspects[Begun]
+		out = append(out, Crash{
 			Upstream: id, AgeMillis: now.Sub(c.at).Milliseconds(),
-			AnsweredBefore: sortedTraits(c.answeredBefore), AnsweredSince: sortedTraits(c.answeredSince),
-		}
-		for _, r := range c.requests {
+			Suspects: notBegun.evidence(nil), Begun: unfinished.evidence(notBegun.requests),
+		})
+	}
+	return out
+}
+
+// evidence returns the evidence on the suspects without some of the requests.
+func (s *suspects) evidence(without map[string]Request) Suspects {
+	e := Suspects{AnsweredBefore: sortedTraits(s.answeredBefore), AnsweredSince: sortedTraits(s.answeredSince)}
+	for key, r := range s.requests {
+		if _, ok := without[key]; !ok {
 			e.Requests = append(e.Requests, r)
 		}
-		out = append(out, e)
 	}
-	return out
+	return e
 }
 
 // Merge adds the evidence of another process and reports whether some of it is new.
@@ -46,12 +62,12 @@
 		if age > EvidenceTTL {
 			continue
 		}
-		if l.add(e.Upstream, now.Add(-age), e.Requests) {
-			changed = true
+		for p, of := range []Suspects{NotBegun: e.Suspects, Begun: e.Begun} {
+			changed = l.add(e.Upstream, now.Add(-age), Progress(p), of.Requests) || changed
+			s := l.crashes[e.Upstream].suspects[p]
+			changed = addTraits(s.answeredBefore, of.AnsweredBefore) || changed
+			changed = addTraits(s.answeredSince, of.AnsweredSince) || changed
 		}
-		c := l.crashes[e.Upstream]
-		changed = addTraits(c.answeredBefore, e.AnsweredBefore) || changed
-		changed = addTraits(c.answeredSince, e.AnsweredSince) || changed
 	}
 	if changed {
 		l.update(now)
@@ -78,14 +94,17 @@
 	}
 	var lines []string
 	for id, c := range l.crashes {
-		for key := range c.requests {
-			lines = append(lines, id+" "+key)
-		}
-		for _, t := range sortedTraits(c.answeredBefore) {
-			lines = append(lines, id+" before "+string(t))
-		}
-		for _, t := range sortedTraits(c.answeredSince) {
-			lines = append(lines, id+" since "+string(t))
+		for p, s := range c.suspects {
+			prefix := id + " " + strconv.Itoa(p) + " "
+			for key := range s.requests {
+				lines = append(lines, prefix+key)
+			}
+			for _, t := range sortedTraits(s.answeredBefore) {
+				lines = append(lines, prefix+"before "+string(t))
+			}
+			for _, t := range sortedTraits(s.answeredSince) {
+				lines = append(lines, prefix+"since "+string(t))
+			}
 		}
 	}
 	slices.Sort(lines)
--- a/pkg/crashcause/explain.go
+++ b/pkg/crashcause/explain.go
@@ -1,26 +1,33 @@
 package crashcause
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
 
-const (
-	// minCrashes and minEpisodes are the crashes, and the episodes in which they lie, that convict a
-	// trait with which no request was answered.
-	minCrashes  = 3
-	minEpisodes = 2
-	// minAnsweredCrashes and minAnsweredEpisodes are those that convict a trait with which requests were
-	// answered before, as when a new version of the upstream cannot bear it.
-	minAnsweredCrashes  = 5
-	minAnsweredEpisodes = 3
-	// episodeTime is the time within which crashes may have one cause outside of the requests.
-	episodeTime = time.Second
+// threshold is the number of crashes, and of episodes in which they lie, that convicts a trait.
+type threshold struct{ crashes, episodes int }
+
+var (
+	// thresholdNeverAnswered convicts a trait with which no request was answered.
+	thresholdNeverAnswered = threshold{3, 2}
+	// thresholdAnswered convicts one with which requests were answered before, as when a new version of the
+	// upstream cannot bear it.
+	thresholdAnswered = threshold{5, 4}
+	// thresholdBroad and thresholdBroadAnswered are the same for a broad explanation.
+	thresholdBroad         = threshold{5, 3}
+	thresholdBroadAnswered = threshold{7, 4}
 )
 
-// explanation is how well a trait explains a set of crashes.
+// episodeTime is the time within which crashes may have one cause outside of the requests.
+const episodeTime = time.Second
+
+// explanation is how well a set of crashes is explained by a trait that crashes upstreams before the answers
+// to its requests come farther than a progress.
 type explanation struct {
 	trait          Trait
+	progress       Progress
 	answeredBefore bool
 	// crashes are the upstreams whose ends it explains, sorted, and times when they ended.
 	crashes []string
@@ -29,11 +36,20 @@
 
 // isSufficient reports whether the crashes convict the trait, if it needs this many more than usual.
 func (e *explanation) isSufficient(more int) bool {
-	crashes, episodes := minCrashes, minEpisodes
-	if e.answeredBefore {
-		crashes, episodes = minAnsweredCrashes, minAnsweredEpisodes
+	t := e.threshold()
+	return len(e.crashes) >= t.crashes+more && e.episodes() >= t.episodes
+}
+
+func (e *explanation) threshold() threshold {
+	switch {
+	case e.isBroad() && e.answeredBefore:
+		return thresholdBroadAnswered
+	case e.isBroad():
+		return thresholdBroad
+	case e.answeredBefore:
+		return thresholdAnswered
 	}
-	return len(e.crashes) >= crashes+more && e.episodes() >= episodes
+	return thresholdNeverAnswered
 }
 
 // episodes returns the number of episodes in which the crashes lie.
@@ -50,15 +66,27 @@
 	return n
 }
 
+// isBroad reports whether the trait may have run at the crashes by chance: an upstream that ends runs many requests
+// whose answers have begun, and parts in use everywhere are in most of them.
+func (e *explanation) isBroad() bool { return e.trait.isPart() && e.progress > NotBegun }
+
 // compare returns a negative number if e is to be preferred to o, 0 if neither is.
 func (e *explanation) compare(o *explanation) int {
-	if e.answeredBefore != o.answeredBefore {
-		if e.answeredBefore {
-			return 1
-		}
+	return cmp.Or(
+		compareBool(e.answeredBefore, o.answeredBefore), compareBool(e.isBroad(), o.isBroad()),
+		cmp.Compare(len(o.crashes), len(e.crashes)), cmp.Compare(e.progress, o.progress),
+	)
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
 		return -1
 	}
-	return len(o.crashes) - len(e.crashes)
+	return 1
 }
 
 // explain returns the convictions that follow from the evidence, sorted.
@@ -125,33 +153,39 @@
 	return out
 }
 
-// alwaysTogether reports whether two traits explain the same crashes, each with a request that has both.
+// alwaysTogether reports whether two traits explain the same crashes at the same progress, each with a request
+// that has both.
 func alwaysTogether(a, b *explanation, crashes map[string]*crash) bool {
 	if a == b {
 		return true
 	}
 	return slices.Equal(a.crashes, b.crashes) && !slices.ContainsFunc(a.crashes, func(id string) bool {
-		return !crashes[id].hasRequestWith(a.trait, b.trait)
+		return !crashes[id].suspects[a.progress].hasRequestWith(a.trait, b.trait)
 	})
 }
 
-// explanations returns, for each trait, the crashes that it explains: all with a request that has it,
-// but those after which a request with it was answered.
-func explanations(crashes map[string]*crash) map[Trait]*explanation {
-	out := map[Trait]*explanation{}
-	for id, c := range crashes {
-		for t := range c.traits {
-			if c.answeredSince[t] {
-				continue
-			}
-			e := out[t]
-			if e == nil {
-				e = &explanation{trait: t}
-				out[t] = e
+// explanations returns, for each trait and progress, the crashes that it explains: all with a request that has
+// the trait and had come no farther, but those after which a request with it came farther.
+func explanations(crashes map[string]*crash) []*explanation {
+	var out []*explanation
+	for p := range Whole {
+		byTrait := map[Trait]*explanation{}
+		for id, c := range crashes {
+			s := c.suspects[p]
+			for t := range s.traits {
+				if s.answeredSince[t] {
+					continue
+				}
+				e := byTrait[t]
+				if e == nil {
+					e = &explanation{trait: t, progress: p}
+					byTrait[t] = e
+					out = append(out, e)
+				}
+				e.answeredBefore = e.answeredBefore || s.answeredBefore[t]
+				e.crashes = append(e.crashes, id)
+				e.times = append(e.times, c.at)
 			}
-			e.answeredBefore = e.answeredBefore || c.answeredBefore[t]
-			e.crashes = append(e.crashes, id)
-			e.times = append(e.times, c.at)
 		}
 	}
 	for _, e := range out {
--- a/pkg/crashcause/ledger.go
+++ b/pkg/crashcause/ledger.go
@@ -1,6 +1,9 @@
 package crashcause
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	// EvidenceTTL is how long a crash counts, and a conviction that was restored.
@@ -14,18 +17,33 @@
 // crash is the evidence on the end of one incarnation of an upstream.
 type crash struct {
 	at time.Time
-	// requests are those that were running without having begun to answer, by key.
+	// suspects holds, for each progress, the requests that had come that far at most.
+	suspects [Whole]*suspects
+}
+
+func newCrash(at time.Time) *crash {
+	c := &crash{at: at}
+	for p := range c.suspects {
+		c.suspects[p] = &suspects{requests: map[string]Request{}, traits: map[Trait]bool{}, answeredBefore: map[Trait]bool{}, answeredSince: map[Trait]bool{}}
+	}
+	return c
+}
+
+// suspects are the requests that an upstream ran when it ended and whose answers had come to some progress
+// at most.
+type suspects struct {
+	// requests are indexed by key.
 	requests map[string]Request
-	// traits are theirs. answeredBefore and answeredSince are the traits of requests that began to
-	// be answered before the crash and after it.
+	// traits are theirs. answeredBefore and answeredSince are the traits of requests whose answers came
+	// farther before the crash and after it.
 	traits         map[Trait]bool
 	answeredBefore map[Trait]bool
 	answeredSince  map[Trait]bool
 }
 
-// hasRequestWith reports whether one request of the crash has both traits.
-func (c *crash) hasRequestWith(a, b Trait) bool {
-	for _, r := range c.requests {
+// hasRequestWith reports whether one of the requests has both traits.
+func (s *suspects) hasRequestWith(a, b Trait) bool {
+	for _, r := range s.requests {
 		if traits := r.traits(); traits[a] && traits[b] {
 			return true
 		}
@@ -36,8 +54,9 @@
 // Ledger has the evidence of one process and the convictions that follow from it. It is not safe for concurrent
 // use.
 type Ledger struct {
-	crashes   map[string]*crash
-	answered  memory
+	crashes map[string]*crash
+	// answered has, for each progress, the traits of requests whose answers came farther.
+	answered  [Whole]memory
 	convicted []Conviction
 	// restored are the convictions of an earlier ledger, with the time at which they expire.
 	restored map[Conviction]time.Time
@@ -54,29 +73,31 @@
 // IsEmpty reports whether the ledger has neither crashes nor convictions.
 func (l *Ledger) IsEmpty() bool { return len(l.crashes) == 0 && len(l.restored) == 0 }
 
-// RecordAnswer records that an upstream began to answer a request. It reports whether that is new
-// evidence on a crash.
-func (l *Ledger) RecordAnswer(r Request, now time.Time) bool {
-	changed := false
-	for _, t := range r.partTraits() {
-		l.answered.record(t, now)
+// RecordAnswer records that the answer of an upstream to a request has come to a progress, Begun or Whole. It
+// reports whether that is new evidence on a crash.
+func (l *Ledger) RecordAnswer(r Request, progress Progress, now time.Time) bool {
+	for p := range progress {
+		for _, t := range r.partTraits() {
+			l.answered[p].record(t, now)
+		}
 	}
 	if l.IsEmpty() {
 		return false
 	}
 	traits := r.traits()
+	changed := false
 	for _, c := range l.crashes {
-		for t := range traits {
-			if c.traits[t] && !c.answeredSince[t] && now.After(c.at) {
-				c.answeredSince[t] = true
-				changed = true
+		if !now.After(c.at) {
+			continue
+		}
+		for _, s := range c.suspects[:progress] {
+			for t := range traits {
+				changed = s.clear(t) || changed
 			}
 		}
 	}
-	for restored := range l.restored {
-		if restored.covers(traits) {
-			delete(l.restored, restored)
-		}
+	if progress == Whole {
+		maps.DeleteFunc(l.restored, func(c Conviction, _ time.Time) bool { return c.covers(traits) })
 	}
 	if changed {
 		l.update(now)
@@ -84,10 +105,19 @@
 	return changed
 }
 
-// RecordCrash records that an incarnation of an upstream ended while it ran a request that it had not
-// begun to answer. It reports whether that is new evidence.
-func (l *Ledger) RecordCrash(upstream string, r Request, now time.Time) bool {
-	if !l.add(upstream, now, []Request{r}) {
+// clear records that requests with a suspect trait came farther after the crash and reports whether that is new.
+func (s *suspects) clear(t Trait) bool {
+	if !s.traits[t] || s.answeredSince[t] {
+		return false
+	}
+	s.answeredSince[t] = true
+	return true
+}
+
+// RecordCrash records that an incarnation of an upstream ended while it ran a request whose answer had come to
+// a progress, NotBegun or Begun. It reports whether that is new evidence.
+func (l *Ledger) RecordCrash(upstream string, r Request, progress Progress, now time.Time) bool {
+	if !l.add(upstream, now, progress, []Request{r}) {
 		return false
 	}
 	l.update(now)
@@ -95,11 +125,11 @@
 }
 
 // add adds requests to a crash at a time and reports whether one is new.
-func (l *Ledger) add(upstream string, at time.Time, requests []Request) bool {
+func (l *Ledger) add(upstream string, at time.Time, progress Progress, requests []Request) bool {
 	c := l.crashes[upstream]
 	changed := false
 	if c == nil {
-		c = &crash{at: at, requests: map[string]Request{}, traits: map[Trait]bool{}, answeredBefore: map[Trait]bool{}, answeredSince: map[Trait]bool{}}
+		c = newCrash(at)
 		l.crashes[upstream] = c
 		changed = true
 	}
@@ -107,28 +137,31 @@
 		c.at = at
 		changed = true
 	}
-	for _, r := range requests {
-		if _, ok := c.requests[r.key()]; ok || len(c.requests) >= maxRequests {
-			continue
-		}
-		c.requests[r.key()] = r
-		changed = true
-		for t := range r.traits() {
-			c.traits[t] = true
-			l.compareWithAnswers(c, t)
+	for p := progress; p < Whole; p++ {
+		s := c.suspects[p]
+		for _, r := range requests {
+			if _, ok := s.requests[r.key()]; ok || len(s.requests) >= maxRequests {
+				continue
+			}
+			s.requests[r.key()] = r
+			changed = true
+			for t := range r.traits() {
+				s.traits[t] = true
+				s.compareWithAnswers(&l.answered[p], t, c.at)
+			}
 		}
 	}
 	return changed
 }
 
-// compareWithAnswers records whether requests with a trait of a crash began to be answered here.
-func (l *Ledger) compareWithAnswers(c *crash, t Trait) {
-	last, ok := l.answered.last(t)
+// compareWithAnswers records whether requests with a trait were answered before or after a crash.
+func (s *suspects) compareWithAnswers(answered *memory, t Trait, crashedAt time.Time) {
+	last, ok := answered.last(t)
 	switch {
-	case ok && last.After(c.at):
-		c.answeredSince[t] = true
+	case ok && last.After(crashedAt):
+		s.answeredSince[t] = true
 	case ok:
-		c.answeredBefore[t] = true
+		s.answeredBefore[t] = true
 	}
 }
 
--- a/pkg/crashcause/ledger_test.go
+++ b/pkg/crashcause/ledger_test.go
@@ -23,12 +23,12 @@
 func TestPartThatCrashesUpstreamsIsConvicted(t *testing.T) {
 	is := is.New(t)
 	l := New()
-	l.RecordAnswer(requestWith(0, "shared", "other"), at(0))
-	for i := range minCrashes {
+	l.RecordAnswer(requestWith(0, "shared", "other"), Whole, at(0))
+	for i := range thresholdNeverAnswered.crashes {
 		_, convicted := l.FindConviction(requestWith(100, "shared", "bad"), at(float64(i)))
 		is.True(!convicted)
-		l.RecordCrash(fmt.Sprintf("u%d", i), requestWith(i, "shared", "bad"), at(float64(i)))
-		l.RecordCrash(fmt.Sprintf("u%d", i), requestWith(50+i, "shared", fmt.Sprintf("new%d", i)), at(float64(i)))
+		l.RecordCrash(fmt.Sprintf("u%d", i), requestWith(i, "shared", "bad"), NotBegun, at(float64(i)))
+		l.RecordCrash(fmt.Sprintf("u%d", i), requestWith(50+i, "shared", fmt.Sprintf("new%d", i)), NotBegun, at(float64(i)))
 	}
 	found, convicted := l.FindConviction(requestWith(100, "shared", "bad"), at(3))
 	is.True(convicted)
@@ -43,9 +43,9 @@
 func TestSoundPartThatFollowsACrashingOneIsNotConvicted(t *testing.T) {
 	is := is.New(t)
 	l := New()
-	l.RecordAnswer(requestWith(0, "other", "sound"), at(0))
-	for i := range minCrashes {
-		l.RecordCrash(fmt.Sprintf("u%d", i), requestWith(i, "bad", "sound"), at(float64(i)))
+	l.RecordAnswer(requestWith(0, "other", "sound"), Whole, at(0))
+	for i := range thresholdNeverAnswered.crashes {
+		l.RecordCrash(fmt.Sprintf("u%d", i), requestWith(i, "bad", "sound"), NotBegun, at(float64(i)))
 	}
 	is.Equal(l.Convictions(), []Conviction{"part-bad"})
 }
@@ -54,15 +54,15 @@
 func TestRequestThatCrashesUpstreamsIsConvictedWithoutItsParts(t *testing.T) {
 	is := is.New(t)
 	l := New()
-	for i := range minCrashes {
-		l.RecordCrash(fmt.Sprintf("u%d", i), requestWith(1, "shared"), at(float64(i)))
+	for i := range thresholdNeverAnswered.crashes {
+		l.RecordCrash(fmt.Sprintf("u%d", i), requestWith(1, "shared"), NotBegun, at(float64(i)))
 	}
 	_, convicted := l.FindConviction(requestWith(1, "shared"), at(3))
 	is.True(convicted)
 	_, convicted = l.FindConviction(requestWith(2, "shared"), at(3))
 	is.True(!convicted)
 	// Another request with the part shows that it was the part.
-	l.RecordCrash("u9", requestWith(2, "shared"), at(9))
+	l.RecordCrash("u9", requestWith(2, "shared"), NotBegun, at(9))
 	is.Equal(l.Convictions(), []Conviction{"part-shared"})
 }
 
@@ -71,14 +71,14 @@
 func TestSoundCompanionOfACrashingPartIsNotRejected(t *testing.T) {
 	is := is.New(t)
 	l := New()
-	for i := range minCrashes {
-		l.RecordCrash(fmt.Sprintf("u%d", i), requestWith(i, "bad", "companion"), at(float64(i)))
+	for i := range thresholdNeverAnswered.crashes {
+		l.RecordCrash(fmt.Sprintf("u%d", i), requestWith(i, "bad", "companion"), NotBegun, at(float64(i)))
 	}
 	_, convicted := l.FindConviction(requestWith(9, "bad", "companion"), at(3))
 	is.True(convicted)
 	_, convicted = l.FindConviction(requestWith(9, "companion"), at(3))
 	is.True(!convicted)
-	l.RecordAnswer(requestWith(9, "companion"), at(3))
+	l.RecordAnswer(requestWith(9, "companion"), Whole, at(3))
 	is.Equal(l.Convictions(), []Conviction{"part-bad"})
 }
 
@@ -87,11 +87,11 @@
 func TestAnsweredPartDoesNotOutrankACrashingOne(t *testing.T) {
 	is := is.New(t)
 	l := New()
-	l.RecordAnswer(requestWith(0, "hot"), at(0))
-	for i := range minAnsweredCrashes {
-		l.RecordCrash(fmt.Sprintf("u%d", i), requestWith(i, "hot"), at(float64(3*i)))
-		if i >= minAnsweredCrashes-minCrashes {
-			l.RecordCrash(fmt.Sprintf("u%d", i), requestWith(20+i, "bad"), at(float64(3*i)))
+	l.RecordAnswer(requestWith(0, "hot"), Whole, at(0))
+	for i := range thresholdAnswered.crashes {
+		l.RecordCrash(fmt.Sprintf("u%d", i), requestWith(i, "hot"), NotBegun, at(float64(3*i)))
+		if i >= thresholdAnswered.crashes-thresholdNeverAnswered.crashes {
+			l.RecordCrash(fmt.Sprintf("u%d", i), requestWith(20+i, "bad"), NotBegun, at(float64(3*i)))
 		}
 	}
 	is.Equal(l.Convictions(), []Conviction{"part-bad"})
@@ -101,16 +101,16 @@
 func TestUpstreamsThatFailTogetherConvictNothing(t *testing.T) {
 	is := is.New(t)
 	l := New()
-	l.RecordAnswer(requestWith(0, "hot"), at(0))
+	l.RecordAnswer(requestWith(0, "hot"), Whole, at(0))
 	for i := range 20 {
-		l.RecordCrash(fmt.Sprintf("u%d", i), requestWith(i, "hot"), at(1+float64(i)/100))
-		l.RecordCrash(fmt.Sprintf("u%d", i), requestWith(100+i, "rare"), at(1+float64(i)/100))
+		l.RecordCrash(fmt.Sprintf("u%d", i), requestWith(i, "hot"), NotBegun, at(1+float64(i)/100))
+		l.RecordCrash(fmt.Sprintf("u%d", i), requestWith(100+i, "rare"), NotBegun, at(1+float64(i)/100))
 	}
 	is.Equal(len(l.Convictions()), 0)
 	// Between two such failures requests with the part were answered.
-	l.RecordAnswer(requestWith(50, "hot"), at(5))
+	l.RecordAnswer(requestWith(50, "hot"), Whole, at(5))
 	for i := range 20 {
-		l.RecordCrash(fmt.Sprintf("v%d", i), requestWith(200+i, "hot"), at(10+float64(i)/100))
+		l.RecordCrash(fmt.Sprintf("v%d", i), requestWith(200+i, "hot"), NotBegun, at(10+float64(i)/100))
 	}
 	is.Equal(len(l.Convictions()), 0)
 }
@@ -119,12 +119,12 @@
 func TestPartsThatCannotBeToldApartNeedOneMoreCrash(t *testing.T) {
 	is := is.New(t)
 	l := New()
-	for i := range minCrashes {
-		l.RecordCrash(fmt.Sprintf("u%d", i), requestWith(i, "bad"), at(float64(i)))
-		l.RecordCrash(fmt.Sprintf("u%d", i), requestWith(50+i, "chance"), at(float64(i)))
+	for i := range thresholdNeverAnswered.crashes {
+		l.RecordCrash(fmt.Sprintf("u%d", i), requestWith(i, "bad"), NotBegun, at(float64(i)))
+		l.RecordCrash(fmt.Sprintf("u%d", i), requestWith(50+i, "chance"), NotBegun, at(float64(i)))
 	}
 	is.Equal(len(l.Convictions()), 0)
-	l.RecordCrash("u9", requestWith(9, "bad"), at(9))
+	l.RecordCrash("u9", requestWith(9, "bad"), NotBegun, at(9))
 	is.Equal(l.Convictions(), []Conviction{"part-bad"})
 }
 
@@ -132,10 +132,10 @@
 func TestPartThatWasAnsweredBeforeIsConvictedLater(t *testing.T) {
 	is := is.New(t)
 	l := New()
-	l.RecordAnswer(requestWith(0, "old"), at(0))
-	for i := range minAnsweredCrashes {
+	l.RecordAnswer(requestWith(0, "old"), Whole, at(0))
+	for i := range thresholdAnswered.crashes {
 		is.Equal(len(l.Convictions()), 0)
-		l.RecordCrash(fmt.Sprintf("u%d", i), requestWith(i, "old"), at(float64(1+2*i)))
+		l.RecordCrash(fmt.Sprintf("u%d", i), requestWith(i, "old"), NotBegun, at(float64(1+2*i)))
 	}
 	is.Equal(l.Convictions(), []Conviction{"part-old"})
 }
@@ -145,10 +145,10 @@
 func TestProcessesThatExchangeEvidenceAgree(t *testing.T) {
 	is := is.New(t)
 	a, b := New(), New()
-	b.RecordAnswer(requestWith(0, "sound"), at(0))
-	a.RecordCrash("u0", requestWith(1, "bad", "sound"), at(1))
-	b.RecordCrash("u1", requestWith(2, "bad", "sound"), at(2))
-	a.RecordCrash("u2", requestWith(3, "bad", "sound"), at(3))
+	b.RecordAnswer(requestWith(0, "sound"), Whole, at(0))
+	a.RecordCrash("u0", requestWith(1, "bad", "sound"), NotBegun, at(1))
+	b.RecordCrash("u1", requestWith(2, "bad", "sound"), NotBegun, at(2))
+	a.RecordCrash("u2", requestWith(3, "bad", "sound"), NotBegun, at(3))
 	is.Equal(len(a.Convictions()), 0)
 	is.True(a.Merge(b.Evidence(at(4)), at(4)))
 	is.True(b.Merge(a.Evidence(at(4)), at(4)))
@@ -174,8 +174,8 @@
 func TestEvidenceExpiresAndIsLimited(t *testing.T) {
 	is := is.New(t)
 	l := New()
-	for i := range minCrashes {
-		l.RecordCrash(fmt.Sprintf("u%d", i), requestWith(i, "bad"), at(float64(i)))
+	for i := range thresholdNeverAnswered.crashes {
+		l.RecordCrash(fmt.Sprintf("u%d", i), requestWith(i, "bad"), NotBegun, at(float64(i)))
 	}
 	_, convicted := l.FindConviction(requestWith(9, "bad"), at(4).Add(EvidenceTTL))
 	is.True(!convicted)
@@ -183,10 +183,10 @@
 	for i := range many {
 		many[i] = requestWith(i, "x")
 	}
-	l.Merge([]Crash{{Upstream: "w", Requests: many}}, at(4).Add(EvidenceTTL))
-	is.Equal(len(l.crashes["w"].requests), maxRequests)
+	l.Merge([]Crash{{Upstream: "w", Suspects: Suspects{Requests: many}}}, at(4).Add(EvidenceTTL))
+	is.Equal(len(l.crashes["w"].suspects[NotBegun].requests), maxRequests)
 	for i := range 2 * maxCrashes {
-		l.RecordCrash(fmt.Sprintf("v%d", i), requestWith(i, "x"), at(float64(5+i)).Add(EvidenceTTL))
+		l.RecordCrash(fmt.Sprintf("v%d", i), requestWith(i, "x"), NotBegun, at(float64(5+i)).Add(EvidenceTTL))
 	}
 	is.Equal(len(l.crashes), maxCrashes)
 }
--- a/pkg/crashcause/model_test.go
+++ b/pkg/crashcause/model_test.go
@@ -32,6 +32,8 @@
 	rates       []int         // requests per second with each of them
 	companions  bool          // the other parts of requests with a crashing part are always the same
 	repeat      time.Duration // time between two attempts of a whole request that crashes; 0 for none
+	crashAfter  time.Duration // usual time from the first event of an answer to the crash, 0 for a crash before it
+	resumes     bool          // gateways resume answers that broke off
 	otherCrash  time.Duration // mean time between crashes with other causes; 0 for none
 	restart     time.Duration // mean time between restarts of gateways; 0 for none
 	isPersisted bool          // convictions are stored and restored after a restart
@@ -71,6 +73,12 @@
 	s.otherCrash = time.Duration(rapid.IntRange(5, 20).Draw(t, "other crash")) * time.Second
 }
 
+// drawMidAnswer draws crashes in the midst of answers.
+func (s *scenario) drawMidAnswer(t *rapid.T) {
+	s.crashAfter = time.Duration(rapid.IntRange(1, 20).Draw(t, "crash after")) * passTime
+	s.resumes = rapid.Bool().Draw(t, "resumes")
+}
+
 // report records a check that failed.
 func (f *fleet) report(format string, args ...any) {
 	f.faults = append(f.faults, fmt.Sprintf(format, args...))
@@ -212,6 +220,41 @@
 	})
 }
 
+// Guards against a request that comes again and crashes one worker after the other in the midst of its answer,
+// and against rejecting others that were answered beside it.
+func TestModelRequestThatCrashesMidAnswerIsConvictedAlone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawScenario(t)
+		s.drawMidAnswer(t)
+		s.repeat = time.Duration(rapid.IntRange(1, 20).Draw(t, "repeat")) * 100 * time.Millisecond
+		f := newFleet(s)
+		f.run()
+		f.checkBudget(3)
+		f.checkSoundServed()
+		f.checkNoSoundPartConvicted()
+		f.checkAgreement()
+		f.failOnFaults(t)
+	})
+}
+
+// Guards against a part that crashes one worker after the other in the midst of answers. Prompts are read by ranks
+// of groups only.
+func TestModelPartThatCrashesMidAnswerIsConvictedAlone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawScenario(t)
+		s.isGroup = true
+		s.drawMidAnswer(t)
+		s.drawCrashingParts(t, 1)
+		f := newFleet(s)
+		f.run()
+		f.checkBudget(5)
+		f.checkSoundServed()
+		f.checkNoSoundPartConvicted()
+		f.checkAgreement()
+		f.failOnFaults(t)
+	})
+}
+
 // Guards against crashes with other causes that hide a crashing part or make a sound one suspect.
 func TestModelCrashingPartAmongOtherCrashes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/pkg/crashcause/simulation_test.go
+++ b/pkg/crashcause/simulation_test.go
@@ -19,13 +19,23 @@
 
 // attempt is a request on its way at one worker.
 type attempt struct {
-	req      *callerRequest
-	gateway  int
-	life     int
-	isRetry  bool
-	hasBegun bool
-	isDone   bool
-	isResent bool
+	req     *callerRequest
+	gateway int
+	life    int
+	isRetry bool
+	// isResumed is set if the attempt goes on after events of an earlier one.
+	isResumed bool
+	hasBegun  bool
+	isDone    bool
+	isResent  bool
+}
+
+// progress returns how far the answer has come.
+func (a *attempt) progress() Progress {
+	if a.hasBegun {
+		return Begun
+	}
+	return NotBegun
 }
 
 type simWorker struct {
@@ -243,11 +253,11 @@
 	}
 }
 
-// fail ends an attempt: the gateway tries another worker once if the request had not begun, or else
-// the caller sends it again once.
+// fail ends an attempt: the gateway tries another worker once if the request had not begun or may be resumed, or
+// else the caller sends it again once.
 func (f *fleet) fail(a *attempt, worker int) {
-	if f.gates[a.gateway].life == a.life && !a.isRetry && !a.hasBegun && worker >= 0 {
-		retry := &attempt{req: a.req, gateway: a.gateway, isRetry: true, isResent: a.isResent}
+	if f.gates[a.gateway].life == a.life && !a.isRetry && (!a.hasBegun || f.resumes) && worker >= 0 {
+		retry := &attempt{req: a.req, gateway: a.gateway, isRetry: true, isResumed: a.hasBegun, isResent: a.isResent}
 		f.send(retry, worker)
 		return
 	}
@@ -311,15 +321,22 @@
 	if a.isDone || f.broken && f.now > f.brokenAt {
 		return
 	}
-	if a.req.cause != "" {
-		f.crashes[a.req.cause] = append(f.crashes[a.req.cause], f.now)
-		f.crash(i)
+	if a.req.cause != "" && f.crashAfter == 0 {
+		f.crashBy(a, i)
 		return
 	}
 	a.hasBegun = true
 	f.atGateway(a, f.between(time.Millisecond, 5*time.Millisecond), func(l *Ledger) {
-		l.RecordAnswer(a.req.Request, f.clock())
+		l.RecordAnswer(a.req.Request, Begun, f.clock())
 	})
+	if a.req.cause != "" {
+		f.after(f.between(f.crashAfter/2, f.crashAfter*3/2), func() {
+			if !a.isDone && (!f.broken || f.now == f.brokenAt) {
+				f.crashBy(a, i)
+			}
+		})
+		return
+	}
 	f.after(f.between(100*time.Millisecond, 1500*time.Millisecond), func() { f.finish(a, i) })
 }
 
@@ -328,6 +345,9 @@
 		return
 	}
 	a.isDone = true
+	if !a.isResumed {
+		f.atGateway(a, time.Millisecond, func(l *Ledger) { l.RecordAnswer(a.req.Request, Whole, f.clock()) })
+	}
 	w := f.pool[i]
 	w.running = slices.DeleteFunc(w.running, func(o *attempt) bool { return o == a })
 	if len(w.waiting) > 0 {
@@ -347,59 +367,3 @@
 		each(a)
 	}
 }
-
-// crash ends a worker. It is back after some seconds under another incarnation.
-func (f *fleet) crash(i int) {
-	w := f.pool[i]
-	if !w.isUp {
-		return
-	}
-	id := fmt.Sprintf("w%d.%d", i, w.life)
-	w.isUp = false
-	w.life++
-	f.clear(i, func(a *attempt) {
-		d := f.between(0, 20*time.Millisecond)
-		if !a.hasBegun {
-			f.atGateway(a, d, func(l *Ledger) {
-				if l.RecordCrash(id, a.req.Request, f.clock()) {
-					f.tell(a.gateway)
-				}
-			})
-		}
-		f.after(d, func() { f.fail(a, i) })
-	})
-	f.after(f.between(time.Second, 4*time.Second), func() {
-		w.isUp = true
-		f.reopen()
-	})
-	if !f.isGroup || f.broken {
-		return
-	}
-	f.broken, f.stalled, f.brokenAt = true, true, f.now
-	f.after(stallTime, func() {
-		f.stalled = false
-		for i := range f.pool {
-			f.clear(i, func(a *attempt) { f.fail(a, i) })
-		}
-		f.reopen()
-	})
-}
-
-// reopen opens a group whose ranks are all back.
-func (f *fleet) reopen() {
-	if f.broken && !f.stalled && !slices.ContainsFunc(f.pool, func(w *simWorker) bool { return !w.isUp }) {
-		f.broken = false
-	}
-}
-
-// crashOther crashes one worker, or several at about the same time.
-func (f *fleet) crashOther() {
-	n := 1
-	if f.rng.IntN(4) == 0 {
-		n = 1 + f.rng.IntN(len(f.pool))
-	}
-	for _, i := range f.rng.Perm(len(f.pool))[:n] {
-		f.otherCrashes++
-		f.after(f.between(0, 200*time.Millisecond), func() { f.crash(i) })
-	}
-}
--- a/pkg/crashcause/trait.go
+++ b/pkg/crashcause/trait.go
@@ -14,6 +14,9 @@
 	requestPrefix = "request-"
 )
 
+// isPart reports whether the trait is a part of prompts.
+func (t Trait) isPart() bool { return strings.HasPrefix(string(t), partPrefix) }
+
 // Conviction is a set of traits: requests that have all of them crash upstreams. Its text is a valid name
 // of an object in the store.
 type Conviction string
@@ -71,3 +74,17 @@
 
 // key identifies a request within a crash.
 func (r Request) key() string { return r.Fingerprint + "/" + strings.Join(r.Parts, ",") }
+
+// Progress is how far the answer to a request has come.
+type Progress int
+
+const (
+	// NotBegun means that nothing of the answer shows that the upstream survives the request. The head of
+	// an answer may be sent before the work.
+	NotBegun Progress = iota
+	// Begun means that the first event of a stream has arrived. Answers of another kind are NotBegun until
+	// they are Whole.
+	Begun
+	// Whole means that one upstream has produced the answer from its beginning to its end.
+	Whole
+)
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -169,7 +169,7 @@
 // attempt can follow, so that an error response of the upstream is forwarded.
 func (c *call) attempt(ctx context.Context, target Target, isLast bool) attemptOutcome {
 	startedAt := time.Now()
-	c.framing, c.attemptEvents = "", 0
+	c.framing, c.attemptEvents, c.isResumedAttempt = "", 0, c.lastEventID != ""
 	report := ResultNeutral
 	defer func() { c.gateway.fleet.Release(target.ID, report, time.Since(startedAt), time.Now()) }()
 	req := c.request.ForUpstream(platform.Attempt{
@@ -184,7 +184,7 @@
 		if !errors.Is(err, exchange.ErrNotSent) {
 			c.attemptsSent++
 			outcome = failed
-			c.checkCrash(target, err)
+			c.recordBreak(target, err)
 		}
 		if ctx.Err() == nil {
 			report = ResultUnreachable
@@ -238,23 +238,24 @@
 	switch {
 	case outcome.NotRun:
 		c.logAttempt(target, "attempt-refused", http.StatusText(outcome.Status)+", at fault: "+outcome.DelayedBy, startedAt)
-		drain(response)
+		_ = drain(response) // the request did not run there
 		if outcome.Misdirected {
 			return notRun, ResultUnreachable
 		}
 		return notRun, ResultFailed
 	case outcome.Status < http.StatusMultipleChoices && !outcome.Signed:
 		c.logAttempt(target, "attempt-failed", "success status without response signature", startedAt)
+		c.discard(response, target)
 		return failed, ResultFailed
 	case outcome.Status >= http.StatusInternalServerError && !isLast && c.route.IsRepeatable():
 		c.logAttempt(target, "attempt-failed", http.StatusText(outcome.Status), startedAt)
-		drain(response)
+		c.discard(response, target)
 		return failed, ResultFailed
 	case c.route.Streaming && outcome.Status == http.StatusOK && (!c.headSent || isEventStream(response)):
 		return c.forwardStream(response, target, startedAt)
 	case c.headSent:
 		c.logAttempt(target, "attempt-failed", "no stream in place of the one that broke off: "+http.StatusText(outcome.Status), startedAt)
-		drain(response)
+		c.discard(response, target)
 		return failed, ResultFailed
 	}
 	return c.forwardBuffered(response, outcome, target, startedAt)
--- a/pkg/gateway/convictions_test.go
+++ b/pkg/gateway/convictions_test.go
@@ -90,7 +90,7 @@
 		target := Target{ID: w.ID, Address: w.Address()}
 		w.Close()
 		c := &call{gateway: b.gateway, request: platform.ReadRequest(httptest.NewRequest(http.MethodPost, "/stream/x", nil), []byte("same"))}
-		c.checkCrash(target, http.ErrServerClosed)
+		c.recordBreak(target, http.ErrServerClosed)
 	}
 	time.Sleep(2*crashRecheckDelay + 50*time.Millisecond)
 	is.Equal(len(b.gateway.crashes.evidence(time.Now())), 0)
--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -4,13 +4,16 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/crashcause"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/exchange"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/poison"
 )
 
@@ -36,6 +39,9 @@
 	onCrash   func()
 	onVerdict func()
 
+	// checks are the checks of upstreams in progress, by ID.
+	checks singleflight.Group
+
 	mu        sync.Mutex
 	ledger    *crashcause.Ledger
 	convicted []crashcause.Conviction
@@ -76,6 +82,10 @@
 	return w.ledger.FindConviction(r, now)
 }
 
+func (w *crashWatch) recordAnswer(r crashcause.Request, progress crashcause.Progress) {
+	w.change(func(l *crashcause.Ledger) bool { return l.RecordAnswer(r, progress, time.Now()) })
+}
+
 func (w *crashWatch) digest() uint64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -129,39 +139,75 @@
 	return convicted
 }
 
-// recordAnswer records that an upstream answered the request: with the first event of a stream, or with a
-// whole response of another kind.
-func (c *call) recordAnswer() {
+// recordAnswer records that the upstream's answer to the request has come to a progress.
+func (c *call) recordAnswer(progress crashcause.Progress) {
+	c.gateway.crashes.recordAnswer(c.crashTraits(), progress)
+}
+
+// recordEnd records a response that ended as a whole one does. One that ended with its connection ends in the same
+// way when its upstream crashes.
+func (c *call) recordEnd(response *exchange.Response, target Target) {
+	if !isSuccess(response.StatusCode) || c.isResumedAttempt {
+		return // the upstream may not have come to what crashes others
+	}
 	r := c.crashTraits()
-	c.gateway.crashes.change(func(l *crashcause.Ledger) bool { return l.RecordAnswer(r, time.Now()) })
+	record := func() { c.gateway.crashes.recordAnswer(r, crashcause.Whole) }
+	if response.Framing() == exchange.FramedByClose {
+		c.checkCrash(target, record)
+		return
+	}
+	record()
+}
+
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
 }
 
-// checkCrash records the end of the upstream if it ended while it ran the request, which it had not
-// answered as recordAnswer has it. It returns at once.
-func (c *call) checkCrash(target Target, err error) {
+// recordBreak records the end of the upstream if it ended while it ran the request. It returns at once.
+func (c *call) recordBreak(target Target, err error) {
 	if errors.Is(err, net.ErrClosed) {
 		return // the gateway itself gave the attempt up
 	}
+	c.checkCrash(target, func() {})
+}
+
+// checkCrash records the end of the upstream if it has ended now, while it ran the request, and otherwise calls
+// ifRunning. It returns at once.
+func (c *call) checkCrash(target Target, ifRunning func()) {
 	r := crashcause.Request{Fingerprint: c.fingerprint(), Parts: c.request.PromptParts}
-	brokeAt := time.Now()
-	id := c.request.ID
+	brokeAt, id, progress := time.Now(), c.request.ID, c.attemptProgress()
 	go func() {
 		if !c.gateway.hasCrashed(target) {
+			ifRunning()
 			return
 		}
 		changed := c.gateway.crashes.change(func(l *crashcause.Ledger) bool {
-			return l.RecordCrash(target.ID, r, brokeAt)
+			return l.RecordCrash(target.ID, r, progress, brokeAt)
 		})
-		c.gateway.log.Info("upstream-crashed", "request", id, "upstream", target.ID, "address", target.Address, "prompt_parts", r.Parts)
+		c.gateway.log.Info("upstream-crashed", "request", id, "upstream", target.ID, "address", target.Address,
+			"prompt_parts", r.Parts, "had_begun", progress == crashcause.Begun, "new_evidence", changed)
 		if changed {
 			c.gateway.crashes.onCrash()
 		}
 	}()
 }
 
+// attemptProgress returns how far the answer to the newest attempt has come before its end.
+func (c *call) attemptProgress() crashcause.Progress {
+	if c.attemptEvents > 0 {
+		return crashcause.Begun
+	}
+	return crashcause.NotBegun
+}
+
 // hasCrashed reports whether no process accepts connections at an upstream that was not about to
-// leave.
+// leave. Requests that break off together share one check.
 func (g *Gateway) hasCrashed(target Target) bool {
+	crashed, _, _ := g.crashes.checks.Do(target.ID, func() (any, error) { return g.checkUpstream(target), nil })
+	return crashed == true
+}
+
+func (g *Gateway) checkUpstream(target Target) bool {
 	if !g.fleet.IsInService(target.ID) {
 		return false
 	}
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/crashcause"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/exchange"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/sse"
 	"github.com/coltsfootpitch/coltsfootpitch/platform"
@@ -24,14 +25,22 @@
 )
 
 // drain reads the rest of a short response, so that its connection can be reused. It closes the
-// connection if the rest does not arrive at once.
-func drain(response *exchange.Response) {
+// connection if the rest does not arrive at once, and returns the error of a response that broke off.
+func drain(response *exchange.Response) error {
 	timer := time.AfterFunc(maxDrainTime, response.Close)
 	defer timer.Stop()
 	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxDrainBytes))
 	if err == nil && n < maxDrainBytes {
 		response.Release()
 	}
+	return err
+}
+
+// discard drains a response that the gateway does not use, and looks for the end of its upstream if it broke off.
+func (c *call) discard(response *exchange.Response, target Target) {
+	if err := drain(response); err != nil {
+		c.recordBreak(target, err)
+	}
 }
 
 // forwardBuffered sends the caller a response that is not an event stream.
@@ -39,13 +48,13 @@
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
 	if err != nil {
 		c.logAttempt(target, "attempt-failed", "response body ended early: "+err.Error(), startedAt)
-		c.checkCrash(target, err)
+		c.recordBreak(target, err)
 		return failed, ResultFailed
 	}
 	if len(body) == maxBufferedBytes {
 		return c.forwardLong(response, outcome, target, body)
 	}
-	c.recordAnswer()
+	c.recordEnd(response, target)
 	response.Release()
 	c.sendHead(response, len(body))
 	if _, err := c.writer.Write(body); err != nil {
@@ -67,10 +76,10 @@
 		return final, ResultNeutral
 	}
 	if _, err := io.Copy(c.writer, response.Body); err != nil {
-		c.checkCrash(target, err)
+		c.recordBreak(target, err)
 		c.abort("answer-broke-off")
 	}
-	c.recordAnswer()
+	c.recordEnd(response, target)
 	response.Release()
 	c.recordDelivered(outcome.Status)
 	return final, ResultSucceeded
@@ -86,15 +95,14 @@
 			if !c.headSent {
 				c.sendHead(response, unknownLength)
 			}
+			c.recordEnd(response, target)
 			response.Release()
 			c.recordDelivered(http.StatusOK)
 			return final, ResultSucceeded
 		}
 		if err != nil {
 			c.logAttempt(target, "stream-broke-off", err.Error(), startedAt)
-			if c.attemptEvents == 0 {
-				c.checkCrash(target, err)
-			}
+			c.recordBreak(target, err)
 			return c.handleBrokenStream(), ResultFailed
 		}
 		if first && c.headSent && !isNextEvent(c.lastEventID, sse.ID(event)) {
@@ -141,7 +149,7 @@
 		c.events++
 		c.attemptEvents++
 		if c.attemptEvents == 1 {
-			c.recordAnswer()
+			c.recordAnswer(crashcause.Begun)
 		}
 	}
 	if !c.lastEventAt.IsZero() {
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -65,6 +65,8 @@
 	framing       exchange.Framing
 	events        int
 	attemptEvents int
+	// isResumedAttempt is set if the newest attempt goes on after events of an earlier one.
+	isResumedAttempt bool
 	// lastEventID is the id of the last event sent to the caller, empty if that has none.
 	lastEventID string
 	// permitWait is the time until a permit was granted, timeToFirstEvent the time until the first
