Require API keys whenever the configuration contains tenants

Cause: route.Table.HasOrganisations took the existence of a key for the question whether keys are needed. Ruled out: the version not being adopted or decoded, as an unknown key got 401 before it and 200 after it.

An empty key belongs to nobody. configuration-adopted logs both.

Why it works: the question no longer depends on what is in the list, so no change of keys can answer it otherwise.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -83,7 +83,8 @@
 	for name := range table.Services() {
 		g.updateLimit(name)
 	}
-	g.log.Info("configuration-adopted", "version", c.Version, "routes", len(c.Routes), "source", source)
+	g.log.Info("configuration-adopted", "version", c.Version, "routes", len(c.Routes), "requires_api_keys", table.RequiresAPIKeys(),
+		"api_keys", table.APIKeyCount(), "source", source)
 }
 
 // Version returns the version of the configuration in force, 0 for none.
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -166,7 +166,7 @@
 		return c.gateway.unknownStatus(http.StatusNotFound)
 	}
 	c.priority = c.route.Priority
-	if table.HasOrganisations() && !c.route.Public {
+	if table.RequiresAPIKeys() && !c.route.Public {
 		o := table.Organisation(c.request.APIKey)
 		if o == nil {
 			return c.gateway.unknownStatus(http.StatusUnauthorized)
--- a/pkg/route/configuration.go
+++ b/pkg/route/configuration.go
@@ -5,11 +5,14 @@
 // Configuration is one version of the settings that operators write.
 type Configuration struct {
 	// Version increases with each accepted change.
-	Version       int64
-	Routes        []Route
-	Services      []Service
-	Organisations []Organisation
-	Limits        Limits
+	Version  int64
+	Routes   []Route
+	Services []Service
+	// RequiresAPIKeys is set when requests to routes that are not public need the API key of an organisation,
+	// whether or not there is any.
+	RequiresAPIKeys bool
+	Organisations   []Organisation
+	Limits          Limits
 }
 
 // Route maps requests of a host and path prefix to services and defines how they are run.
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -14,6 +14,7 @@
 	limits             Limits
 	routesByHost       map[string][]*Route
 	services           map[string]*Service
+	requiresAPIKeys    bool
 	organisationsByKey map[string]*Organisation
 }
 
@@ -21,7 +22,7 @@
 // which must not be changed afterwards.
 func Compile(c Configuration) *Table {
 	t := &Table{
-		version: c.Version, limits: c.Limits,
+		version: c.Version, limits: c.Limits, requiresAPIKeys: c.RequiresAPIKeys,
 		routesByHost:       map[string][]*Route{},
 		services:           map[string]*Service{},
 		organisationsByKey: map[string]*Organisation{},
@@ -70,12 +71,19 @@
 // Services returns all services by name. The caller must not change the map.
 func (t *Table) Services() map[string]*Service { return t.services }
 
-// HasOrganisations reports whether any organisation has an API key; if so, requests to
-// routes that are not public need one.
-func (t *Table) HasOrganisations() bool { return len(t.organisationsByKey) > 0 }
+// RequiresAPIKeys reports whether requests to routes that are not public need the API key of an organisation.
+func (t *Table) RequiresAPIKeys() bool { return t.requiresAPIKeys }
 
-// Organisation returns the organisation of an API key, or nil if the key is unknown.
-func (t *Table) Organisation(key string) *Organisation { return t.organisationsByKey[key] }
+// APIKeyCount returns the number of API keys.
+func (t *Table) APIKeyCount() int { return len(t.organisationsByKey) }
+
+// Organisation returns the organisation of an API key, or nil if the key is unknown or empty.
+func (t *Table) Organisation(key string) *Organisation {
+	if key == "" {
+		return nil
+	}
+	return t.organisationsByKey[key]
+}
 
 // PickBackend picks the service for a request on r in proportion to the weights. The random
 // number u is in [0, 1).
--- a/pkg/route/table_test.go
+++ b/pkg/route/table_test.go
@@ -40,5 +40,7 @@
 	table := Compile(Configuration{Organisations: []Organisation{{Name: "o", APIKeys: []string{"a", "b"}}, {Name: "p"}}})
 	is.Equal(table.Organisation("b").Name, "o")
 	is.True(table.Organisation("c") == nil)
-	is.True(!Compile(Configuration{}).HasOrganisations())
+	is.True(!Compile(Configuration{}).RequiresAPIKeys())
+	is.True(Compile(Configuration{RequiresAPIKeys: true}).RequiresAPIKeys()) // also without any key
+	is.True(Compile(Configuration{Organisations: []Organisation{{Name: "o", APIKeys: []string{""}}}}).Organisation("") == nil)
 }
