Send nothing to backends without a share of their route

What callers saw: requests on a route whose backends all have weight 0 ran at the last of them, to which no configuration sends them (ROUTE).

Cause: PickBackend fell back to the last backend whatever its weight, meant for what rounding leaves over.

--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -86,23 +86,23 @@
 }
 
 // PickBackend picks the service for a request on r in proportion to the weights. The random
-// number u is in [0, 1).
+// number u is in [0, 1). It returns "" if no backend has a share.
 func (r *Route) PickBackend(u float64) string {
 	total := 0.0
 	for _, b := range r.Backends {
 		total += max(0, b.Weight)
 	}
-	remaining := u * total
+	service, remaining := "", u*total
 	for _, b := range r.Backends {
-		remaining -= max(0, b.Weight)
-		if remaining < 0 {
-			return b.Service
+		if b.Weight <= 0 {
+			continue
+		}
+		service = b.Service // the last one with a share takes what rounding leaves over
+		if remaining -= b.Weight; remaining < 0 {
+			break
 		}
 	}
-	if len(r.Backends) == 0 {
-		return ""
-	}
-	return r.Backends[len(r.Backends)-1].Service
+	return service
 }
 
 // canonicalHost returns a host name in lower case and without the port.
--- a/pkg/route/table_test.go
+++ b/pkg/route/table_test.go
@@ -33,6 +33,8 @@
 	is.Equal(r.PickBackend(0.9), "u")
 	is.Equal(r.PickBackend(0.999), "u")
 	is.Equal((&Route{}).PickBackend(0.5), "")
+	is.Equal((&Route{Backends: []Backend{{"s", 0}, {"t", 0}}}).PickBackend(0.5), "")
+	is.Equal((&Route{Backends: []Backend{{"s", 1}, {"t", 0}}}).PickBackend(1), "s") // as if by rounding
 }
 
 func TestKeysBelongToOrganisations(t *testing.T) {
