Take zones out that a peer knows of, whatever upstreams there are

A gateway that starts while the store answers for upstreams but not yet for zones could send work into a zone that is out (EVAC), although the peer from which it took the configuration had told it.

Change: the zones of a peer are taken out until this gateway has read them from the store itself.

Evidence: TestZonesOfAPeerAreTakenOutWhateverUpstreamsThereAre failed before in three of four cases (all but the one with upstreams at the peer only) and passes.

--- a/pkg/gateway/fleet.go
+++ b/pkg/gateway/fleet.go
@@ -28,6 +28,8 @@
 	mu        sync.Mutex
 	upstreams *inventory.Inventory
 	zonesOut  map[string]bool
+	// zonesListed is set once the store has listed the zones that are out.
+	zonesListed bool
 	// zonesKeptOut are the zones that were out before the store was rewound, until rewoundUntil.
 	zonesKeptOut map[string]bool
 	rewoundUntil time.Time
@@ -134,7 +136,7 @@
 func (f *Fleet) SetZonesOut(zones []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.zonesOut = map[string]bool{}
+	f.zonesOut, f.zonesListed = map[string]bool{}, true
 	for _, z := range zones {
 		f.zonesOut[z] = true
 	}
--- a/pkg/gateway/snapshot.go
+++ b/pkg/gateway/snapshot.go
@@ -67,16 +67,19 @@
 	return f.upstreams.Upstreams(), zones
 }
 
-// applySnapshot replaces the list of upstreams by a peer's if this gateway has none.
+// applySnapshot replaces the list of upstreams by a peer's if this gateway has none, and takes zones out that are
+// out for the peer until this gateway has read them itself. It reports whether it took the list.
 func (f *Fleet) applySnapshot(list []inventory.Upstream, zones []string, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if !f.zonesListed {
+		for _, z := range zones {
+			f.zonesOut[z] = true
+		}
+	}
 	if len(f.upstreams.Entries()) > 0 || len(list) == 0 {
 		return false
 	}
 	f.upstreams.Replace(list, f.warmupTime, now)
-	for _, z := range zones {
-		f.zonesOut[z] = true
-	}
 	return true
 }
