Soak: a request that crashes workers in the midst of answers, and keys that are all taken away

Change: a second soak in which one request comes again and crashes workers after any number of its events, fresh or resumed; callers with an unknown key or none, none of whose requests may run (rule ROUTE); a configuration without keys for up to 1.5 s.

--- a/test/soak/caller_test.go
+++ b/test/soak/caller_test.go
@@ -50,6 +50,11 @@
 const (
 	crashingPart = "bad0"
 	sharedPart   = "5afe"
+	// crashingBody is the body of the request that crashes workers in the midst of its answer.
+	crashingBody = "the request that crashes workers"
+	// validKey is the key of the only tenant, and unknownKey one that no configuration holds.
+	validKey   = "key-1"
+	unknownKey = "key-that-never-was"
 )
 
 // outcome is what a caller has seen of one request.
@@ -57,9 +62,11 @@
 	id      string
 	kind    string
 	gateway *gateway
-	// crashing and sound are set for requests with the part that crashes workers, and for those that
-	// share only their first part and their key with them.
+	// crashing and sound are set for requests that crash workers, and for those that share only their first part
+	// and their key with them.
 	crashing, sound bool
+	// key is the API key of the request, empty for none, and requestBody its body.
+	key, requestBody string
 	// isKept is set if the connection served a request before.
 	isKept  bool
 	sentAt  time.Time
@@ -105,7 +112,8 @@
 func (c *caller) run(ctx context.Context) {
 	defer c.disconnect()
 	for n := 0; ctx.Err() == nil; n++ {
-		o := &outcome{id: c.name + "-" + strconv.Itoa(n)}
+		o := &outcome{id: c.name + "-" + strconv.Itoa(n), key: validKey}
+		o.requestBody = "body of " + o.id
 		parts, pause := c.next(c, o)
 		time.Sleep(pause)
 		if c.conn == nil && !c.connect() {
@@ -146,15 +154,16 @@
 // send sends a request on the open connection and reads the answer.
 func (c *caller) send(o *outcome, parts []string) {
 	o.gateway, o.isKept = c.gateway, c.served > 0
-	body := "body of " + o.id
-	req, err := http.NewRequest(http.MethodPost, "http://h/"+o.kind+"/x", strings.NewReader(body))
+	req, err := http.NewRequest(http.MethodPost, "http://h/"+o.kind+"/x", strings.NewReader(o.requestBody))
 	if err != nil {
 		panic(err)
 	}
 	if c.random.IntN(4) == 0 { // in chunks
 		req.ContentLength = -1
 	}
-	req.Header.Set("Authorization", "Bearer key-1")
+	if o.key != "" {
+		req.Header.Set("Authorization", "Bearer "+o.key)
+	}
 	standin.SetAttemptID(req, o.id)
 	standin.SetTimeout(req, callerTimeout)
 	standin.SetPromptParts(req, append(parts, o.id)...)
@@ -213,14 +222,29 @@
 	return []string{"a" + strconv.Itoa(c.random.IntN(promptKinds))}, time.Duration(c.random.Int64N(int64(longestPause)))
 }
 
-// nextCrashing sends requests with the part that crashes workers, no two alike.
+// nextCrashing sends requests that crash workers: with one part in common and no two alike, or always the same.
 func (s *schedule) nextCrashing(c *caller, o *outcome) ([]string, time.Duration) {
 	for s.crashingPaused.Load() {
 		const recheckInterval = 20 * time.Millisecond
 		time.Sleep(recheckInterval)
 	}
 	o.kind, o.crashing = kindResumed, true
-	return []string{sharedPart, crashingPart}, between(c.random, 80*time.Millisecond, 350*time.Millisecond)
+	pause := between(c.random, 80*time.Millisecond, 350*time.Millisecond)
+	if s.cause == causeRequest {
+		o.requestBody = crashingBody
+		return []string{sharedPart}, pause
+	}
+	return []string{sharedPart, crashingPart}, pause
+}
+
+// nextUnknown sends requests of all kinds with an unknown key or without one.
+func nextUnknown(c *caller, o *outcome) ([]string, time.Duration) {
+	parts, _ := nextMixed(c, o)
+	o.key = ""
+	if c.random.IntN(2) == 0 {
+		o.key = unknownKey
+	}
+	return parts, between(c.random, 20*time.Millisecond, 150*time.Millisecond)
 }
 
 // nextSound sends requests that share the first part and the key with those of nextCrashing.
--- a/test/soak/oracle_test.go
+++ b/test/soak/oracle_test.go
@@ -17,13 +17,13 @@
 	lossSlack = 200 * time.Millisecond
 	// afterGrace is how long after the grace period a request still counts as around a planned stop.
 	afterGrace = time.Second
-	// maxLateCrashing is the number of requests with the crashing part that may reach workers late.
+	// maxLateCrashing is the number of requests that crash workers that may reach workers late.
 	maxLateCrashing = 3
 	// maxLost is the number of requests of kept connections that may be lost where nothing is planned.
 	maxLost = 3
 	// maxDenied is the number of allowed requests that may be denied.
 	maxDenied = 5
-	// soundAfter is when sound requests are to be served again after the fifth crash.
+	// soundAfter is when sound requests are to be served again after the decisive crash.
 	soundAfter = 6 * time.Second
 )
 
@@ -40,7 +40,7 @@
 // The rules in the order of the report. SOUND stands for requests that are served although others with
 // the same first part crash workers, EXIT for processes that outlive the grace period or fail, and RACE
 // for reports of the race detector.
-var rules = []string{"TWICE", "REFUSED", "MIXED", "ORDER", "LOST", "DENIED", "BUDGET", "LIMIT", "SOUND", "EXIT", "RACE"}
+var rules = []string{"TWICE", "REFUSED", "MIXED", "ORDER", "LOST", "DENIED", "ROUTE", "BUDGET", "LIMIT", "SOUND", "EXIT", "RACE"}
 
 func (o *oracle) add(rule, text string) { o.findings[rule] = append(o.findings[rule], text) }
 
@@ -64,7 +64,10 @@
 			o.report("REFUSED", r, arrivals, "answered %d, but ran", r.status)
 		}
 		o.checkAnswer(r, arrivals)
-		if r.kind != kindAdded && isDenial(r.status) {
+		if r.key != validKey && len(ran) > 0 {
+			o.report("ROUTE", r, arrivals, "ran with the key %q", r.key)
+		}
+		if o.isAllowed(r) && isDenial(r.status) {
 			o.notes = append(o.notes, "denied: "+r.String())
 			denied++
 		}
@@ -87,6 +90,11 @@
 	o.checkLimits()
 }
 
+// isAllowed reports whether all configurations that may have been in force allow the request.
+func (o *oracle) isAllowed(r *outcome) bool {
+	return r.kind != kindAdded && r.key == validKey && !o.schedule.wasKeyless(r.sentAt, r.endedAt)
+}
+
 // isPromise reports whether a status states that the request has not run and will not run.
 func isPromise(status int) bool {
 	return slices.Contains([]int{http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest}, status)
@@ -187,37 +195,36 @@
 	return !g.wasDisturbed(from, at) && !o.schedule.wasStoreDisturbed(from, at)
 }
 
-// checkCrashing checks how many requests with the crashing part reached workers after the fifth crash,
-// and whether those that share their first part and key were served.
+// checkCrashing checks how many requests that crash workers reached them after the decisive crash, and whether those that share their first part and key were served.
 func (o *oracle) checkCrashing() {
-	const decisive = 5
+	decisive := o.schedule.cause.decisiveCrash()
 	crashes := o.service.Crashes()
 	if len(crashes) < decisive {
 		o.notes = append(o.notes, fmt.Sprintf("only %d crashes", len(crashes)))
 		return
 	}
-	fifth := crashes[decisive-1]
+	last := crashes[decisive-1]
 	var late []string
 	var stopped, lateArrivals, sound, served int
 	for _, r := range o.outcomes {
-		if r.crashing && r.status == http.StatusServiceUnavailable && r.sentAt.After(fifth.Add(contactTime)) && o.isInTouch(r.gateway, r.sentAt) {
+		if r.crashing && r.status == http.StatusServiceUnavailable && r.sentAt.After(last.Add(contactTime)) && o.isInTouch(r.gateway, r.sentAt) {
 			stopped++
 		}
 		for _, run := range o.service.Runs(r.id) {
-			if r.crashing && run.At.After(fifth.Add(contactTime)) && o.isInTouch(r.gateway, run.At) {
+			if r.crashing && run.At.After(last.Add(contactTime)) && o.isInTouch(r.gateway, run.At) {
 				lateArrivals++
 				late = append(late, fmt.Sprintf("%s at %s", r, run.At.Format("15:04:05.000")))
 			}
 		}
-		if r.sound && r.sentAt.After(fifth.Add(soundAfter)) && !r.gateway.wasDisturbed(r.sentAt.Add(-contactTime), r.endedAt) {
+		if r.sound && r.sentAt.After(last.Add(soundAfter)) && !r.gateway.wasDisturbed(r.sentAt.Add(-contactTime), r.endedAt) && o.isAllowed(r) {
 			sound++
 			if r.status == http.StatusOK && r.end == endAnswered {
 				served++
 			}
 		}
 	}
-	summary := fmt.Sprintf("%d crashes, the fifth at %s, %d late arrivals, %d rejected by gateways in touch, %d of %d sound requests served",
-		len(crashes), fifth.Format("15:04:05.000"), lateArrivals, stopped, served, sound)
+	summary := fmt.Sprintf("%d crashes, the decisive one at %s, %d late arrivals, %d rejected by gateways in touch, %d of %d sound requests served",
+		len(crashes), last.Format("15:04:05.000"), lateArrivals, stopped, served, sound)
 	o.notes = append(o.notes, summary)
 	if lateArrivals > maxLateCrashing {
 		o.add("BUDGET", summary+": "+strings.Join(late, "; "))
--- a/test/soak/schedule_test.go
+++ b/test/soak/schedule_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -22,7 +23,13 @@
  {"name":"live","host":"h","path_prefix":"/live/","type":"streaming","service":"plain","max_attempts":2,"timeout_ms":%[2]d,"target_latency_ms":500}%[3]s],
  "services":[{"name":"plain","max_connections":50}],
  "limits":{"max_body_bytes":1000,"idle_timeout_ms":15000},
- "tenants":[{"name":"o","api_keys":["key-1"]}]}`
+ "tenants":%[4]s}`
+
+// The tenants of a configuration, with their key and after it was taken away.
+const (
+	tenantsText = `[{"name":"o","api_keys":["` + validKey + `"]}]`
+	keylessText = `[{"name":"o","api_keys":[]}]`
+)
 
 const addedRouteText = `,
  {"name":"added","host":"h","path_prefix":"/added/","type":"safe","service":"plain","max_attempts":2,"timeout_ms":%d,"target_latency_ms":400}`
@@ -37,7 +44,10 @@
 	gateways []*gateway
 	store    *standin.Store
 	service  *standin.FaultyService
+	cause    crashCause
 	version  int
+	// keyless are the times in which a configuration without keys may be in force.
+	keyless []interval
 	// cycles are the stops and starts in progress.
 	cycles sync.WaitGroup
 	// crashingPaused is set while callers send no requests with the crashing part.
@@ -50,15 +60,49 @@
 	inStoreFault bool
 }
 
+// crashCause is what crashes workers in a soak.
+type crashCause int
+
+const (
+	// causePart is a part of prompts, which crashes workers before their answer.
+	causePart crashCause = iota
+	// causeRequest is one request that comes again, which crashes workers in the midst of their answer.
+	causeRequest
+)
+
+// decisiveCrash returns the number of the crash from which on few requests may reach workers.
+func (c crashCause) decisiveCrash() int {
+	if c == causeRequest {
+		return 3
+	}
+	return 5
+}
+
 // configure writes a new configuration.
-func (s *schedule) configure() {
+func (s *schedule) configure() { s.configureTenants(tenantsText) }
+
+// takeKeys writes a configuration without keys and one with them again.
+func (s *schedule) takeKeys() {
+	from := time.Now()
+	s.configureTenants(keylessText)
+	time.Sleep(between(s.random, 200*time.Millisecond, 1500*time.Millisecond))
+	s.configure()
+	s.keyless = append(s.keyless, interval{from, time.Now().Add(contactTime)})
+}
+
+// wasKeyless reports whether a configuration without keys may have been in force between two times.
+func (s *schedule) wasKeyless(from, to time.Time) bool {
+	return slices.ContainsFunc(s.keyless, func(k interval) bool { return k.from.Before(to) && k.to.After(from) })
+}
+
+func (s *schedule) configureTenants(tenants string) {
 	s.version += 1 + s.random.IntN(5)
 	timeout := callerTimeout + between(s.random, 0, 2*time.Second)
 	added := ""
 	if s.random.IntN(2) == 0 {
 		added = fmt.Sprintf(addedRouteText, timeout.Milliseconds())
 	}
-	text := fmt.Sprintf(configurationText, s.version, timeout.Milliseconds(), added)
+	text := fmt.Sprintf(configurationText, s.version, timeout.Milliseconds(), added, tenants)
 	s.store.PutRaw(platform.KindConfiguration, platform.NameConfiguration, []byte(text))
 }
 
@@ -82,6 +126,7 @@
 	{"kill all gateways", 1, func(s *schedule) { s.cycle(len(s.gateways), (*gateway).kill) }},
 	{"hang up", 3, func(s *schedule) { s.gateways[s.random.IntN(len(s.gateways))].hangUp() }},
 	{"configure", 4, (*schedule).configure},
+	{"take all keys away", 3, (*schedule).takeKeys},
 	{"drain a worker", 2, func(s *schedule) { s.replaceWorker(true) }},
 	{"remove a worker", 2, func(s *schedule) { s.replaceWorker(false) }},
 	{"add a worker", 1, func(s *schedule) { s.service.Add() }},
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -59,14 +59,21 @@
 func newRandom(part uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, part)) }
 
 // Answers that look whole and are not, requests that run twice or after a refusal, requests lost
-// around planned stops, processes that outlive the grace period, and requests that crash one worker
-// after the other, under overlapping stops, kills, configurations and faults.
-func TestGatewaysKeepTheRulesUnderDisturbances(t *testing.T) {
+// around planned stops, requests that run without a valid key, processes that outlive the grace period, and requests
+// that crash one worker after the other, under overlapping stops, kills, configurations and faults.
+func TestGatewaysKeepTheRulesUnderDisturbances(t *testing.T) { play(t, causePart) }
+
+// The same with one request that comes again and crashes workers in the midst of its answer.
+func TestGatewaysKeepTheRulesWhileARequestCrashesMidAnswer(t *testing.T) { play(t, causeRequest) }
+
+// play plays one soak and checks the rules.
+func play(t *testing.T, cause crashCause) {
 	t.Logf("seed %d for %v; repeat with -soak.seed=%d -soak.time=%v", seed, *duration, seed, *duration)
 	store := standin.NewStore()
 	t.Cleanup(store.Close)
-	s := &schedule{t: t, random: newRandom(0), store: store}
+	s := &schedule{t: t, random: newRandom(0), store: store, cause: cause}
 	s.service = standin.NewFaultyService(store, "plain", "z", crashingPart, newRandom(1))
+	s.service.CrashingBody = crashingBody
 	t.Cleanup(s.service.Close)
 	for range 6 + s.random.IntN(3) {
 		s.service.Add()
@@ -151,7 +158,7 @@
 		count int
 		next  func(*caller, *outcome) ([]string, time.Duration)
 	}{
-		{"mixed", 12, nextMixed}, {"crashing", 3, s.nextCrashing}, {"sound", 3, nextSound},
+		{"mixed", 12, nextMixed}, {"crashing", 3, s.nextCrashing}, {"sound", 3, nextSound}, {"unknown", 2, nextUnknown},
 	} {
 		for i := range group.count {
 			c := &caller{
