Count crashes of upstreams by incarnation

Cause: evidence was kept by the ID of the upstream, so that its second end was taken for the first.

Change: the key is the ID with the start time that the upstream states. Processes of the version before exchange evidence with this one under other keys; a crash that both saw would count twice for the seconds of an update.

The model's tests that check the same share a function; what they check is unchanged.

--- a/pkg/crashcause/model_test.go
+++ b/pkg/crashcause/model_test.go
@@ -163,6 +163,18 @@
 	}
 }
 
+// checkConvictedAlone runs the scenario and checks that what crashes workers is rejected after its nth crash, and
+// nothing else.
+func (s *scenario) checkConvictedAlone(t *rapid.T, nth int) {
+	f := newFleet(*s)
+	f.run()
+	f.checkBudget(nth)
+	f.checkSoundServed()
+	f.checkNoSoundPartConvicted()
+	f.checkAgreement()
+	f.failOnFaults(t)
+}
+
 // convictions returns what each gateway convicts.
 func (f *fleet) convictions() [][]Conviction {
 	var out [][]Conviction
@@ -178,13 +190,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		s := drawScenario(t)
 		s.drawCrashingParts(t, 1)
-		f := newFleet(s)
-		f.run()
-		f.checkBudget(5)
-		f.checkSoundServed()
-		f.checkNoSoundPartConvicted()
-		f.checkAgreement()
-		f.failOnFaults(t)
+		s.checkConvictedAlone(t, 5)
 	})
 }
 
@@ -194,13 +200,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		s := drawScenario(t)
 		s.drawCrashingParts(t, 2)
-		f := newFleet(s)
-		f.run()
-		f.checkBudget(5)
-		f.checkSoundServed()
-		f.checkNoSoundPartConvicted()
-		f.checkAgreement()
-		f.failOnFaults(t)
+		s.checkConvictedAlone(t, 5)
 	})
 }
 
@@ -210,13 +210,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		s := drawScenario(t)
 		s.repeat = time.Duration(rapid.IntRange(1, 20).Draw(t, "repeat")) * 100 * time.Millisecond
-		f := newFleet(s)
-		f.run()
-		f.checkBudget(3)
-		f.checkSoundServed()
-		f.checkNoSoundPartConvicted()
-		f.checkAgreement()
-		f.failOnFaults(t)
+		s.checkConvictedAlone(t, 3)
 	})
 }
 
@@ -227,13 +221,7 @@
 		s := drawScenario(t)
 		s.drawMidAnswer(t)
 		s.repeat = time.Duration(rapid.IntRange(1, 20).Draw(t, "repeat")) * 100 * time.Millisecond
-		f := newFleet(s)
-		f.run()
-		f.checkBudget(3)
-		f.checkSoundServed()
-		f.checkNoSoundPartConvicted()
-		f.checkAgreement()
-		f.failOnFaults(t)
+		s.checkConvictedAlone(t, 3)
 	})
 }
 
@@ -245,13 +233,7 @@
 		s.isGroup = true
 		s.drawMidAnswer(t)
 		s.drawCrashingParts(t, 1)
-		f := newFleet(s)
-		f.run()
-		f.checkBudget(5)
-		f.checkSoundServed()
-		f.checkNoSoundPartConvicted()
-		f.checkAgreement()
-		f.failOnFaults(t)
+		s.checkConvictedAlone(t, 5)
 	})
 }
 
--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -15,6 +16,7 @@
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/crashcause"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/exchange"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/poison"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/requestlimit"
 )
 
 const (
@@ -182,7 +184,7 @@
 			return
 		}
 		changed := c.gateway.crashes.change(func(l *crashcause.Ledger) bool {
-			return l.RecordCrash(target.ID, r, progress, brokeAt)
+			return l.RecordCrash(crashKey(target.Incarnation), r, progress, brokeAt)
 		})
 		c.gateway.log.Info("upstream-crashed", "request", id, "upstream", target.ID, "address", target.Address,
 			"prompt_parts", r.Parts, "had_begun", progress == crashcause.Begun, "new_evidence", changed)
@@ -192,6 +194,11 @@
 	}()
 }
 
+// crashKey identifies an incarnation of an upstream, which can end once.
+func crashKey(u requestlimit.Upstream) string {
+	return u.ID + "@" + strconv.FormatInt(u.StartedAtMillis, 10)
+}
+
 // attemptProgress returns how far the answer to the newest attempt has come before its end.
 func (c *call) attemptProgress() crashcause.Progress {
 	if c.attemptEvents > 0 {
--- a/pkg/gateway/crashingrequest_test.go
+++ b/pkg/gateway/crashingrequest_test.go
@@ -93,6 +93,15 @@
 	}
 }
 
+// Crashes of upstreams that came back under the ID that they had counted once for each ID, so that a request which
+// ended them all was never stopped.
+func TestCrashesOfUpstreamsThatKeepTheirIDsCount(t *testing.T) {
+	t.Parallel()
+	f := newCrashFleet(t, 3, 2)
+	f.crasher.KeepsIDs = true
+	f.repeatAndCheck("safe")
+}
+
 // A faulty upstream that failed a request before the work cleared it of the ends of others.
 func TestFailureOfAnUpstreamDoesNotClearARequest(t *testing.T) {
 	is := is.New(t)
