Look for the end of an upstream that ends the rest of a stream or a failure without framing

What callers saw: nothing yet; found when the change was read again. An answer without framing looks whole when its upstream crashes. That was looked at only where the answer could clear its request, so that the end of an upstream during the rest of a resumed stream, or during a failure, was overlooked.

Change: whether the upstream is checked depends on the framing alone. Checks in progress are shared by incarnation, like the evidence.

Evidence: TestEndOfUnframedRestOrFailureIsLookedAt failed before in both cases and passes.

--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -41,7 +41,7 @@
 	onCrash   func()
 	onVerdict func()
 
-	// checks are the checks of upstreams in progress, by ID.
+	// checks are the checks of upstreams in progress, by incarnationKey.
 	checks singleflight.Group
 
 	mu        sync.Mutex
@@ -149,11 +149,11 @@
 // recordEnd records a response that ended as a whole one does. One that ended with its connection ends in the same
 // way when its upstream crashes.
 func (c *call) recordEnd(response *exchange.Response, target Target) {
-	if !isSuccess(response.StatusCode) || c.isResumedAttempt {
-		return // the upstream may not have come to what crashes others
+	record := func() {}
+	if isSuccess(response.StatusCode) && !c.isResumedAttempt { // else the upstream may not have come to what crashes others
+		r := c.crashTraits()
+		record = func() { c.gateway.crashes.recordAnswer(r, crashcause.Whole) }
 	}
-	r := c.crashTraits()
-	record := func() { c.gateway.crashes.recordAnswer(r, crashcause.Whole) }
 	if response.Framing() == exchange.FramedByClose {
 		c.checkCrash(target, record)
 		return
@@ -184,7 +184,7 @@
 			return
 		}
 		changed := c.gateway.crashes.change(func(l *crashcause.Ledger) bool {
-			return l.RecordCrash(crashKey(target.Incarnation), r, progress, brokeAt)
+			return l.RecordCrash(incarnationKey(target.Incarnation), r, progress, brokeAt)
 		})
 		c.gateway.log.Info("upstream-crashed", "request", id, "upstream", target.ID, "address", target.Address,
 			"prompt_parts", r.Parts, "had_begun", progress == crashcause.Begun, "new_evidence", changed)
@@ -194,8 +194,8 @@
 	}()
 }
 
-// crashKey identifies an incarnation of an upstream, which can end once.
-func crashKey(u requestlimit.Upstream) string {
+// incarnationKey identifies an incarnation of an upstream, which can end once.
+func incarnationKey(u requestlimit.Upstream) string {
 	return u.ID + "@" + strconv.FormatInt(u.StartedAtMillis, 10)
 }
 
@@ -210,7 +210,7 @@
 // hasCrashed reports whether no process accepts connections at an upstream that was not about to
 // leave. Requests that break off together share one check.
 func (g *Gateway) hasCrashed(target Target) bool {
-	crashed, _, _ := g.crashes.checks.Do(target.ID, func() (any, error) { return g.checkUpstream(target), nil })
+	crashed, _, _ := g.crashes.checks.Do(incarnationKey(target.Incarnation), func() (any, error) { return g.checkUpstream(target), nil })
 	return crashed == true
 }
 
--- a/pkg/gateway/crashingrequest_test.go
+++ b/pkg/gateway/crashingrequest_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -12,7 +13,9 @@
 	"github.com/matryer/is"
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/crashcause"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/exchange"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/poison"
+	"github.com/coltsfootpitch/coltsfootpitch/platform"
 	"github.com/coltsfootpitch/coltsfootpitch/platform/standin"
 )
 
@@ -102,6 +105,27 @@
 	f.repeatAndCheck("safe")
 }
 
+// The end of an upstream was overlooked where it ended the rest of a stream, or a failure, without framing: both
+// look whole.
+func TestEndOfUnframedRestOrFailureIsLookedAt(t *testing.T) {
+	for name, c := range map[string]struct {
+		status    int
+		isResumed bool
+	}{"rest of a stream": {http.StatusOK, true}, "failure": {http.StatusNotFound, false}} {
+		t.Run(name, func(t *testing.T) {
+			b := newTestbed(t, 2)
+			b.configure("1")
+			w := b.workers[0]
+			w.Close()
+			ended := &call{gateway: b.gateway, isResumedAttempt: c.isResumed,
+				request: platform.ReadRequest(httptest.NewRequest(http.MethodPost, "/stream/x", nil), []byte("same"))}
+			response := &exchange.Response{Response: &http.Response{StatusCode: c.status, ContentLength: unknownLength, Body: io.NopCloser(strings.NewReader(""))}}
+			ended.recordEnd(response, Target{ID: w.ID, Address: w.Address()})
+			b.waitUntil("the crash to be recorded", func() bool { return len(b.gateway.crashes.evidence(time.Now())) == 1 })
+		})
+	}
+}
+
 // A faulty upstream that failed a request before the work cleared it of the ends of others.
 func TestFailureOfAnUpstreamDoesNotClearARequest(t *testing.T) {
 	is := is.New(t)
