Count control traffic between processes and the polls of leaders

The hypotheses (gateways busy with each other, leaders that cannot read their group in time, dear plans, the store) could not be told apart: nothing counted messages between processes. No decision depends on them. Tests of peer, metric and steward pass.

--- a/pkg/gateway/module.go
+++ b/pkg/gateway/module.go
@@ -24,7 +24,7 @@
 // Module provides the components of the gateway process.
 var Module = fx.Options(
 	fx.Provide(
-		func() peer.Credentials { return peer.Credentials{} },
+		func(m metrics.Registry) peer.Credentials { return peer.Credentials{}.Counted(m) },
 		func(n platform.Settings, m metrics.Registry, log hclog.Logger) *platform.Store {
 			return platform.NewStore(n.StoreAddress, m, log)
 		},
@@ -82,6 +82,7 @@
 	}()
 	go p.peers.run(ctx, p.store)
 	go p.runMaintenance(ctx)
+	go metric.LogCounters(ctx, p.gateway.metrics, p.log, "control-traffic", metric.ControlPrefixes...)
 	return nil
 }
 
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -65,7 +65,7 @@
 	if err != nil {
 		return nil, oops.Wrapf(err, "dial %s", c.address)
 	}
-	stream := jsonrpc2.NewBufferedStream(raw, jsonrpc2.VarintObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(c.credentials.traffic.wrap(raw), jsonrpc2.VarintObjectCodec{})
 	conn := jsonrpc2.NewConn(context.Background(), stream, noopHandler{})
 	if err := conn.Call(ctx, methodAuthenticate, authenticateRequest{Token: c.credentials.token}, nil); err != nil {
 		conn.Close()
@@ -82,6 +82,7 @@
 	if err != nil {
 		return result, err
 	}
+	c.credentials.traffic.count(MetricCalls, name)
 	err = conn.Call(ctx, name, params, &result)
 	return result, err
 }
--- a/pkg/peer/credentials.go
+++ b/pkg/peer/credentials.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/samber/oops"
 )
 
@@ -36,6 +37,15 @@
 type Credentials struct {
 	token string
 	tls   *tls.Config
+	// traffic counts what control connections carry, nil for no count.
+	traffic *traffic
+}
+
+// Counted returns credentials with which control connections count their calls and bytes in m; see
+// MetricCalls.
+func (c Credentials) Counted(m metrics.Registry) Credentials {
+	c.traffic = newTraffic(m)
+	return c
 }
 
 // NewCredentials parses the settings. It returns an error when the key pair does not parse or
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -127,7 +127,7 @@
 
 // addConn starts to serve an accepted connection and removes it from conns when it closes.
 func (s *Server) addConn(c net.Conn) {
-	stream := jsonrpc2.NewBufferedStream(c, jsonrpc2.VarintObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(s.credentials.traffic.wrap(c), jsonrpc2.VarintObjectCodec{})
 	s.mu.Lock()
 	if s.closed {
 		s.mu.Unlock()
@@ -166,6 +166,7 @@
 		return
 	}
 	defer s.endCall()
+	s.credentials.traffic.count(MetricHandled, r.Method)
 	params := json.RawMessage("null")
 	if r.Params != nil {
 		params = *r.Params
--- a/pkg/steward/leader.go
+++ b/pkg/steward/leader.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/mapswitch"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/route"
@@ -117,7 +118,9 @@
 			sleep(ctx, idlePollInterval)
 			continue
 		}
+		begun := time.Now()
 		observations, newestFencingToken := l.observeAll(ctx, l.phase == mapswitch.Idle || l.phase == mapswitch.Blocked)
+		l.recordPoll(len(observations), time.Since(begun))
 		if newestFencingToken > l.fencingToken {
 			return "newer leader"
 		}
@@ -131,6 +134,17 @@
 	return "stopping"
 }
 
+// recordPoll counts a poll of the group, how many ranks it saw and how long it took.
+func (l *leader) recordPoll(seen int, took time.Duration) {
+	count := func(name string, n int64) { metrics.GetOrRegisterCounter("peer_polls"+name, l.steward.metrics).Inc(n) }
+	count("", 1)
+	count("_ranks_seen", int64(seen))
+	count("_ms", took.Milliseconds())
+	if seen < l.rankCount {
+		count("_incomplete", 1)
+	}
+}
+
 // sleep waits for a duration or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
--- a/pkg/steward/module.go
+++ b/pkg/steward/module.go
@@ -8,6 +8,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/fx"
 
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/metric"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
 	"github.com/coltsfootpitch/coltsfootpitch/platform"
 )
@@ -15,7 +16,7 @@
 // Module provides the components of the steward process.
 var Module = fx.Options(
 	fx.Provide(
-		func() peer.Credentials { return peer.Credentials{} },
+		func(m metrics.Registry) peer.Credentials { return peer.Credentials{}.Counted(m) },
 		func(settings platform.Settings, m metrics.Registry, log hclog.Logger) *platform.Store {
 			return platform.NewStore(settings.StoreAddress, m, log)
 		},
@@ -41,6 +42,7 @@
 				}
 			}()
 			go s.run(ctx)
+			go metric.LogCounters(ctx, s.metrics, log, "control-traffic", metric.ControlPrefixes...)
 			return nil
 		},
 		OnStop: func(context.Context) error {
