Exchange heartbeats with neighbours in rings in place of all gateways

Callers got answers that were whole and late, plain ones too. Cause, hypothesis 1: each gateway sent each other a hello twice a second with the list of all, and got the same back. Class: a cost of a process that grows with the number of processes, here with its square in bytes.

Gateways form three rings; each sends heartbeats to its three successors. Records of gateways pass on only when they change, once to each neighbour; digests show what is missing. A gateway is marked down when no predecessor hears it, and contradicts a wrong mark by a higher sequence. Silent upstreams, limits and evidence on crashes are passed on by those to whom they are news.

Processes of the former version do not understand the new heartbeats.

--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -100,8 +100,9 @@
 	return w.ledger.Evidence(now)
 }
 
-func (w *crashWatch) merge(evidence []crashcause.Crash, now time.Time) {
-	w.change(func(l *crashcause.Ledger) bool { return l.Merge(evidence, now) })
+// merge adds the evidence of a peer and reports whether it was news.
+func (w *crashWatch) merge(evidence []crashcause.Crash, now time.Time) bool {
+	return w.change(func(l *crashcause.Ledger) bool { return l.Merge(evidence, now) })
 }
 
 func (w *crashWatch) restore(convictions []crashcause.Conviction, now time.Time) {
--- a/pkg/gateway/fleet_test.go
+++ b/pkg/gateway/fleet_test.go
@@ -139,8 +139,9 @@
 	is.Equal(len(peer.silentUpstreams(now)), 0)
 	now = now.Add(silentEventGaps*gap + time.Millisecond)
 	peer.RecordEvent("s", "b", gap, now)
-	silent := peer.silentUpstreams(now)
-	is.Equal(silent, []string{"a"})
+	is.Equal(peer.silentUpstreams(now), []string{"a"})
+	silent := peer.silentFor(now)
+	is.Equal(silent, map[string]int64{"a": toldSilenceTTL.Milliseconds()})
 
 	f.SetSilent(silent, now)
 	is.Equal(chooseCounts(f, 4, now)["a"], 0)
--- a/pkg/gateway/limitpeers.go
+++ b/pkg/gateway/limitpeers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/samber/oops"
@@ -15,27 +14,16 @@
 func (p *Peers) limitView(now time.Time) requestlimit.View {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	v := requestlimit.View{Live: []string{p.self.Name}, Recent: 1, Known: 1}
-	for name, at := range p.knownAt {
-		v.Known++
-		if now.Sub(at) < uncountedAfter {
-			v.Recent++
-		}
-		if m := p.members[name]; m != nil && !m.lastReport.IsZero() && now.Sub(m.lastReport) < unresponsiveAfter {
-			v.Live = append(v.Live, name)
-		}
-	}
-	slices.Sort(v.Live)
-	return v
+	return requestlimit.View{Live: p.table.Live(), Recent: p.table.Recent(now), Known: p.table.Known(now)}
 }
 
 // admit implements limitPeers.
 func (p *Peers) admit(ctx context.Context, name string, r AdmitRequest) (AdmitResponse, error) {
 	p.mu.Lock()
-	m := p.members[name]
+	entry, ok := p.table.Entry(name)
 	p.mu.Unlock()
-	if m == nil {
+	if !ok {
 		return AdmitResponse{}, oops.Errorf("gateway %s is not known", name)
 	}
-	return peer.Call[AdmitResponse](ctx, m.client, methodAdmit, r)
+	return peer.Call[AdmitResponse](ctx, p.clients.get(entry.PeerAddress), methodAdmit, r)
 }
--- a/pkg/gateway/module.go
+++ b/pkg/gateway/module.go
@@ -175,7 +175,7 @@
 // closes the listeners.
 func (p *process) stop(ctx context.Context) error {
 	p.gateway.stopping.Store(true)
-	p.peers.probeMembers(ctx)
+	p.peers.tellNeighbours(ctx)
 	select {
 	case <-time.After(drainDelay):
 	case <-ctx.Done():
--- /dev/null
+++ b/pkg/gateway/peerclients.go
@@ -0,0 +1,72 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
+)
+
+// peerClients holds the clients of other gateways while they are in use. It is safe for concurrent use.
+type peerClients struct {
+	credentials peer.Credentials
+
+	mu      sync.Mutex
+	clients map[string]*peerClient
+}
+
+type peerClient struct {
+	*peer.Client
+	usedAt time.Time
+}
+
+func newPeerClients(c peer.Credentials) *peerClients {
+	return &peerClients{credentials: c, clients: map[string]*peerClient{}}
+}
+
+// get returns the client for an address.
+func (c *peerClients) get(address string) *peer.Client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	client := c.clients[address]
+	if client == nil {
+		client = &peerClient{Client: peer.NewClient(address, c.credentials)}
+		c.clients[address] = client
+	}
+	client.usedAt = time.Now()
+	return client.Client
+}
+
+// closeIdle closes the clients that were not used for clientIdleTime.
+func (c *peerClients) closeIdle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, client := range c.clients {
+		if now.Sub(client.usedAt) > clientIdleTime {
+			client.Close()
+			delete(c.clients, address)
+		}
+	}
+}
+
+// heartbeat implements transport.
+func (c *peerClients) heartbeat(ctx context.Context, address string, h Heartbeat) (Heartbeat, error) {
+	return callGateway[Heartbeat](ctx, c, address, methodHeartbeat, h)
+}
+
+// isHeard implements transport.
+func (c *peerClients) isHeard(ctx context.Context, address, name string) (bool, error) {
+	return callGateway[bool](ctx, c, address, methodIsHeard, name)
+}
+
+// callGateway calls a method of a gateway. After a failure it closes the connection, which may be broken for
+// good; the next call opens another.
+func callGateway[R any](ctx context.Context, c *peerClients, address, method string, params any) (R, error) {
+	client := c.get(address)
+	result, err := peer.Call[R](ctx, client, method, params)
+	if err != nil {
+		client.Close()
+	}
+	return result, err
+}
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,114 +12,92 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/crashcause"
-	"github.com/coltsfootpitch/coltsfootpitch/pkg/inventory"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/gossip"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
-	"github.com/coltsfootpitch/coltsfootpitch/pkg/requestlimit"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/roster"
 	"github.com/coltsfootpitch/coltsfootpitch/platform"
 )
 
 const (
-	// probeInterval is the time between two probes of a peer, and probeTimeout limits one probe.
-	probeInterval = 500 * time.Millisecond
-	probeTimeout  = 400 * time.Millisecond
-	// unresponsiveAfter is the time without a report after which a peer is left out of the
-	// directory: two probes in a row have failed.
-	unresponsiveAfter = 1300 * time.Millisecond
-	// uncountedAfter is the time without a report after which a peer no longer counts among the
-	// gateways that share limits. It is longer, as a peer that is cut off from this gateway may
-	// still serve callers.
-	uncountedAfter = 10 * time.Second
-	// evidenceInterval is the shortest time between two requests for the evidence of one peer.
+	// heartbeatInterval is the time between two heartbeats to a neighbour, and heartbeatTimeout limits one.
+	heartbeatInterval = 500 * time.Millisecond
+	heartbeatTimeout  = 400 * time.Millisecond
+	// minTellInterval is the shortest time between two rounds of heartbeats that pass on changes.
+	minTellInterval = 20 * time.Millisecond
+	// evidenceInterval is the shortest time between two requests for the evidence of peers on crashes.
 	evidenceInterval = 100 * time.Millisecond
-	// removeAfter is the time without a report after which a peer is no longer probed; it is added
-	// again when it probes this gateway.
-	removeAfter = time.Minute
-	// forgetAfter is the time without a report after which a peer is no longer one that may be running and
-	// cut off.
-	forgetAfter = 10 * time.Minute
-	// listInterval is the time between two reads of the store for unknown peers.
+	// listInterval is the time between two reads of the store for unknown gateways.
 	listInterval = 5 * time.Second
+	// maxIntroductions limits the gateways that are known from the store only and that get a heartbeat in
+	// one round.
+	maxIntroductions = 3
+	// clientIdleTime is how long the connection to a gateway is kept without a call.
+	clientIdleTime = 30 * time.Second
 	// directoryTTL is the longest time that callers may cache a directory response.
 	directoryTTL = time.Second
 )
 
-// Hello is the state that gateways exchange in each probe and its response.
-type Hello struct {
-	From  roster.Entry `json:"from"`
-	Ready bool         `json:"ready"`
-	// Version is the version of the configuration in force.
-	Version int64 `json:"version"`
-	// Peers are the gateways that reported to the sender recently.
-	Peers []roster.Entry `json:"others,omitempty"`
-	// CrashDigest identifies the sender's evidence on crashes, 0 for none.
-	CrashDigest uint64 `json:"crash_digest,omitempty"`
-	// Silent are the IDs of the upstreams that have work of the sender and send nothing while others do.
-	Silent []string `json:"silent,omitempty"`
-	// Limits are the statements of upstreams on their limits that the sender knows.
-	Limits []requestlimit.Statement `json:"limits,omitempty"`
-}
-
-// Snapshot passes the state of a gateway to one that cannot reach the store.
-type Snapshot struct {
-	Configuration json.RawMessage      `json:"configuration,omitempty"`
-	Upstreams     []inventory.Upstream `json:"upstreams,omitempty"`
-	ZonesOut      []string             `json:"zones_out,omitempty"`
-}
-
 const (
-	methodHello    = "gateway.hello"
-	methodSnapshot = "gateway.snapshot"
-	methodCrashes  = "gateway.crashes"
-	methodAdmit    = "gateway.admit"
+	methodHeartbeat = "gateway.heartbeat"
+	methodIsHeard   = "gateway.is_heard"
+	methodSnapshot  = "gateway.snapshot"
+	methodCrashes   = "gateway.crashes"
+	methodAdmit     = "gateway.admit"
 )
 
-// member is another gateway. lastReport is zero until its first report.
-type member struct {
-	roster.Entry
-	client     *peer.Client
-	lastReport time.Time
-	ready      bool
-	// evidenceAt is when the evidence of the member was last requested.
-	evidenceAt time.Time
+// transport calls other gateways.
+type transport interface {
+	heartbeat(ctx context.Context, address string, h Heartbeat) (Heartbeat, error)
+	isHeard(ctx context.Context, address, name string) (bool, error)
 }
 
 // Peers tracks the other gateways. It is safe for concurrent use.
 type Peers struct {
-	self        roster.Entry
-	seeds       []string
-	gateway     *Gateway
-	credentials peer.Credentials
-	log         hclog.Logger
+	seeds     []string
+	gateway   *Gateway
+	clients   *peerClients
+	transport transport
+	log       hclog.Logger
+	// wake requests a round of heartbeats that passes on changes.
+	wake chan struct{}
 
-	mu      sync.Mutex
-	members map[string]*member
-	// knownAt is when each gateway that may be running was last heard of, by name.
-	knownAt map[string]time.Time
+	mu    sync.Mutex
+	table *gossip.Table
+	// listed are gateways that are known from the store only, in turn for the next heartbeat, and listedAt is
+	// when the store was read.
+	listed   []roster.Entry
+	listedAt time.Time
+	// inProgress are the addresses to which a heartbeat is in progress.
+	inProgress map[string]bool
+	// toldAll is set while changes other than records are to be passed on.
+	toldAll bool
+	// evidenceAt is when evidence on crashes was last requested.
+	evidenceAt time.Time
 }
 
 // NewPeers returns a view without other gateways.
 func NewPeers(n platform.Settings, g *Gateway, c peer.Credentials, log hclog.Logger) *Peers {
+	self := roster.Entry{
+		Name: n.Name, Incarnation: uuid.NewString(), CallerAddress: n.CallerAddress,
+		PeerAddress: n.PeerAddress, Region: n.Region, Zone: n.Zone,
+	}
+	clients := newPeerClients(c)
 	p := &Peers{
-		self: roster.Entry{
-			Name: n.Name, Incarnation: uuid.NewString(), CallerAddress: n.CallerAddress,
-			PeerAddress: n.PeerAddress, Region: n.Region, Zone: n.Zone,
-		},
-		seeds: n.Seeds, gateway: g, credentials: c, log: log, members: map[string]*member{}, knownAt: map[string]time.Time{},
+		seeds: n.Seeds, gateway: g, clients: clients, transport: clients, log: log, wake: make(chan struct{}, 1),
+		table: gossip.NewTable(self, time.Now()), inProgress: map[string]bool{},
 	}
 	g.crashes.onCrash, g.onSilence = p.tell, p.tell
 	g.fleet.limits.peers = p
 	return p
 }
 
-// tell sends this gateway's state to all peers.
-func (p *Peers) tell() { p.probeMembers(context.Background()) }
-
 // register adds the methods that peers call.
 func (p *Peers) register(s *peer.Server) {
-	peer.Handle(s, methodHello, func(_ context.Context, _ *jsonrpc2.Conn, h Hello) (Hello, error) {
-		p.handleHello(h, time.Now())
-		return p.buildHello(), nil
+	peer.Handle(s, methodHeartbeat, func(_ context.Context, _ *jsonrpc2.Conn, h Heartbeat) (Heartbeat, error) {
+		return p.answerHeartbeat(h, time.Now()), nil
+	})
+	peer.Handle(s, methodIsHeard, func(_ context.Context, _ *jsonrpc2.Conn, name string) (bool, error) {
+		return p.isHeard(name), nil
 	})
 	peer.Handle(s, methodSnapshot, func(context.Context, *jsonrpc2.Conn, struct{}) (Snapshot, error) {
 		return p.gateway.snapshot(), nil
@@ -134,186 +113,162 @@
 	})
 }
 
-func (p *Peers) buildHello() Hello {
-	h := Hello{From: p.self, Ready: p.gateway.Ready(), Version: p.gateway.Version(), CrashDigest: p.gateway.crashes.digest()}
-	now := time.Now()
-	h.Silent = p.gateway.fleet.silentUpstreams(now)
-	h.Limits = p.gateway.fleet.limits.statements(now)
+// tell passes a change of this gateway's state on to its neighbours, which pass it on in turn.
+func (p *Peers) tell() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, m := range p.members {
-		if now.Sub(m.lastReport) < unresponsiveAfter {
-			h.Peers = append(h.Peers, m.Entry)
-		}
-	}
-	return h
-}
-
-// handleHello records the report of a peer and adds the peers that it names.
-func (p *Peers) handleHello(h Hello, now time.Time) {
-	p.gateway.fleet.SetSilent(h.Silent, now)
-	p.gateway.fleet.limits.merge(h.Limits, now)
-	p.mu.Lock()
-	m := p.addMember(h.From)
-	if m != nil {
-		if now.Sub(m.lastReport) >= unresponsiveAfter || m.ready != h.Ready {
-			p.log.Info("peer-reported", "peer", m.Name, "ready", h.Ready, "config_version", h.Version)
-		}
-		m.lastReport = now
-		m.ready = h.Ready
-		p.knownAt[m.Name] = now
-	}
-	for _, o := range h.Peers {
-		p.addMember(o)
-	}
-	needsEvidence := m != nil && h.CrashDigest != 0 && h.CrashDigest != p.gateway.crashes.digest() && now.Sub(m.evidenceAt) >= evidenceInterval
-	if needsEvidence {
-		m.evidenceAt = now
-	}
+	p.toldAll = true
 	p.mu.Unlock()
-	if m != nil && p.gateway.needsSnapshot(h.Version, now) {
-		go p.fetchSnapshot(m)
-	}
-	if needsEvidence {
-		go p.fetchEvidence(m)
-	}
-}
-
-// fetchEvidence requests and merges the evidence of a peer on crashes.
-func (p *Peers) fetchEvidence(m *member) {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
-	evidence, err := peer.Call[[]crashcause.Crash](ctx, m.client, methodCrashes, struct{}{})
-	if err != nil {
-		p.log.Debug("crash-evidence-failed", "peer", m.Name, "error", err.Error())
-		return
-	}
-	p.gateway.crashes.merge(evidence, time.Now())
-}
-
-// addMember returns the member for an entry, which it adds if it is new; nil for this gateway
-// itself. The caller holds p.mu.
-func (p *Peers) addMember(entry roster.Entry) *member {
-	if entry.Name == p.self.Name || entry.PeerAddress == "" {
-		return nil
-	}
-	m := p.members[entry.Name]
-	if m == nil || m.Incarnation != entry.Incarnation && m.PeerAddress != entry.PeerAddress {
-		m = &member{Entry: entry, client: peer.NewClient(entry.PeerAddress, p.credentials)}
-		p.members[entry.Name] = m
-		if _, known := p.knownAt[entry.Name]; !known {
-			p.knownAt[entry.Name] = time.Now()
-		}
-		return m
-	}
-	// Requests to the peer read the entry without the lock.
-	updated := *m
-	updated.Entry = entry
-	p.members[entry.Name] = &updated
-	return &updated
+	p.wakeUp()
 }
 
-// fetchSnapshot requests and applies the state of a peer while the store is unreachable.
-func (p *Peers) fetchSnapshot(m *member) {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
-	s, err := peer.Call[Snapshot](ctx, m.client, methodSnapshot, struct{}{})
-	if err != nil {
-		p.log.Debug("snapshot-failed", "peer", m.Name, "error", err.Error())
-		return
+// wakeUp requests a round of heartbeats that passes on changes.
+func (p *Peers) wakeUp() {
+	select {
+	case p.wake <- struct{}{}:
+	default: // one is requested already
 	}
-	p.gateway.applySnapshot(s, m.Name)
 }
 
-// run probes the peers until ctx ends.
+// run announces this gateway and exchanges heartbeats until ctx ends.
 func (p *Peers) run(ctx context.Context, s *platform.Store) {
 	go p.announce(ctx, s)
 	// The entry in the store is lost with other recent changes.
 	s.OnRewind(func() { p.announce(ctx, s) })
-	tick := time.NewTicker(probeInterval)
+	p.exchangeHeartbeats(ctx)
+}
+
+// exchangeHeartbeats exchanges heartbeats with the neighbours until ctx ends.
+func (p *Peers) exchangeHeartbeats(ctx context.Context) {
+	tick := time.NewTicker(heartbeatInterval)
 	defer tick.Stop()
-	p.probeSeeds(ctx)
 	for {
-		p.probeMembers(ctx)
-		select {
-		case <-ctx.Done():
+		p.beginRound(ctx, time.Now())
+		if !p.passOnChanges(ctx, tick.C) {
 			return
-		case <-tick.C:
 		}
-		p.updateMembers(time.Now())
 	}
 }
 
-// probeMembers sends a probe to every member without waiting for the responses.
-func (p *Peers) probeMembers(ctx context.Context) {
-	p.mu.Lock()
-	members := make([]*member, 0, len(p.members))
-	for _, m := range p.members {
-		members = append(members, m)
+// passOnChanges passes on changes as they come until the next tick. It returns false when ctx ends.
+func (p *Peers) passOnChanges(ctx context.Context, tick <-chan time.Time) bool {
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-tick:
+			return true
+		case <-p.wake:
+			p.tellNeighbours(ctx)
+			sleep(ctx, minTellInterval)
+		}
 	}
-	p.mu.Unlock()
-	h := p.buildHello()
-	for _, m := range members {
-		go p.sendHello(ctx, m.client, h)
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
 }
 
-func (p *Peers) probeSeeds(ctx context.Context) {
-	h := p.buildHello()
-	for _, address := range p.seeds {
-		if address != p.self.PeerAddress {
-			go func() {
-				c := peer.NewClient(address, p.credentials)
-				p.sendHello(ctx, c, h)
-				c.Close()
-			}()
+// beginRound sends the heartbeats of a round, checks the neighbours that are silent and counts the gateways that
+// share limits.
+func (p *Peers) beginRound(ctx context.Context, now time.Time) {
+	p.mu.Lock()
+	p.table.SetReady(p.gateway.Ready())
+	targets := p.table.Tick(now)
+	suspects := p.table.Suspects(now)
+	targets = append(targets, p.introductions(now)...)
+	isAlone := p.isAlone()
+	recent := p.table.Recent(now)
+	p.mu.Unlock()
+	p.gateway.SetGatewayCount(recent)
+	p.clients.closeIdle(now)
+	for _, t := range targets {
+		p.startHeartbeat(ctx, t.Name, t.PeerAddress)
+	}
+	if isAlone {
+		for _, address := range p.seeds {
+			p.startHeartbeat(ctx, "", address)
 		}
 	}
+	for _, s := range suspects {
+		go p.checkSuspect(ctx, s)
+	}
 }
 
-func (p *Peers) sendHello(ctx context.Context, c *peer.Client, h Hello) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	response, err := peer.Call[Hello](ctx, c, methodHello, h)
-	if err != nil {
-		// The connection may be broken for good; the next probe opens another.
-		c.Close()
-		p.log.Debug("probe-failed", "peer", c.Address(), "error", err.Error())
-		return
+// introductions returns the next gateways that are known from the store only. They may be reachable later only,
+// and what other gateways know of them may be cut off with them. The caller holds p.mu.
+func (p *Peers) introductions(now time.Time) []roster.Entry {
+	p.listed = slices.DeleteFunc(p.listed, func(e roster.Entry) bool {
+		return p.table.Knows(e.Name) || now.Sub(p.listedAt) > gossip.ForgetAfter
+	})
+	next := p.listed[:min(maxIntroductions, len(p.listed))]
+	p.listed = append(slices.Clone(p.listed[len(next):]), next...)
+	return next
+}
+
+// introduce adds the gateways that the store lists, and sends some of them heartbeats at once if no other gateway
+// is known.
+func (p *Peers) introduce(entries []roster.Entry, now time.Time) {
+	p.mu.Lock()
+	p.listed, p.listedAt = nil, now
+	for _, i := range rand.Perm(len(entries)) {
+		if !p.table.Knows(entries[i].Name) {
+			p.listed = append(p.listed, entries[i])
+		}
 	}
-	p.handleHello(response, time.Now())
+	p.mu.Unlock()
+	p.wakeUp()
 }
 
-// updateMembers counts the gateways that share limits and removes those without reports for long.
-func (p *Peers) updateMembers(now time.Time) {
+// tellNeighbours sends a heartbeat to all neighbours that lack news.
+func (p *Peers) tellNeighbours(ctx context.Context) {
 	p.mu.Lock()
-	counted := 1
-	var hasNoMembers = len(p.members) == 0
-	for name, m := range p.members {
-		switch sinceReport := now.Sub(m.lastReport); {
-		case m.lastReport.IsZero():
-			// It was only named by others and has never reported.
-		case sinceReport < uncountedAfter:
-			counted++
-		case sinceReport > removeAfter:
-			m.client.Close()
-			delete(p.members, name)
-		case !m.ready:
-			delete(p.knownAt, name) // it was about to stop
+	p.table.SetReady(p.gateway.Ready())
+	var targets []roster.Entry
+	for _, n := range p.table.Neighbours() {
+		if p.toldAll || p.table.HasNewsFor(n.Name) {
+			targets = append(targets, n)
 		}
 	}
-	for name, at := range p.knownAt {
-		if now.Sub(at) > forgetAfter {
-			delete(p.knownAt, name)
+	p.toldAll = false
+	if p.isAlone() {
+		targets = p.introductions(time.Now())
+	}
+	p.mu.Unlock()
+	for _, t := range targets {
+		p.startHeartbeat(ctx, t.Name, t.PeerAddress)
+	}
+}
+
+// checkSuspect marks a gateway as down that neither this gateway nor a witness hears from.
+func (p *Peers) checkSuspect(ctx context.Context, s gossip.Suspect) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	for _, w := range s.Witnesses {
+		// A witness that does not respond confirms nothing.
+		if heard, err := p.transport.isHeard(ctx, w.PeerAddress, s.Name); err == nil && heard {
+			return
 		}
 	}
+	p.mu.Lock()
+	marked := p.table.MarkDown(s.Record, time.Now())
 	p.mu.Unlock()
-	p.gateway.SetGatewayCount(counted)
-	if hasNoMembers {
-		p.probeSeeds(context.Background())
+	if marked {
+		p.log.Info("peer-changed", "peer", s.Name, "status", gossip.Down.String(), "sequence", s.Sequence, "source", "silence")
+		p.wakeUp()
 	}
 }
 
+// isHeard reports whether this gateway heard from another one lately.
+func (p *Peers) isHeard(name string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.HeardLately(name, time.Now())
+}
+
 // announce writes this gateway's entry to the store and reads those of the others, until the entry
 // is written and another gateway is known.
 func (p *Peers) announce(ctx context.Context, s *platform.Store) {
@@ -325,12 +280,9 @@
 		p.addListed(ctx, s)
 		pause := listInterval
 		if !written {
-			pause = probeInterval
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
+			pause = heartbeatInterval
 		}
+		sleep(ctx, pause)
 		if written && p.hasMembers() {
 			return
 		}
@@ -340,14 +292,20 @@
 func (p *Peers) hasMembers() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.members) > 0
+	return !p.isAlone()
 }
 
+// isAlone reports whether no other gateway is known to run. The caller holds p.mu.
+func (p *Peers) isAlone() bool { return len(p.table.Live()) == 1 }
+
 // writeEntry creates or replaces this gateway's entry in the store.
 func (p *Peers) writeEntry(ctx context.Context, s *platform.Store) bool {
-	_, err := s.Create(ctx, roster.KindEntries, p.self.Name, p.self)
+	p.mu.Lock()
+	self := p.table.Self().Entry
+	p.mu.Unlock()
+	_, err := s.Create(ctx, roster.KindEntries, self.Name, self)
 	if err != nil {
-		_, err = s.Replace(ctx, roster.KindEntries, p.self.Name, 0, p.self)
+		_, err = s.Replace(ctx, roster.KindEntries, self.Name, 0, self)
 	}
 	if err != nil {
 		p.log.Warn("announce-failed", "error", err.Error())
@@ -364,34 +322,25 @@
 	if len(unreadable) > 0 {
 		p.log.Warn("peers-unreadable", "objects", unreadable)
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, e := range entries {
-		p.addMember(e)
-	}
+	p.introduce(entries, time.Now())
 }
 
 // callerAddresses returns the caller addresses of the gateways that are ready: those in the region,
 // or all if it has none.
 func (p *Peers) callerAddresses(region string) []string {
-	var sameRegion, all []string
-	add := func(entry roster.Entry) {
-		all = append(all, entry.CallerAddress)
-		if entry.Region == region {
-			sameRegion = append(sameRegion, entry.CallerAddress)
-		}
-	}
+	p.mu.Lock()
+	entries := p.table.Ready()
 	if p.gateway.Ready() {
-		add(p.self)
+		entries = append(entries, p.table.Self().Entry)
 	}
-	now := time.Now()
-	p.mu.Lock()
-	for _, m := range p.members {
-		if m.ready && now.Sub(m.lastReport) < unresponsiveAfter {
-			add(m.Entry)
+	p.mu.Unlock()
+	var sameRegion, all []string
+	for _, e := range entries {
+		all = append(all, e.CallerAddress)
+		if e.Region == region {
+			sameRegion = append(sameRegion, e.CallerAddress)
 		}
 	}
-	p.mu.Unlock()
 	if len(sameRegion) > 0 {
 		return sameRegion
 	}
--- a/pkg/gateway/peers_test.go
+++ b/pkg/gateway/peers_test.go
@@ -8,6 +8,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/gossip"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/roster"
 	"github.com/coltsfootpitch/coltsfootpitch/platform"
@@ -20,14 +21,14 @@
 	g := New(n, NewFleet(n, hclog.NewNullLogger()), hclog.NewNullLogger(), metrics.NewRegistry())
 	p := NewPeers(n, g, peer.Credentials{}, hclog.NewNullLogger())
 	const closedAddress = "127.0.0.1:1"
-	report := Hello{From: roster.Entry{Name: "edge-2", Incarnation: "i", PeerAddress: closedAddress}}
-	p.handleHello(report, time.Now())
-	m := p.members["edge-2"]
+	entry := roster.Entry{Name: "edge-2", Incarnation: "i", PeerAddress: closedAddress}
+	report := Heartbeat{From: "edge-2", Records: []gossip.Record{{Entry: entry, Sequence: 1, Status: gossip.Ready}}}
+	p.applyHeartbeat(report, time.Now())
 	var running sync.WaitGroup
 	for range 20 {
-		running.Go(func() { p.fetchSnapshot(m) })
-		running.Go(func() { p.fetchEvidence(m) })
-		running.Go(func() { p.handleHello(report, time.Now()) })
+		running.Go(func() { p.fetchSnapshot("edge-2", closedAddress) })
+		running.Go(func() { p.fetchEvidence("edge-2", closedAddress) })
+		running.Go(func() { p.applyHeartbeat(report, time.Now()) })
 	}
 	running.Wait()
 }
--- a/pkg/gateway/requestlimits.go
+++ b/pkg/gateway/requestlimits.go
@@ -46,7 +46,7 @@
 	limitView(now time.Time) requestlimit.View
 	// admit asks the gateway with a name.
 	admit(ctx context.Context, name string, r AdmitRequest) (AdmitResponse, error)
-	// tell sends the state of this gateway to all others.
+	// tell passes the state of this gateway on to the others.
 	tell()
 }
 
@@ -223,18 +223,20 @@
 	return l.book.Statements(now)
 }
 
-// merge adds what another gateway knows.
-func (l *requestLimits) merge(statements []requestlimit.Statement, now time.Time) {
+// merge adds what another gateway knows and reports whether that was news.
+func (l *requestLimits) merge(statements []requestlimit.Statement, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.mergeLocked(statements, now)
+	return l.mergeLocked(statements, now)
 }
 
 // mergeLocked is merge for a caller that holds l.mu.
-func (l *requestLimits) mergeLocked(statements []requestlimit.Statement, now time.Time) {
-	for _, s := range l.book.Merge(statements, now) {
+func (l *requestLimits) mergeLocked(statements []requestlimit.Statement, now time.Time) bool {
+	changed := l.book.Merge(statements, now)
+	for _, s := range changed {
 		l.logChange(s.Upstream, !s.Lifted, s.PerSecond, "peer")
 	}
+	return len(changed) > 0
 }
 
 // prune forgets what is no longer needed.
--- a/pkg/gateway/silence.go
+++ b/pkg/gateway/silence.go
@@ -19,9 +19,11 @@
 	silentEventGaps = 3
 	// silenceCheckInterval is the shortest time between two looks for silent upstreams.
 	silenceCheckInterval = 20 * time.Millisecond
-	// toldSilenceTTL is how long the report of a peer on a silent upstream is valid; peers repeat it
-	// with each probe.
-	toldSilenceTTL = probeInterval + probeTimeout
+	// toldSilenceTTL is how long a report on a silent upstream is valid; it is repeated with each heartbeat.
+	toldSilenceTTL = heartbeatInterval + heartbeatTimeout
+	// minSilenceExtension is by how much a report must extend an earlier one to count. Without it, neighbours that
+	// repeat each other's reports would extend them by the time that a heartbeat takes.
+	minSilenceExtension = 300 * time.Millisecond
 )
 
 // RecordEvent records an event of a stream from an upstream. gap is the target pause between the events
@@ -57,16 +59,50 @@
 	return ids
 }
 
-// SetSilent records the upstreams that count as silent at a peer: this gateway may have no work there that
-// would show it.
-func (f *Fleet) SetSilent(ids []string, now time.Time) {
+// silentFor returns the upstreams that count as silent here or were reported as that, with the time in
+// milliseconds for which they do.
+func (f *Fleet) silentFor(now time.Time) map[string]int64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, id := range ids {
-		if f.upstreams.Entries()[id] != nil {
-			f.observation(id).toldSilentUntil = now.Add(toldSilenceTTL)
+	var out map[string]int64
+	for id, s := range f.observations {
+		e := f.upstreams.Entries()[id]
+		if e == nil {
+			continue
+		}
+		left := s.toldSilentUntil.Sub(now)
+		if f.isSilent(e.Service, s, now) {
+			left = toldSilenceTTL
+		}
+		if left <= 0 {
+			continue
+		}
+		if out == nil {
+			out = map[string]int64{}
+		}
+		out[id] = left.Milliseconds()
+	}
+	return out
+}
+
+// SetSilent records the upstreams that count as silent elsewhere, by ID, with the time in milliseconds: this
+// gateway may have no work there that would show it. It reports whether that was news.
+func (f *Fleet) SetSilent(millisByID map[string]int64, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	isNews := false
+	for id, millis := range millisByID {
+		if f.upstreams.Entries()[id] == nil {
+			continue
+		}
+		s := f.observation(id)
+		until := now.Add(min(time.Duration(millis)*time.Millisecond, toldSilenceTTL))
+		if until.Sub(s.toldSilentUntil) >= minSilenceExtension {
+			isNews = true
+			s.toldSilentUntil = until
 		}
 	}
+	return isNews
 }
 
 // silenceReporter decides when to tell peers of silent upstreams. It is safe for concurrent use.
