Reach the stewards of a large group along a tree

Callers of a group of 72 ranks got late answers, as its map was never changed. Cause: the leader read the counts of each rank and told each steward of all members, through a link of 8 Mbit/s. Class: as with the hellos, a cost of one process that grows with the number of processes.

Up to 16 members are called directly, as before. More are divided into at most ten parts of neighbours; one steward of a part calls the others, adds their choices of experts and passes their states on. If it does not respond, its part is called directly within the same poll, and it is avoided for 2 s. Orders go the same way; the fence is still checked by the steward of the rank, and holds still go directly. Counts are sent as choices since the last look, maps and states packed, the list of members only to those that have another one.

--- a/pkg/placement/even_test.go
+++ b/pkg/placement/even_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 
@@ -143,16 +144,23 @@
 }
 
 func BenchmarkEvenPlan(b *testing.B) {
-	loads := make([][]float64, 4)
-	for i := range loads {
-		loads[i] = make([]float64, 64)
-		for e := range loads[i] {
-			loads[i][(e*7+i*13)%64] = 1 + 100/float64(1+e*e)
-		}
-	}
-	g := EvenPlanner{Slots: 5, MaxNewPerLayer: 2, MaxNewPerPlan: 3}
-	expertsOn := roundRobin(4, 64, 16)
-	for b.Loop() {
-		g.Plan(expertsOn, loads)
+	for _, size := range []struct{ layers, experts, ranks, slots int }{{4, 64, 16, 5}, {16, 96, 24, 5}, {12, 144, 72, 3}} {
+		b.Run(fmt.Sprintf("layers=%d/experts=%d/ranks=%d", size.layers, size.experts, size.ranks), func(b *testing.B) {
+			loads := make([][]float64, size.layers)
+			for i := range loads {
+				loads[i] = make([]float64, size.experts)
+				for e := range loads[i] {
+					loads[i][(e*7+i*13)%size.experts] = 1 + 100/float64(1+e*e)
+				}
+			}
+			g := EvenPlanner{Slots: size.slots, MaxNewPerLayer: 2, MaxNewPerPlan: 3}
+			expertsOn := roundRobin(size.layers, size.experts, size.ranks)
+			var p EvenPlan
+			for b.Loop() {
+				p = g.Plan(expertsOn, loads)
+			}
+			b.ReportMetric(p.SkewBefore, "skew")
+			b.ReportMetric(p.SkewAfter, "skew-after")
+		})
 	}
 }
--- a/pkg/steward/calls.go
+++ b/pkg/steward/calls.go
@@ -5,36 +5,91 @@
 	"errors"
 	"sync"
 
+	"github.com/samber/oops"
+
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/mapswitch"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
 )
 
-// observeMembers reads all members concurrently. The result is nil for each member that did not
-// respond.
-func (s *Steward) observeMembers(ctx context.Context, members []Member, r ObserveRequest) []*Observation {
+// observeMembers reads all members concurrently. It returns the observation of each member, nil for those
+// that did not respond, and the sum of the choices of experts of all.
+func (s *Steward) observeMembers(ctx context.Context, members []Member, r ObserveRequest) ([]*Observation, []int64) {
 	ctx, cancel := context.WithTimeout(ctx, observeTimeout)
 	defer cancel()
+	return s.observeParts(ctx, members, maxDirectMembers, r)
+}
+
+// observeParts is observeMembers until ctx ends, with up to maxDirect calls to members themselves.
+func (s *Steward) observeParts(ctx context.Context, members []Member, maxDirect int, r ObserveRequest) ([]*Observation, []int64) {
+	var mu sync.Mutex
 	out := make([]*Observation, len(members))
-	var wg sync.WaitGroup
-	for i, m := range members {
-		wg.Go(func() {
-			o, err := s.observeMember(ctx, m, r)
-			if err != nil {
-				s.log.Debug("rank-unreachable", "steward", m.Steward, "error", err.Error())
-				return
-			}
-			out[i] = &o
+	var choices []int64
+	add := func(i int, o *Observation) {
+		mu.Lock()
+		defer mu.Unlock()
+		choices = addInts(choices, o.Choices.unpack())
+		out[i] = o
+	}
+	relay := func(ctx context.Context, part []int, at int) error {
+		relayed, err := s.transport.relayObserve(ctx, members[at], RelayedObserveRequest{
+			ObserveRequest: r, Part: pickAt(members, part), TimeoutMillis: timeoutMillis(ctx),
 		})
+		if err != nil {
+			return err
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		choices = addInts(choices, relayed.Choices.unpack())
+		for _, r := range relayed.Observations {
+			if o, ok := r.observation(); ok && r.Position >= 0 && r.Position < len(part) {
+				out[part[r.Position]] = o
+			}
+		}
+		return nil
 	}
-	wg.Wait()
-	return out
+	s.eachPart(ctx, members, maxDirect, relay, func(ctx context.Context, i int) {
+		o, err := s.observeMember(ctx, members[i], r)
+		if err != nil {
+			s.log.Debug("rank-unreachable", "steward", members[i].Steward, "error", err.Error())
+			return
+		}
+		add(i, &o)
+	})
+	return out, choices
 }
 
 func (s *Steward) observeMember(ctx context.Context, m Member, r ObserveRequest) (Observation, error) {
 	if m.Upstream == s.settings.UpstreamAddress {
 		return s.observe(ctx, r)
 	}
-	return callSteward[Observation](ctx, s, m, methodObserve, r)
+	return s.transport.observe(ctx, m, r)
+}
+
+// transport calls other stewards.
+type transport interface {
+	observe(ctx context.Context, m Member, r ObserveRequest) (Observation, error)
+	relayObserve(ctx context.Context, m Member, r RelayedObserveRequest) (RelayedObservations, error)
+	order(ctx context.Context, m Member, r OrderRequest) (OrderResult, error)
+	relayOrders(ctx context.Context, m Member, r RelayedOrderRequest) ([]*OrderResult, error)
+}
+
+// rpcTransport calls other stewards by RPC.
+type rpcTransport struct{ steward *Steward }
+
+func (t rpcTransport) observe(ctx context.Context, m Member, r ObserveRequest) (Observation, error) {
+	return callSteward[Observation](ctx, t.steward, m, methodObserve, r)
+}
+
+func (t rpcTransport) relayObserve(ctx context.Context, m Member, r RelayedObserveRequest) (RelayedObservations, error) {
+	return callSteward[RelayedObservations](ctx, t.steward, m, methodRelayObserve, r)
+}
+
+func (t rpcTransport) order(ctx context.Context, m Member, r OrderRequest) (OrderResult, error) {
+	return callSteward[OrderResult](ctx, t.steward, m, methodOrder, r)
+}
+
+func (t rpcTransport) relayOrders(ctx context.Context, m Member, r RelayedOrderRequest) ([]*OrderResult, error) {
+	return callSteward[[]*OrderResult](ctx, t.steward, m, methodRelayOrders, r)
 }
 
 // callSteward calls a method of another steward. After a timeout it closes the connection: one
@@ -48,24 +103,59 @@
 	return result, err
 }
 
-// sendOrders sends orders to the stewards of their ranks concurrently. The result is nil for
-// each order without a response.
+// sendOrders sends orders to the stewards of their ranks concurrently. All orders with a map have the same one. The
+// result is nil for each order without a response.
 func (s *Steward) sendOrders(ctx context.Context, orders []mapswitch.Order, memberByRank map[int]Member, fencingToken int64) []*OrderResult {
 	ctx, cancel := context.WithTimeout(ctx, observeTimeout)
 	defer cancel()
-	out := make([]*OrderResult, len(orders))
-	var wg sync.WaitGroup
+	p := packedOrders{orders: make([]mapswitch.Order, len(orders)), members: make([]Member, len(orders)), fencingToken: fencingToken}
 	for i, o := range orders {
-		wg.Go(func() {
-			r, err := s.sendOrder(ctx, memberByRank[o.Rank], OrderRequest{FencingToken: fencingToken, Order: o})
-			if err != nil {
-				s.log.Info("order-not-delivered", "rank", o.Rank, "op", o.Op.String(), "error", err.Error())
-				return
-			}
-			out[i] = &r
+		if o.Map != nil && p.packedMap == nil {
+			p.packedMap = packMap(o.Map)
+		}
+		o.Map = nil
+		p.orders[i], p.members[i] = o, memberByRank[o.Rank]
+	}
+	return s.sendParts(ctx, p, maxDirectMembers)
+}
+
+// packedOrders are orders without their maps, with the map of all of them and the member for each.
+type packedOrders struct {
+	orders       []mapswitch.Order
+	packedMap    packedInts
+	members      []Member
+	fencingToken int64
+}
+
+// errResultsMissing means that a relay returned another number of results than it got orders.
+var errResultsMissing = errors.New("the relay returned another number of results")
+
+// sendParts sends orders until ctx ends, with up to maxDirect calls to members themselves.
+func (s *Steward) sendParts(ctx context.Context, p packedOrders, maxDirect int) []*OrderResult {
+	out := make([]*OrderResult, len(p.orders))
+	relay := func(ctx context.Context, part []int, at int) error {
+		results, err := s.transport.relayOrders(ctx, p.members[at], RelayedOrderRequest{
+			FencingToken: p.fencingToken, Orders: pickAt(p.orders, part), Map: p.packedMap, Part: pickAt(p.members, part), TimeoutMillis: timeoutMillis(ctx),
 		})
+		if err == nil && len(results) != len(part) {
+			err = oops.Wrap(errResultsMissing)
+		}
+		if err != nil {
+			return err
+		}
+		for k, i := range part {
+			out[i] = results[k]
+		}
+		return nil
 	}
-	wg.Wait()
+	s.eachPart(ctx, p.members, maxDirect, relay, func(ctx context.Context, i int) {
+		r, err := s.sendOrder(ctx, p.members[i], OrderRequest{FencingToken: p.fencingToken, Order: p.orders[i], Map: p.packedMap})
+		if err != nil {
+			s.log.Info("order-not-delivered", "rank", p.orders[i].Rank, "op", p.orders[i].Op.String(), "error", err.Error())
+			return
+		}
+		out[i] = &r
+	})
 	return out
 }
 
@@ -78,7 +168,7 @@
 		return s.applyOrder(ctx, r), nil
 	}
 	r.CheckOnly = r.Order.Op == mapswitch.Hold
-	result, err := callSteward[OrderResult](ctx, s, m, methodOrder, r)
+	result, err := s.transport.order(ctx, m, r)
 	if r.CheckOnly && err == nil && result.Accepted {
 		return s.sendOrderDirectly(ctx, m, r), nil
 	}
--- a/pkg/steward/leader.go
+++ b/pkg/steward/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -20,7 +21,10 @@
 	// idlePollInterval is the time between two polls while no map is prepared or switched, and
 	// loadPollInterval while ranks load experts.
 	idlePollInterval = 80 * time.Millisecond
-	loadPollInterval = 30 * time.Millisecond
+	// ranksAtIdlePollInterval is the number of ranks up to which idlePollInterval holds. Each further rank adds its
+	// state to a poll, so that larger groups are polled less often.
+	ranksAtIdlePollInterval = 80
+	loadPollInterval        = 30 * time.Millisecond
 	// switchPollInterval is the time between two polls while a hold is in force.
 	switchPollInterval = 4 * time.Millisecond
 	// listRefreshInterval is the time between two reads of the list of upstreams.
@@ -73,6 +77,8 @@
 	lastStoreRead    time.Time
 	storeReadRunning atomic.Bool
 	description      atomic.Pointer[serviceDescription]
+	// sendsMembers is set if a steward of the group has another list of members.
+	sendsMembers bool
 	// lastMajority is when more than half of the ranks were last reached.
 	lastMajority time.Time
 	// memberByRank has the members that responded to the last poll, by rank index.
@@ -145,6 +151,11 @@
 	}
 }
 
+// pollInterval returns the time between two polls of a group while no map is prepared or switched.
+func pollInterval(ranks int) time.Duration {
+	return idlePollInterval * time.Duration(max(ranks, ranksAtIdlePollInterval)) / ranksAtIdlePollInterval
+}
+
 // sleep waits for a duration or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
@@ -196,21 +207,35 @@
 		l.steward.log.Warn("member-list-failed", "error", err.Error())
 	} else {
 		l.steward.mu.Lock()
-		l.steward.members = members
+		l.steward.members, l.steward.membersDigest = members, digestOf(members)
 		l.steward.mu.Unlock()
 	}
 	l.limits.refreshEntries(ctx)
 }
 
 // observeAll polls all ranks concurrently. It returns the observations by rank index and the
-// newest fencing token that any steward has seen.
-func (l *leader) observeAll(ctx context.Context, counts bool) (map[int]Observation, int64) {
+// newest fencing token that any steward has seen. With choices, it adds the choices of experts to the loads.
+func (l *leader) observeAll(ctx context.Context, choices bool) (map[int]Observation, int64) {
+	request := ObserveRequest{
+		FencingToken: l.fencingToken, Leader: l.steward.settings.Name, Group: l.group, IncludeChoices: choices,
+		IncludeExperts: l.currentVersion == mapswitch.None,
+	}
 	l.steward.mu.Lock()
 	members := l.groupMembers(l.steward.members, time.Now())
-	currentVersion := l.currentVersion
+	request.MembersDigest = l.steward.membersDigest
+	if l.sendsMembers {
+		request.Members = l.steward.members
+	}
 	l.steward.mu.Unlock()
-	request := ObserveRequest{FencingToken: l.fencingToken, Leader: l.steward.settings.Name, Group: l.group, Members: members, IncludeCounts: counts, IncludeExperts: currentVersion == mapswitch.None}
-	responses := l.steward.observeMembers(ctx, members, request)
+	begun := time.Now()
+	responses, sum := l.steward.observeMembers(ctx, members, request)
+	if choices {
+		l.loads.StartSample(begun)
+		l.loads.AddChoices(sum)
+	}
+	l.sendsMembers = slices.ContainsFunc(responses, func(o *Observation) bool {
+		return o != nil && o.NeedsMembers && o.Report.Group == l.group
+	})
 	if l.switching || l.phase == mapswitch.Blocked && time.Since(l.lastDirectPoll) > directPollInterval {
 		l.lastDirectPoll = time.Now()
 		// A rank whose steward is down must not keep the group stalled.
@@ -250,9 +275,6 @@
 func (l *leader) runRound(ctx context.Context, observations map[int]Observation) time.Duration {
 	now := time.Now()
 	ranks := l.rankStates(observations, now)
-	if l.phase == mapswitch.Idle || l.phase == mapswitch.Blocked {
-		l.addCounts(observations, now)
-	}
 	l.slowdowns = slowdownsOf(observations, l.rankCount)
 	l.passTimer.update(ranks, now)
 	l.limits.update(ctx, l.passTimer.mean(), ranks, observations, l.memberByRank, now)
@@ -270,12 +292,12 @@
 			return 0 // The last poll did not request counts.
 		}
 		if !mapKnown || hasDirectObservation(observations) || !l.startWorthwhilePlan(ranks, runningRequests(observations), now) {
-			return idlePollInterval
+			return pollInterval(l.rankCount)
 		}
 		orders, phase = l.mapSwitch.NextOrders(ranks)
 	case mapswitch.NeedsTarget:
 		if !mapKnown {
-			return idlePollInterval
+			return pollInterval(l.rankCount)
 		}
 		l.startSwitch(ranks[0].Epoch, l.currentMap)
 		orders, phase = l.mapSwitch.NextOrders(ranks)
@@ -290,7 +312,7 @@
 		if l.switching {
 			return switchPollInterval
 		}
-		return idlePollInterval
+		return pollInterval(l.rankCount)
 	}
 	l.phase = phase
 	l.switching = phase == mapswitch.Switching
@@ -355,14 +377,6 @@
 	return ranks
 }
 
-// addCounts adds the counts of all observed ranks to the loads.
-func (l *leader) addCounts(observations map[int]Observation, now time.Time) {
-	l.loads.StartSample(now)
-	for i, o := range observations {
-		l.loads.AddCounts(i, o.Report.StartedAtMillis, o.Counts.unpack())
-	}
-}
-
 // trackCurrentMap keeps track of the map in use. It reports false while that map is unknown.
 func (l *leader) trackCurrentMap(observations map[int]Observation, ranks []mapswitch.RankState) bool {
 	version := mapswitch.None
--- a/pkg/steward/loads.go
+++ b/pkg/steward/loads.go
@@ -21,21 +21,40 @@
 	maxSampleAge = 2 * time.Second
 )
 
-// ExpertLoads derives the recent loads of experts from the cumulative counts that ranks report.
-// It is not safe for concurrent use.
+// ExpertLoads derives the recent loads of experts from the choices that ranks report. It is not safe for concurrent
+// use.
 type ExpertLoads struct {
-	layers     int
-	lastCounts map[int]rankCounts
-	samples    []sample
-	shifts     shiftTimer
+	layers  int
+	samples []sample
+	shifts  shiftTimer
 }
 
-// rankCounts holds the newest counts of one incarnation of a rank.
-type rankCounts struct {
+// choiceTracker derives the choices of a rank since an earlier look from its cumulative counts.
+type choiceTracker struct {
+	// fencingToken is that of the leader which looked, and startedAtMillis the incarnation of the rank.
+	fencingToken    int64
 	startedAtMillis int64
 	counts          []int64
 }
 
+// since returns the choices since the last look for the same fencing token, nil for the first one. Counts restart
+// from zero when the rank restarts, which a different start time shows.
+func (t *choiceTracker) since(fencingToken, startedAtMillis int64, counts []int64) []int64 {
+	previous := *t
+	*t = choiceTracker{fencingToken, startedAtMillis, counts}
+	switch {
+	case previous.fencingToken != fencingToken || previous.counts == nil:
+		return nil
+	case previous.startedAtMillis != startedAtMillis || len(previous.counts) != len(counts):
+		return slices.Clone(counts)
+	}
+	out := make([]int64, len(counts))
+	for i, n := range counts {
+		out[i] = max(0, n-previous.counts[i])
+	}
+	return out
+}
+
 // sample holds how often all ranks together chose each expert between two polls.
 type sample struct {
 	at     time.Time
@@ -44,10 +63,10 @@
 
 // NewExpertLoads returns empty loads for a number of layers.
 func NewExpertLoads(layers int) *ExpertLoads {
-	return &ExpertLoads{layers: layers, lastCounts: map[int]rankCounts{}, shifts: shiftTimer{meanInterval: defaultShiftInterval}}
+	return &ExpertLoads{layers: layers, shifts: shiftTimer{meanInterval: defaultShiftInterval}}
 }
 
-// StartSample starts a new sample, to which AddCounts adds the counts of each rank.
+// StartSample starts a new sample, to which AddChoices adds.
 func (l *ExpertLoads) StartSample(now time.Time) {
 	l.samples = append(l.samples, sample{at: now})
 	for len(l.samples) > 1 && now.Sub(l.samples[0].at) > maxSampleAge {
@@ -55,28 +74,13 @@
 	}
 }
 
-// AddCounts adds the choices of a rank since its last report to the newest sample. Counts restart
-// from zero when the rank restarts, which a different start time shows.
-func (l *ExpertLoads) AddCounts(rank int, startedAtMillis int64, counts []int64) {
-	if len(l.samples) == 0 || len(counts) == 0 {
+// AddChoices adds the choices of ranks since their last report to the newest sample.
+func (l *ExpertLoads) AddChoices(choices []int64) {
+	if len(l.samples) == 0 || len(choices) == 0 {
 		return
 	}
 	s := &l.samples[len(l.samples)-1]
-	if s.counts == nil {
-		s.counts = make([]int64, len(counts))
-	}
-	previous, found := l.lastCounts[rank]
-	l.lastCounts[rank] = rankCounts{startedAtMillis, slices.Clone(counts)}
-	if !found || len(s.counts) != len(counts) {
-		return
-	}
-	restarted := previous.startedAtMillis != startedAtMillis || len(previous.counts) != len(counts)
-	for i, n := range counts {
-		if !restarted {
-			n -= previous.counts[i]
-		}
-		s.counts[i] += max(0, n)
-	}
+	s.counts = addInts(s.counts, slices.Clone(choices))
 }
 
 // Recent returns the loads by layer and expert, or nil while there are too few choices. It sums
--- a/pkg/steward/members.go
+++ b/pkg/steward/members.go
@@ -1,11 +1,14 @@
 package steward
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/route"
 	"github.com/coltsfootpitch/coltsfootpitch/platform"
 )
@@ -27,11 +30,23 @@
 		if err != nil {
 			continue
 		}
-		out = append(out, Member{Upstream: u.Address, Steward: settings.PortAddress(host, 0)})
+		out = append(out, Member{Upstream: u.Address, Steward: settings.PortAddress(host, 0), Zone: u.Zone})
 	}
+	// Members of a zone stand together, so that a relay and its part are near each other.
+	slices.SortFunc(out, func(a, b Member) int { return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Upstream, b.Upstream)) })
 	return out, nil
 }
 
+// digestOf identifies a list of members.
+func digestOf(members []Member) uint64 {
+	var d xxhash.Digest
+	for _, m := range members {
+		// Write of a hash never returns an error.
+		_, _ = d.WriteString(m.Upstream + "\x00" + m.Steward + "\x00")
+	}
+	return d.Sum64()
+}
+
 // serviceDescription is what a leader needs from the configuration of its service.
 type serviceDescription struct {
 	engine *route.Engine
--- a/pkg/steward/steward.go
+++ b/pkg/steward/steward.go
@@ -33,13 +33,21 @@
 	leaderTimeoutPerRank = 150 * time.Millisecond
 )
 
+// ownRank is the rank beside a steward.
+type ownRank interface {
+	Report(ctx context.Context) (platform.RankReport, error)
+	ExpertCounts(ctx context.Context) ([]int64, error)
+	LoadedExperts(ctx context.Context) (int64, [][]int, error)
+	Order(ctx context.Context, o mapswitch.Order, fencingToken int64) error
+}
+
 // Steward serves one rank. It is safe for concurrent use.
 type Steward struct {
 	settings    platform.Settings
 	log         hclog.Logger
 	metrics     metrics.Registry
 	store       *platform.Store
-	rank        *platform.Rank
+	rank        ownRank
 	credentials peer.Credentials
 
 	// fetchMembers returns the network locations of the ranks, from the list of upstreams.
@@ -53,16 +61,25 @@
 	clients map[string]*peer.Client
 	// prepared is the map that the own rank was last ordered to prepare.
 	prepared mapswitch.Target
+	// choices derives the choices of experts since the last observation.
+	choices choiceTracker
+	// membersDigest identifies the list of members that a leader sent.
+	membersDigest uint64
+	// avoidedUntil is until when a steward that did not respond is not chosen as relay, by address.
+	avoidedUntil map[string]time.Time
+	transport    transport
 }
 
 // New returns the steward of the rank at the upstream address of the settings.
 func New(settings platform.Settings, s *platform.Store, c peer.Credentials, log hclog.Logger, m metrics.Registry) *Steward {
-	return &Steward{
+	steward := &Steward{
 		settings: settings, log: log, metrics: m, store: s, credentials: c,
-		rank: platform.NewRank(settings.UpstreamAddress, ownRankTimeout), clients: map[string]*peer.Client{},
+		rank: platform.NewRank(settings.UpstreamAddress, ownRankTimeout), clients: map[string]*peer.Client{}, avoidedUntil: map[string]time.Time{},
 		fetchMembers: func(ctx context.Context) ([]Member, error) { return listMembers(ctx, s, settings) },
 		fence:        fenceState{lastContact: time.Now()},
 	}
+	steward.transport = rpcTransport{steward}
+	return steward
 }
 
 // register adds the RPC methods that leaders call.
@@ -70,6 +87,12 @@
 	peer.Handle(server, methodObserve, func(ctx context.Context, _ *jsonrpc2.Conn, r ObserveRequest) (Observation, error) {
 		return s.observe(ctx, r)
 	})
+	peer.Handle(server, methodRelayObserve, func(ctx context.Context, _ *jsonrpc2.Conn, r RelayedObserveRequest) (RelayedObservations, error) {
+		return s.relayObserve(ctx, r), nil
+	})
+	peer.Handle(server, methodRelayOrders, func(ctx context.Context, _ *jsonrpc2.Conn, r RelayedOrderRequest) ([]*OrderResult, error) {
+		return s.relayOrders(ctx, r), nil
+	})
 	peer.Handle(server, methodOrder, func(ctx context.Context, _ *jsonrpc2.Conn, r OrderRequest) (OrderResult, error) {
 		return s.applyOrder(ctx, r), nil
 	})
@@ -87,9 +110,9 @@
 	}
 	s.mu.Lock()
 	if s.fence.recordContact(r.FencingToken, time.Now()) && len(r.Members) > 0 {
-		s.members = r.Members
+		s.members, s.membersDigest = r.Members, r.MembersDigest
 	}
-	o := Observation{NewestFencingToken: s.fence.newestFencingToken}
+	o := Observation{NewestFencingToken: s.fence.newestFencingToken, NeedsMembers: r.MembersDigest != s.membersDigest}
 	s.mu.Unlock()
 	if r.FencingToken != 0 && r.FencingToken < o.NewestFencingToken {
 		// A former leader needs only the newest fencing token, which shows that it was replaced.
@@ -103,12 +126,14 @@
 			return o, err
 		}
 	}
-	if r.IncludeCounts {
+	if r.IncludeChoices {
 		counts, err := s.rank.ExpertCounts(ctx)
 		if err != nil {
 			return o, err
 		}
-		o.Counts = packCounts(counts)
+		s.mu.Lock()
+		o.Choices = packInts(s.choices.since(r.FencingToken, o.Report.StartedAtMillis, counts)...)
+		s.mu.Unlock()
 	}
 	return o, nil
 }
@@ -158,9 +183,18 @@
 		result.Accepted = true
 		return result
 	}
+	m, err := unpackMap(r.Map)
+	if err != nil {
+		result.Refused, result.Detail = true, err.Error()
+		s.log.Warn("order-malformed", "op", r.Order.Op.String(), "version", r.Order.Version, "error", err.Error())
+		return result
+	}
+	if r.Order.Op == mapswitch.Prepare && m != nil {
+		r.Order.Map = m
+	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	err := s.rank.Order(ctx, r.Order, r.FencingToken)
+	err = s.rank.Order(ctx, r.Order, r.FencingToken)
 	result.Accepted = err == nil
 	if r.Order.Op == mapswitch.Prepare && result.Accepted {
 		s.mu.Lock()
--- a/pkg/steward/steward_test.go
+++ b/pkg/steward/steward_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -35,11 +36,12 @@
 	is := is.New(t)
 	c := &choiceCounter{rng: rand.New(rand.NewPCG(1, 2)), counts: make([]int64, 64)}
 	l := NewExpertLoads(1)
+	var tracker choiceTracker
 	now := time.Unix(0, 0)
 	poll := func() []float64 {
 		now = now.Add(100 * time.Millisecond)
 		l.StartSample(now)
-		l.AddCounts(0, 7, c.counts)
+		l.AddChoices(tracker.since(1, 7, slices.Clone(c.counts)))
 		if r := l.Recent(now); r != nil {
 			return r[0]
 		}
@@ -70,18 +72,22 @@
 	is := is.New(t)
 	l := NewExpertLoads(1)
 	now := time.Unix(0, 0)
+	var tracker choiceTracker
 	l.StartSample(now)
-	l.AddCounts(0, 7, []int64{100_000, 0})
+	l.AddChoices(tracker.since(1, 7, []int64{100_000, 0}))
 	l.StartSample(now.Add(100 * time.Millisecond))
-	l.AddCounts(0, 8, []int64{4_000, 2_000})
+	l.AddChoices(tracker.since(1, 8, []int64{4_000, 2_000}))
 	is.Equal(l.Recent(now.Add(100 * time.Millisecond))[0], []float64{4_000, 2_000})
 }
 
-func TestPackedCounts(t *testing.T) {
+// A new leader must not take the choices of the time before it for those since its last look.
+func TestFirstLookOfALeaderHasNoChoices(t *testing.T) {
 	is := is.New(t)
-	counts := []int64{0, 1, 127, 128, 1 << 40}
-	is.Equal(packCounts(counts).unpack(), counts)
-	is.Equal(len(packedCounts{0xff}.unpack()), 0)
+	var tracker choiceTracker
+	is.Equal(len(tracker.since(1, 7, []int64{5, 5})), 0)
+	is.Equal(tracker.since(1, 7, []int64{6, 8}), []int64{1, 3})
+	is.Equal(len(tracker.since(2, 7, []int64{9, 9})), 0)
+	is.Equal(tracker.since(2, 7, []int64{9, 10}), []int64{0, 1})
 }
 
 func TestFence(t *testing.T) {
