Send one packed map and one order for all ranks of a part

Orders that differ in their rank only are packed as one; a map has no counts of experts any more; a map for a large group may take 300 ms.

--- a/pkg/steward/calls.go
+++ b/pkg/steward/calls.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/samber/oops"
 
@@ -103,39 +105,83 @@
 	return result, err
 }
 
-// sendOrders sends orders to the stewards of their ranks concurrently. All orders with a map have the same one. The
-// result is nil for each order without a response.
+// sendOrders sends orders to the stewards of their ranks concurrently. A version has one map. The result is nil for each order without a response.
 func (s *Steward) sendOrders(ctx context.Context, orders []mapswitch.Order, memberByRank map[int]Member, fencingToken int64) []*OrderResult {
-	ctx, cancel := context.WithTimeout(ctx, observeTimeout)
-	defer cancel()
-	p := packedOrders{orders: make([]mapswitch.Order, len(orders)), members: make([]Member, len(orders)), fencingToken: fencingToken}
-	for i, o := range orders {
-		if o.Map != nil && p.packedMap == nil {
-			p.packedMap = packMap(o.Map)
-		}
-		o.Map = nil
-		p.orders[i], p.members[i] = o, memberByRank[o.Rank]
+	out := make([]*OrderResult, len(orders))
+	var wg sync.WaitGroup
+	for _, p := range packOrders(orders, memberByRank, fencingToken) {
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, p.timeout())
+			defer cancel()
+			for k, r := range s.sendParts(ctx, p.packedOrders, maxDirectMembers) {
+				out[p.indexes[k]] = r
+			}
+		})
 	}
-	return s.sendParts(ctx, p, maxDirectMembers)
+	wg.Wait()
+	return out
 }
 
-// packedOrders are orders without their maps, with the map of all of them and the member for each.
+// packedOrders is one order for several ranks, without its map.
 type packedOrders struct {
-	orders       []mapswitch.Order
-	packedMap    packedInts
+	order     mapswitch.Order
+	packedMap packedInts
+	// ranks are the ranks that get the order, and members has the member for each.
+	ranks        []int
 	members      []Member
 	fencingToken int64
 }
 
+// at returns the order for the rank with index i.
+func (p packedOrders) at(i int) mapswitch.Order {
+	o := p.order
+	o.Rank = p.ranks[i]
+	return o
+}
+
+// timeout returns the limit for sending the orders.
+func (p packedOrders) timeout() time.Duration {
+	if p.packedMap != nil && len(p.ranks) > maxDirectMembers {
+		return largePrepareTimeout
+	}
+	return observeTimeout
+}
+
+// indexedOrders are packed orders with the indexes that they had before.
+type indexedOrders struct {
+	packedOrders
+	indexes []int
+}
+
+// packOrders packs orders that differ in their rank only.
+func packOrders(orders []mapswitch.Order, memberByRank map[int]Member, fencingToken int64) []*indexedOrders {
+	var out []*indexedOrders
+	for i, o := range orders {
+		same := func(p *indexedOrders) bool {
+			return p.order.Op == o.Op && p.order.Epoch == o.Epoch && p.order.Version == o.Version && p.order.Pass == o.Pass
+		}
+		k := slices.IndexFunc(out, same)
+		if k < 0 {
+			k = len(out)
+			p := &indexedOrders{packedOrders: packedOrders{order: o, packedMap: packMap(o.Map), fencingToken: fencingToken}}
+			p.order.Map, p.order.Rank = nil, 0
+			out = append(out, p)
+		}
+		p := out[k]
+		p.ranks, p.members, p.indexes = append(p.ranks, o.Rank), append(p.members, memberByRank[o.Rank]), append(p.indexes, i)
+	}
+	return out
+}
+
 // errResultsMissing means that a relay returned another number of results than it got orders.
 var errResultsMissing = errors.New("the relay returned another number of results")
 
 // sendParts sends orders until ctx ends, with up to maxDirect calls to members themselves.
 func (s *Steward) sendParts(ctx context.Context, p packedOrders, maxDirect int) []*OrderResult {
-	out := make([]*OrderResult, len(p.orders))
+	out := make([]*OrderResult, len(p.ranks))
 	relay := func(ctx context.Context, part []int, at int) error {
 		results, err := s.transport.relayOrders(ctx, p.members[at], RelayedOrderRequest{
-			FencingToken: p.fencingToken, Orders: pickAt(p.orders, part), Map: p.packedMap, Part: pickAt(p.members, part), TimeoutMillis: timeoutMillis(ctx),
+			FencingToken: p.fencingToken, Order: p.order, Map: p.packedMap, Ranks: pickAt(p.ranks, part), Part: pickAt(p.members, part), TimeoutMillis: timeoutMillis(ctx),
 		})
 		if err == nil && len(results) != len(part) {
 			err = oops.Wrap(errResultsMissing)
@@ -149,9 +195,9 @@
 		return nil
 	}
 	s.eachPart(ctx, p.members, maxDirect, relay, func(ctx context.Context, i int) {
-		r, err := s.sendOrder(ctx, p.members[i], OrderRequest{FencingToken: p.fencingToken, Order: p.orders[i], Map: p.packedMap})
+		r, err := s.sendOrder(ctx, p.members[i], OrderRequest{FencingToken: p.fencingToken, Order: p.at(i), Map: p.packedMap})
 		if err != nil {
-			s.log.Info("order-not-delivered", "rank", p.orders[i].Rank, "op", p.orders[i].Op.String(), "error", err.Error())
+			s.log.Info("order-not-delivered", "rank", p.ranks[i], "op", p.order.Op.String(), "error", err.Error())
 			return
 		}
 		out[i] = &r
--- a/pkg/steward/leader.go
+++ b/pkg/steward/leader.go
@@ -18,6 +18,9 @@
 	// observeTimeout limits a poll of one rank: the calls of its steward to the rank and one
 	// round trip.
 	observeTimeout = 150 * time.Millisecond
+	// largePrepareTimeout limits the orders to load a map of a large group: the map takes the links of the relays
+	// some time. It is short of the time after which a leader counts as silent.
+	largePrepareTimeout = 300 * time.Millisecond
 	// idlePollInterval is the time between two polls while no map is prepared or switched, and
 	// loadPollInterval while ranks load experts.
 	idlePollInterval = 80 * time.Millisecond
--- a/pkg/steward/packing.go
+++ b/pkg/steward/packing.go
@@ -34,16 +34,29 @@
 	return out
 }
 
-// packMap packs an expert map: for each layer the number of ranks, and for each rank the number of its experts
-// before them. An empty map packs to nothing.
+// packMap packs an expert map: the number of ranks and the number of slots of each of them in a layer, and then
+// each slot of each rank in each layer: 0 if it is empty, and otherwise the expert plus one. An empty map packs to
+// nothing.
 func packMap(m mapswitch.Map) packedInts {
-	var numbers []int64
+	ranks, slots := 0, 0
 	for _, layer := range m {
-		numbers = append(numbers, int64(len(layer)))
+		ranks = max(ranks, len(layer))
 		for _, experts := range layer {
-			numbers = append(numbers, int64(len(experts)))
-			for _, e := range experts {
-				numbers = append(numbers, int64(e))
+			slots = max(slots, len(experts))
+		}
+	}
+	if ranks == 0 {
+		return nil
+	}
+	numbers := []int64{int64(ranks), int64(slots)}
+	for _, layer := range m {
+		for r := range ranks {
+			for k := range slots {
+				slot := int64(0)
+				if r < len(layer) && k < len(layer[r]) {
+					slot = int64(layer[r][k]) + 1
+				}
+				numbers = append(numbers, slot)
 			}
 		}
 	}
@@ -55,37 +68,29 @@
 // unpackMap returns the map that packMap packed, nil for nothing.
 func unpackMap(p packedInts) (mapswitch.Map, error) {
 	numbers := p.unpack()
-	// take returns the next n numbers.
-	take := func(n int64) []int64 {
-		if n < 0 || n > int64(len(numbers)) {
-			return nil
-		}
-		taken := numbers[:n:n]
-		numbers = numbers[n:]
-		return taken
-	}
-	var m mapswitch.Map
-	for len(numbers) > 0 {
-		ranks := take(1)[0]
-		if ranks <= 0 || ranks > int64(len(numbers)) {
-			return nil, errMalformedMap
-		}
-		layer := make([][]int, ranks)
-		for r := range layer {
-			count := take(1)
-			if count == nil {
-				return nil, errMalformedMap
-			}
-			experts := take(count[0])
-			if experts == nil {
-				return nil, errMalformedMap
-			}
-			layer[r] = make([]int, len(experts))
-			for i, e := range experts {
-				layer[r][i] = int(e)
+	if len(numbers) == 0 {
+		return nil, nil
+	}
+	const header = 2
+	if len(numbers) < header || numbers[0] <= 0 || numbers[0] > int64(len(numbers)) || numbers[1] <= 0 || numbers[1] > int64(len(numbers)) {
+		return nil, errMalformedMap
+	}
+	ranks, slots := int(numbers[0]), int(numbers[1])
+	numbers = numbers[header:]
+	if len(numbers) == 0 || len(numbers)%(ranks*slots) != 0 {
+		return nil, errMalformedMap
+	}
+	m := make(mapswitch.Map, len(numbers)/(ranks*slots))
+	for i := range m {
+		m[i] = make([][]int, ranks)
+		for r := range m[i] {
+			m[i][r] = []int{}
+			for _, slot := range numbers[(i*ranks+r)*slots : (i*ranks+r+1)*slots] {
+				if slot > 0 {
+					m[i][r] = append(m[i][r], int(slot-1))
+				}
 			}
 		}
-		m = append(m, layer)
 	}
 	return m, nil
 }
--- a/pkg/steward/relay.go
+++ b/pkg/steward/relay.go
@@ -62,10 +62,11 @@
 // RelayedOrderRequest requests that a steward sends orders to members for another one.
 type RelayedOrderRequest struct {
 	FencingToken int64 `json:"fence"`
-	// Orders are the orders without their maps; Map is the packed map of all of them.
-	Orders []mapswitch.Order `json:"orders"`
-	Map    packedInts        `json:"map,omitempty"`
-	// Part has the member for each order.
+	// Order is the order for each of the ranks, without its map; Map is the packed map.
+	Order mapswitch.Order `json:"order"`
+	Map   packedInts      `json:"map,omitempty"`
+	// Ranks are the ranks that get the order, and Part has the member for each.
+	Ranks         []int    `json:"ranks"`
 	Part          []Member `json:"part"`
 	TimeoutMillis int64    `json:"timeout_ms"`
 }
@@ -194,10 +195,10 @@
 
 // relayOrders sends orders for another steward. The result has the outcome of each order in turn, nil for none.
 func (s *Steward) relayOrders(ctx context.Context, r RelayedOrderRequest) []*OrderResult {
-	if len(r.Orders) != len(r.Part) {
+	if len(r.Ranks) != len(r.Part) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(r.TimeoutMillis)*time.Millisecond)
 	defer cancel()
-	return s.sendParts(ctx, packedOrders{r.Orders, r.Map, r.Part, r.FencingToken}, maxRelayedMembers)
+	return s.sendParts(ctx, packedOrders{r.Order, r.Map, r.Ranks, r.Part, r.FencingToken}, maxRelayedMembers)
 }
