Calls along a tree in a package of their own

The division, the choice of relays and the fall-back to direct calls move to pkg/fanout; nothing else changes.

--- a/pkg/steward/calls.go
+++ b/pkg/steward/calls.go
@@ -9,6 +9,7 @@
 
 	"github.com/samber/oops"
 
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/fanout"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/mapswitch"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
 )
@@ -18,7 +19,7 @@
 func (s *Steward) observeMembers(ctx context.Context, members []Member, r ObserveRequest) ([]*Observation, []int64) {
 	ctx, cancel := context.WithTimeout(ctx, observeTimeout)
 	defer cancel()
-	return s.observeParts(ctx, members, maxDirectMembers, r)
+	return s.observeParts(ctx, members, fanout.MaxDirect, r)
 }
 
 // observeParts is observeMembers until ctx ends, with up to maxDirect calls to members themselves.
@@ -34,7 +35,7 @@
 	}
 	relay := func(ctx context.Context, part []int, at int) error {
 		relayed, err := s.transport.relayObserve(ctx, members[at], RelayedObserveRequest{
-			ObserveRequest: r, Part: pickAt(members, part), TimeoutMillis: timeoutMillis(ctx),
+			ObserveRequest: r, Part: fanout.At(members, part), TimeoutMillis: fanout.TimeoutMillis(ctx),
 		})
 		if err != nil {
 			return err
@@ -49,14 +50,15 @@
 		}
 		return nil
 	}
-	s.eachPart(ctx, members, maxDirect, relay, func(ctx context.Context, i int) {
+	direct := func(ctx context.Context, i int) {
 		o, err := s.observeMember(ctx, members[i], r)
 		if err != nil {
 			s.log.Debug("rank-unreachable", "steward", members[i].Steward, "error", err.Error())
 			return
 		}
 		add(i, &o)
-	})
+	}
+	s.tree.Do(ctx, upstreams(members), maxDirect, fanout.Calls{Relay: relay, Direct: direct})
 	return out, choices
 }
 
@@ -105,7 +107,8 @@
 	return result, err
 }
 
-// sendOrders sends orders to the stewards of their ranks concurrently. A version has one map. The result is nil for each order without a response.
+// sendOrders sends orders to the stewards of their ranks concurrently. All orders with a version have the same map. The
+// result is nil for each order without a response.
 func (s *Steward) sendOrders(ctx context.Context, orders []mapswitch.Order, memberByRank map[int]Member, fencingToken int64) []*OrderResult {
 	out := make([]*OrderResult, len(orders))
 	var wg sync.WaitGroup
@@ -113,7 +116,7 @@
 		wg.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, p.timeout())
 			defer cancel()
-			for k, r := range s.sendParts(ctx, p.packedOrders, maxDirectMembers) {
+			for k, r := range s.sendParts(ctx, p.packedOrders, fanout.MaxDirect) {
 				out[p.indexes[k]] = r
 			}
 		})
@@ -141,7 +144,7 @@
 
 // timeout returns the limit for sending the orders.
 func (p packedOrders) timeout() time.Duration {
-	if p.packedMap != nil && len(p.ranks) > maxDirectMembers {
+	if p.packedMap != nil && len(p.ranks) > fanout.MaxDirect {
 		return largePrepareTimeout
 	}
 	return observeTimeout
@@ -181,7 +184,7 @@
 	out := make([]*OrderResult, len(p.ranks))
 	relay := func(ctx context.Context, part []int, at int) error {
 		results, err := s.transport.relayOrders(ctx, p.members[at], RelayedOrderRequest{
-			FencingToken: p.fencingToken, Order: p.order, Map: p.packedMap, Ranks: pickAt(p.ranks, part), Part: pickAt(p.members, part), TimeoutMillis: timeoutMillis(ctx),
+			FencingToken: p.fencingToken, Order: p.order, Map: p.packedMap, Ranks: fanout.At(p.ranks, part), Part: fanout.At(p.members, part), TimeoutMillis: fanout.TimeoutMillis(ctx),
 		})
 		if err == nil && len(results) != len(part) {
 			err = oops.Wrap(errResultsMissing)
@@ -194,14 +197,15 @@
 		}
 		return nil
 	}
-	s.eachPart(ctx, p.members, maxDirect, relay, func(ctx context.Context, i int) {
+	direct := func(ctx context.Context, i int) {
 		r, err := s.sendOrder(ctx, p.members[i], OrderRequest{FencingToken: p.fencingToken, Order: p.at(i), Map: p.packedMap})
 		if err != nil {
 			s.log.Info("order-not-delivered", "rank", p.ranks[i], "op", p.order.Op.String(), "error", err.Error())
 			return
 		}
 		out[i] = &r
-	})
+	}
+	s.tree.Do(ctx, upstreams(p.members), maxDirect, fanout.Calls{Relay: relay, Direct: direct})
 	return out
 }
 
--- a/pkg/steward/controlcost_test.go
+++ b/pkg/steward/controlcost_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/fanout"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/mapswitch"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
 	"github.com/coltsfootpitch/coltsfootpitch/platform"
@@ -205,7 +206,7 @@
 		perSecond := 1 / pollInterval(n).Seconds()
 		t.Logf("ranks=%d messages/s=%.0f bytes/s=%.0f", n, float64(messages)*perSecond, float64(bytes)*perSecond)
 		is.True(float64(bytes)*perSecond <= stewardLinkBytes)
-		is.True(messages <= 2*(maxDirectMembers+1)) // a steward calls so many and is called by one
+		is.True(messages <= 2*(fanout.MaxDirect+1)) // a steward calls so many and is called by one
 	}
 }
 
@@ -237,18 +238,13 @@
 	is := is.New(t)
 	const n = 72
 	f := newMemoryStewards(n)
-	indexes := make([]int, n-1)
-	for i := range indexes {
-		indexes[i] = i + 1 // without the leader
-	}
-	relay := f.members[divide(indexes, maxDirectMembers)[3][0]]
-	f.down[relay.Steward] = true
+	f.down[f.members[1].Steward] = true // the first of a part, which relays
 	seen, _ := f.observed(t.Context())
 	is.Equal(seen, n-1)
 	begun := time.Now()
 	seen, _ = f.observed(t.Context()) // another one relays now
 	is.Equal(seen, n-1)
-	is.True(time.Since(begun) <= observeTimeout+relayMargin)
+	is.True(time.Since(begun) <= observeTimeout+10*time.Millisecond)
 
 	orders := []mapswitch.Order{}
 	memberByRank := map[int]Member{}
@@ -256,7 +252,7 @@
 		orders = append(orders, mapswitch.Order{Rank: i, Op: mapswitch.Prepare, Epoch: 3, Version: 9, Map: largeMap(n)})
 		memberByRank[i] = f.members[i]
 	}
-	clear(f.stewards[0].avoidedUntil)
+	f.stewards[0].tree = fanout.NewCaller(f.members[0].Upstream, hclog.NewNullLogger())
 	accepted := 0
 	for _, r := range f.stewards[0].sendOrders(t.Context(), orders, memberByRank, 7) {
 		if r != nil && r.Accepted {
--- a/pkg/steward/packing.go
+++ b/pkg/steward/packing.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/binary"
 	"errors"
-	"time"
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/mapswitch"
 	"github.com/coltsfootpitch/coltsfootpitch/platform"
@@ -157,6 +156,3 @@
 	}
 	return a
 }
-
-// millisUntil returns the time until a deadline in milliseconds.
-func millisUntil(deadline time.Time) int64 { return time.Until(deadline).Milliseconds() }
--- a/pkg/steward/relay.go
+++ b/pkg/steward/relay.go
@@ -2,32 +2,13 @@
 
 import (
 	"context"
-	"math"
-	"sync"
-	"time"
 
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/fanout"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/mapswitch"
 )
 
-// A leader reaches the stewards of a large group along a tree, so that no process makes more than some ten calls
-// and reads the counts of more than some ten ranks, whatever the size of the group. A steward that relays adds the
-// choices of experts of its part.
-
-const (
-	// maxDirectMembers is the number of members up to which a leader calls each of them itself, and
-	// maxRelayedMembers that up to which a relay does.
-	maxDirectMembers  = 16
-	maxRelayedMembers = 8
-	// maxRelays is the maximum number of parts into which a steward divides more of them.
-	maxRelays = 10
-	// relayShare is the part of the time left that a relay may use. The rest is for calling its part directly
-	// if it does not respond.
-	relayShare = 0.7
-	// relayMargin is how much earlier than its caller expects a relay ends its calls.
-	relayMargin = 10 * time.Millisecond
-	// avoidRelayTime is how long a steward that did not respond is not chosen as relay.
-	avoidRelayTime = 2 * time.Second
-)
+// A leader reaches the stewards of a large group along a tree, so that no process reads the choices of more than some
+// ten ranks. A steward that relays adds the choices of experts of its part.
 
 // RelayedObserveRequest requests that a steward observes members for another one.
 type RelayedObserveRequest struct {
@@ -71,106 +52,20 @@
 	TimeoutMillis int64    `json:"timeout_ms"`
 }
 
-// divide divides calls into parts of consecutive members. Parts with one member are called directly, as all are up
-// to a number of maxDirect.
-func divide(indexes []int, maxDirect int) [][]int {
-	n := len(indexes)
-	parts := n
-	if n > maxDirect {
-		parts = min(maxRelays, int(math.Ceil(math.Sqrt(float64(n)))))
-	}
-	out := make([][]int, 0, parts)
-	for i := range parts {
-		out = append(out, indexes[i*n/parts:(i+1)*n/parts])
-	}
-	return out
-}
-
-// eachPart calls relay concurrently for each part with several members, with the index of the member that is to
-// relay, and direct for this steward, for each other member and for each member of a part whose relay failed.
-func (s *Steward) eachPart(ctx context.Context, members []Member, maxDirect int, relay func(ctx context.Context, part []int, at int) error, direct func(ctx context.Context, i int)) {
-	var wg sync.WaitGroup
-	var others []int
+// upstreams returns the addresses of the ranks of members, by which fanout knows them.
+func upstreams(members []Member) []string {
+	out := make([]string, len(members))
 	for i, m := range members {
-		if m.Upstream == s.settings.UpstreamAddress {
-			wg.Go(func() { direct(ctx, i) })
-			continue
-		}
-		others = append(others, i)
-	}
-	for _, part := range divide(others, maxDirect) {
-		wg.Go(func() {
-			if at := s.chooseRelay(members, part); at >= 0 {
-				if err := s.callRelay(ctx, members[at], func(ctx context.Context) error { return relay(ctx, part, at) }); err == nil {
-					return
-				}
-			}
-			for _, i := range part {
-				wg.Go(func() { direct(ctx, i) })
-			}
-		})
-	}
-	wg.Wait()
-}
-
-// chooseRelay returns the index of the member that relays for a part, or -1 if the members are to be called
-// directly.
-func (s *Steward) chooseRelay(members []Member, part []int) int {
-	if len(part) < 2 {
-		return -1
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := time.Now()
-	for _, i := range part {
-		if now.After(s.avoidedUntil[members[i].Steward]) {
-			return i
-		}
-	}
-	return -1
-}
-
-// pickAt returns the elements at some indexes.
-func pickAt[T any](list []T, indexes []int) []T {
-	out := make([]T, len(indexes))
-	for k, i := range indexes {
-		out[k] = list[i]
+		out[i] = m.Upstream
 	}
 	return out
 }
 
-// callRelay calls a relay with a part of the time left, and avoids it for some time if that fails.
-func (s *Steward) callRelay(ctx context.Context, m Member, call func(context.Context) error) error {
-	deadline, ok := ctx.Deadline()
-	if ok {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, time.Duration(relayShare*float64(time.Until(deadline))))
-		defer cancel()
-	}
-	err := call(ctx)
-	if err != nil {
-		s.log.Info("relay-failed", "steward", m.Steward, "error", err.Error())
-		s.mu.Lock()
-		s.avoidedUntil[m.Steward] = time.Now().Add(avoidRelayTime)
-		s.mu.Unlock()
-	}
-	return err
-}
-
-// timeoutMillis returns the time that a relay may take of a call with this context.
-func timeoutMillis(ctx context.Context) int64 {
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		return observeTimeout.Milliseconds()
-	}
-	return max(1, millisUntil(deadline.Add(-relayMargin)))
-}
-
 // relayObserve observes a part for another steward.
 func (s *Steward) relayObserve(ctx context.Context, r RelayedObserveRequest) RelayedObservations {
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(r.TimeoutMillis)*time.Millisecond)
+	ctx, cancel := fanout.WithTimeout(ctx, r.TimeoutMillis)
 	defer cancel()
-	observations, choices := s.observeParts(ctx, r.Part, maxRelayedMembers, r.ObserveRequest)
+	observations, choices := s.observeParts(ctx, r.Part, fanout.MaxRelayed, r.ObserveRequest)
 	out := RelayedObservations{Choices: packInts(choices...)}
 	for i, o := range observations {
 		if o == nil {
@@ -198,7 +93,7 @@
 	if len(r.Ranks) != len(r.Part) {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(r.TimeoutMillis)*time.Millisecond)
+	ctx, cancel := fanout.WithTimeout(ctx, r.TimeoutMillis)
 	defer cancel()
-	return s.sendParts(ctx, packedOrders{r.Order, r.Map, r.Ranks, r.Part, r.FencingToken}, maxRelayedMembers)
+	return s.sendParts(ctx, packedOrders{r.Order, r.Map, r.Ranks, r.Part, r.FencingToken}, fanout.MaxRelayed)
 }
--- a/pkg/steward/steward.go
+++ b/pkg/steward/steward.go
@@ -10,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/fanout"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/mapswitch"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
 	"github.com/coltsfootpitch/coltsfootpitch/platform"
@@ -65,18 +66,18 @@
 	choices choiceTracker
 	// membersDigest identifies the list of members that a leader sent.
 	membersDigest uint64
-	// avoidedUntil is until when a steward that did not respond is not chosen as relay, by address.
-	avoidedUntil map[string]time.Time
-	transport    transport
+	// tree knows stewards by the addresses of their ranks.
+	tree      *fanout.Caller
+	transport transport
 }
 
 // New returns the steward of the rank at the upstream address of the settings.
 func New(settings platform.Settings, s *platform.Store, c peer.Credentials, log hclog.Logger, m metrics.Registry) *Steward {
 	steward := &Steward{
 		settings: settings, log: log, metrics: m, store: s, credentials: c,
-		rank: platform.NewRank(settings.UpstreamAddress, ownRankTimeout), clients: map[string]*peer.Client{}, avoidedUntil: map[string]time.Time{},
+		rank: platform.NewRank(settings.UpstreamAddress, ownRankTimeout), clients: map[string]*peer.Client{},
 		fetchMembers: func(ctx context.Context) ([]Member, error) { return listMembers(ctx, s, settings) },
-		fence:        fenceState{lastContact: time.Now()},
+		fence:        fenceState{lastContact: time.Now()}, tree: fanout.NewCaller(settings.UpstreamAddress, log),
 	}
 	steward.transport = rpcTransport{steward}
 	return steward
