Choose upstreams so that gateways with the same report do not all choose one

Cause: 44 gateways choose the least loaded rank of the same report until the next one, some 30 to 60 requests for a handful of ranks. The same class: a rule that was right for nine processes whose choices are few between two reports.

Each gateway now chooses at random such that all of them together raise the lowest loads to one level (load interpretation, Dahlin 1999). The number of choices that is expected is its own rate, times the time between reports, times the gateways. Without reports nothing changes.

The test (44 entries, 72 ranks, one report) fails with Best in place of Spread.

--- a/pkg/gateway/fleet.go
+++ b/pkg/gateway/fleet.go
@@ -39,6 +39,8 @@
 	gatewayCount int
 	// eventProgress has the newest event of all streams, by service.
 	eventProgress map[string]eventProgress
+	// startRates has the attempts of this gateway and the reports on loads, by service.
+	startRates map[string]*startRate
 }
 
 // observation is the state of one upstream as this gateway observes it.
@@ -89,7 +91,7 @@
 	return &Fleet{
 		zone: n.Zone, warmup: n.WarmupLimits, limits: newRequestLimits(n.Name, log), upstreams: inventory.New(),
 		zonesOut: map[string]bool{}, zonesKeptOut: map[string]bool{}, services: map[string]*route.Service{},
-		observations: map[string]*observation{}, gatewayCount: 1, eventProgress: map[string]eventProgress{},
+		observations: map[string]*observation{}, gatewayCount: 1, eventProgress: map[string]eventProgress{}, startRates: map[string]*startRate{},
 	}
 }
 
@@ -166,9 +168,14 @@
 func (f *Fleet) SetLoads(loads map[string]int, slowdowns map[string]float64, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	counted := map[string]bool{}
 	for id, e := range f.upstreams.Entries() {
 		if n, ok := loads[e.Address]; ok {
 			s := f.observation(id)
+			if !counted[e.Service] {
+				counted[e.Service] = true
+				f.startRate(e.Service).recordReport(now.Sub(s.reportedAt), now)
+			}
 			s.reportedLoad, s.reportedAt, s.startedSinceReport, s.slowdown, s.stalledUntil = n, now, 0, slowdowns[e.Address], time.Time{}
 		}
 	}
@@ -226,7 +233,7 @@
 	defer f.mu.Unlock()
 	f.upstreams.RemoveUnconfirmed(now)
 	candidates, ids := f.candidates(service, tried, now)
-	best := pick.Best(candidates, rand.Float64)
+	best := pick.Spread(candidates, f.expectedStarts(service, now), rand.Float64)
 	if best < 0 {
 		return Target{}, false
 	}
@@ -240,6 +247,7 @@
 	}
 	s.running++
 	s.startedSinceReport++
+	f.startRate(service).started++
 	return Target{
 		ID: e.ID, Address: e.Address, MaxConnections: f.connectionLimit(service), Incarnation: incarnationOf(e),
 		HasRoom: candidates[best].Running < candidates[best].Capacity,
--- a/pkg/pick/pick.go
+++ b/pkg/pick/pick.go
@@ -1,7 +1,9 @@
 // Package pick chooses the upstream for an attempt.
 //
 // The score of a candidate is its work in progress relative to its capacity, raised by its recent
-// failures and its slowdown; the candidate with the lowest score is chosen. A cold upstream accepts
+// failures and its slowdown; the candidate with the lowest score is chosen. Where many entries choose by the same
+// report, all would choose the same candidate until the next report. They choose at random instead, so that all of them
+// together raise the lowest scores to one level. A cold upstream accepts
 // a limited rate of starts; the entries divide this rate among themselves, so that they stay
 // within it together.
 //
@@ -9,7 +11,9 @@
 package pick
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -67,6 +71,49 @@
 	return best
 }
 
+// Spread returns the index of a candidate that is chosen at random, or -1 when there is none. If all entries together
+// make the expected number of choices with the same candidates, the lowest scores rise to one level: this is the load
+// interpretation of M. Dahlin, "Interpreting Stale Load Information", 1999. random returns numbers in [0, 1).
+func Spread(candidates []Candidate, expected float64, random func() float64) int {
+	if expected <= 1 {
+		return Best(candidates, random)
+	}
+	type share struct {
+		index int
+		score float64
+		// perUnit is the number of requests that raise the score by 1.
+		perUnit float64
+	}
+	shares := make([]share, len(candidates))
+	for i := range candidates {
+		c := &candidates[i]
+		shares[i] = share{i, score(c), float64(max(c.Capacity, 1)) / max(c.Slowdown, 1)}
+	}
+	slices.SortFunc(shares, func(a, b share) int { return cmp.Compare(a.score, b.score) })
+	// The level rises from one score to the next until the expected requests are used up.
+	level, perUnit, filled, left := 0.0, 0.0, 0, expected
+	for _, s := range shares {
+		needed := (s.score - level) * perUnit
+		if needed >= left {
+			break
+		}
+		left -= needed
+		level = s.score
+		perUnit += s.perUnit
+		filled++
+	}
+	if filled > 0 {
+		level += left / perUnit
+	}
+	at := random() * expected
+	for _, s := range shares[:filled] {
+		if at -= (level - s.score) * s.perUnit; at < 0 {
+			return s.index
+		}
+	}
+	return Best(candidates, random)
+}
+
 // score rates a candidate; lower is better.
 func score(c *Candidate) float64 {
 	s := float64(c.Running+1) / float64(max(c.Capacity, 1)) * max(c.Slowdown, 1)
--- a/pkg/pick/pick_test.go
+++ b/pkg/pick/pick_test.go
@@ -1,6 +1,9 @@
 package pick
 
 import (
+	"math"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -58,3 +61,52 @@
 	is.True(worst <= limit)
 	is.True(worst >= 30) // and most of the accepted rate is used
 }
+
+// SHORT: 44 entries chose by the same report, ten times a second; all sent their requests to the few least loaded
+// ranks, which got many times the mean and answered seconds late.
+func TestEntriesWithTheSameReportDoNotAllChooseTheSameUpstream(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	loads := make([]int, 72)
+	for i := range loads {
+		loads[i] = random.IntN(8)
+	}
+	loads[5] = 0
+	report := make([]Candidate, len(loads))
+	for i, n := range loads {
+		report[i] = Candidate{Running: n, Capacity: 10}
+	}
+	const entries, rounds = 44, 200
+	most := 0
+	for range rounds {
+		after := slices.Clone(loads)
+		for range entries {
+			after[Spread(report, entries, random.Float64)]++
+		}
+		most = max(most, slices.Max(after))
+	}
+	is.True(most <= 10) // no upstream gets more than it runs at a time
+	is.True(Spread(report, 1, random.Float64) >= 0)
+	is.Equal(report[Spread(report, 0, random.Float64)].Running, 0) // alone, the least loaded one
+}
+
+// Many expected requests must reach all candidates by their capacity and slowdown, and none that is a last resort.
+func TestSpreadFillsToOneLevel(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(3, 4))
+	list := []Candidate{
+		{Running: 4, Capacity: 10}, {Running: 0, Capacity: 10}, {Running: 0, Capacity: 20}, {Running: 0, Capacity: 10, Slowdown: 2},
+		{Capacity: 10, Suspended: true},
+	}
+	counts := make([]int, len(list))
+	const choices = 40_000
+	for range choices {
+		counts[Spread(list, 40, random.Float64)]++
+	}
+	share := func(i int) float64 { return float64(counts[i]) / choices }
+	is.Equal(counts[4], 0)
+	is.True(math.Abs(share(1)-share(0)-0.1) < 0.02) // four requests more
+	is.True(share(2) > 1.8*share(1) && share(2) < 2.3*share(1))
+	is.True(share(3) < 0.6*share(1))
+	is.Equal(Spread(nil, 5, random.Float64), -1)
+}
