Follow the store through a few relays in a large fleet

Cause: each gateway watched three kinds, and each registration of a worker woke all: calls grew with gateways times changes.

Above 16 gateways, four of them (rendezvous hash, of as many zones as possible) watch the store. Heartbeats tell how far each has read; who lacks changes reads them from the neighbour that told it, and large ones (over 32 KB) from the store. A gateway that hears of no answer of the store to a relay for 2 s (0.5 s more for each doubling above 64 gateways) watches the store itself; one that lost the store tries again when a relay has an answer. Up to 16 gateways nothing changes but the pause of 0.1 s between two watches of a kind, which reads together what comes together.

--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -10,9 +10,11 @@
 
 // followStore keeps configuration, zones, upstreams and convictions up to date with the store until ctx ends.
 func (g *Gateway) followStore(ctx context.Context, s *platform.Store) {
-	go s.Follow(ctx, platform.KindConfiguration, &configurationFollower{gateway: g})
-	go s.Follow(ctx, platform.KindEvacuations, &zoneFollower{gateway: g})
-	go s.Follow(ctx, platform.KindUpstreams, &upstreamFollower{gateway: g})
+	g.feed.start(ctx, s, map[string]platform.Follower{
+		platform.KindConfiguration: &configurationFollower{gateway: g},
+		platform.KindEvacuations:   &zoneFollower{gateway: g},
+		platform.KindUpstreams:     &upstreamFollower{gateway: g},
+	})
 	g.syncConvictions(ctx, s)
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -23,6 +23,7 @@
 	deadlines deadlineTracker
 	permits   *permits
 	crashes   *crashWatch
+	feed      *storeFeed
 	// onSilence is called when an upstream has fallen silent; it is set before the first request.
 	onSilence        func()
 	silence          silenceReporter
@@ -58,7 +59,7 @@
 // New returns a gateway without a configuration.
 func New(n platform.Settings, f *Fleet, log hclog.Logger, m metrics.Registry) *Gateway {
 	return &Gateway{
-		node: n, log: log, metrics: m, fleet: f, permits: newPermits(), crashes: newCrashWatch(log), onSilence: func() {}, pool: exchange.NewPool(),
+		node: n, log: log, metrics: m, fleet: f, permits: newPermits(), crashes: newCrashWatch(log), feed: newStoreFeed(), onSilence: func() {}, pool: exchange.NewPool(),
 		groupLimits: map[string]map[string]groupLimit{}, retryWindows: map[string]*retry.Window{}, gatewayCount: 1, startedAt: time.Now(),
 	}
 }
--- a/pkg/gateway/heartbeat.go
+++ b/pkg/gateway/heartbeat.go
@@ -29,6 +29,8 @@
 	CrashDigest uint64 `json:"crash_digest,omitempty"`
 	// Silent are the upstreams that count as silent, by ID, with the time in milliseconds for which they do.
 	Silent map[string]int64 `json:"silent_ms,omitempty"`
+	// Feeds tell how far the sender has read each kind of objects of the store.
+	Feeds []FeedReport `json:"feeds,omitempty"`
 	// Limits are the statements of upstreams on their limits that the sender knows.
 	Limits []requestlimit.Statement `json:"limits,omitempty"`
 }
@@ -45,6 +47,7 @@
 	h := Heartbeat{
 		Version: p.gateway.Version(), CrashDigest: p.gateway.crashes.digest(),
 		Silent: p.gateway.fleet.silentFor(now), Limits: p.gateway.fleet.limits.statements(now),
+		Feeds: p.gateway.feed.reports(now),
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -122,6 +125,9 @@
 	}
 	p.mu.Unlock()
 	p.logChanges(news, h.From)
+	if missing := p.gateway.feed.handleReports(h.Feeds, now); known && len(missing) > 0 {
+		p.pullChanges(missing, entry.Name, entry.PeerAddress)
+	}
 	switch {
 	case toldSilent || toldLimits:
 		p.tell()
--- a/pkg/gateway/peerclients.go
+++ b/pkg/gateway/peerclients.go
@@ -60,6 +60,11 @@
 	return callGateway[bool](ctx, c, address, methodIsHeard, name)
 }
 
+// changes implements transport.
+func (c *peerClients) changes(ctx context.Context, address string, r ChangesRequest) (ChangesResponse, error) {
+	return callGateway[ChangesResponse](ctx, c, address, methodChanges, r)
+}
+
 // callGateway calls a method of a gateway. After a failure it closes the connection, which may be broken for
 // good; the next call opens another.
 func callGateway[R any](ctx context.Context, c *peerClients, address, method string, params any) (R, error) {
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -44,12 +44,14 @@
 	methodSnapshot  = "gateway.snapshot"
 	methodCrashes   = "gateway.crashes"
 	methodAdmit     = "gateway.admit"
+	methodChanges   = "gateway.changes"
 )
 
 // transport calls other gateways.
 type transport interface {
 	heartbeat(ctx context.Context, address string, h Heartbeat) (Heartbeat, error)
 	isHeard(ctx context.Context, address, name string) (bool, error)
+	changes(ctx context.Context, address string, r ChangesRequest) (ChangesResponse, error)
 }
 
 // Peers tracks the other gateways. It is safe for concurrent use.
@@ -90,6 +92,7 @@
 	}
 	g.crashes.onCrash, g.onSilence = p.tell, p.tell
 	g.fleet.limits.peers = p
+	g.feed.onChange = p.tell
 	return p
 }
 
@@ -110,6 +113,9 @@
 	peer.Handle(s, methodAdmit, func(_ context.Context, _ *jsonrpc2.Conn, r AdmitRequest) (AdmitResponse, error) {
 		return p.gateway.fleet.limits.handleAdmit(r), nil
 	})
+	peer.Handle(s, methodChanges, func(_ context.Context, _ *jsonrpc2.Conn, r ChangesRequest) (ChangesResponse, error) {
+		return p.gateway.feed.handleChanges(r), nil
+	})
 	peer.Handle(s, roster.MethodLimit, func(ctx context.Context, _ *jsonrpc2.Conn, l roster.Limit) (roster.LimitResponse, error) {
 		return p.handleLimit(ctx, l), nil
 	})
@@ -184,8 +190,11 @@
 	targets = append(targets, p.introductions(now)...)
 	isAlone := p.isAlone()
 	recent := p.table.Recent(now)
+	running := p.table.Running()
+	self := p.table.Self().Name
 	p.mu.Unlock()
 	p.gateway.SetGatewayCount(recent)
+	p.gateway.feed.SetGateways(self, running)
 	p.clients.closeIdle(now)
 	for _, t := range targets {
 		p.startHeartbeat(ctx, t.Name, t.PeerAddress)
--- /dev/null
+++ b/pkg/gateway/storefeed.go
@@ -0,0 +1,364 @@
+package gateway
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/roster"
+	"github.com/coltsfootpitch/coltsfootpitch/platform"
+)
+
+// In a large fleet only a few gateways, the relays, watch the store. The others learn from heartbeats whether there are
+// changes, and read those from the neighbour that told them. A gateway that hears of no relay with a recent
+// answer of the store watches the store itself, whoever is a relay.
+
+const (
+	// maxWatchingGateways is the number of gateways up to which all of them watch the store.
+	maxWatchingGateways = 16
+	// relayCount is the number of relays of a larger fleet.
+	relayCount = 4
+	// watchWait is how long the store may hold a watch without a change if all gateways watch, and relayWatchWait if
+	// only the relays do. A shorter time costs more billed calls, a longer time delays the detection of a
+	// hung watch.
+	watchWait      = 2500 * time.Millisecond
+	relayWatchWait = time.Second
+	// confirmationTTL is how long a gateway relies on an answer of the store to a relay. Each doubling of the fleet
+	// beyond fleetOfConfirmationTTL takes a heartbeat more from the relays, and adds confirmationTTLStep.
+	confirmationTTL        = 2 * time.Second
+	fleetOfConfirmationTTL = 64
+	confirmationTTLStep    = heartbeatInterval
+	// minWatchPause is the shortest time between two watches of a kind: changes that come together are read
+	// together.
+	minWatchPause = 100 * time.Millisecond
+	// feedCheckInterval is the time between two looks whether a gateway has to watch the store.
+	feedCheckInterval = 100 * time.Millisecond
+	// lostRetryDelay is the time between two calls of a gateway that is no relay to a store that does not
+	// respond. It tries at once when a relay has an answer.
+	lostRetryDelay = 1500 * time.Millisecond
+	// maxRelayedBytes is the size of changes up to which they are read from a neighbour. Larger ones are read from
+	// the store.
+	maxRelayedBytes = 32 << 10
+)
+
+// storeFeed keeps a gateway up to date with the store, together with its peers. It is safe for concurrent use.
+type storeFeed struct {
+	store *platform.Store
+	// kinds are in the order of the reports of heartbeats.
+	kinds []*kindFeed
+	// onChange is called when there is something to tell the peers.
+	onChange func()
+
+	mu sync.Mutex
+	// gateways is the number of gateways, and isRelay is set if this one is a relay.
+	gateways int
+	isRelay  bool
+}
+
+// kindFeed is what a gateway knows of one kind of objects.
+type kindFeed struct {
+	kind   string
+	cursor *platform.Cursor
+
+	mu sync.Mutex
+	// confirmedAt is when the store last answered this gateway, and peerConfirmedAt when it last answered another
+	// one whose state this gateway has.
+	confirmedAt     time.Time
+	peerConfirmedAt time.Time
+	// readNow is set if there are changes to read from the store.
+	readNow bool
+	// pulling is set while changes are read from a peer.
+	pulling bool
+}
+
+// FeedReport is what a heartbeat tells of a kind: the era and the revision up to which the sender has read, the
+// revision after which there were no changes up to it, and the age of the store's answer in milliseconds.
+type FeedReport [4]int64
+
+func newStoreFeed() *storeFeed { return &storeFeed{onChange: func() {}, gateways: 1} }
+
+// start follows the store until ctx ends.
+func (f *storeFeed) start(ctx context.Context, s *platform.Store, followers map[string]platform.Follower) {
+	f.mu.Lock()
+	f.store = s
+	for _, kind := range slices.Sorted(maps.Keys(followers)) {
+		f.kinds = append(f.kinds, &kindFeed{kind: kind, cursor: s.NewCursor(kind, followers[kind])})
+	}
+	kinds := f.kinds
+	f.mu.Unlock()
+	for _, k := range kinds {
+		go f.run(ctx, k)
+	}
+}
+
+// SetGateways sets the gateways that run, among which relays are chosen.
+func (f *storeFeed) SetGateways(self string, gateways []roster.Entry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.gateways = len(gateways)
+	f.isRelay = slices.Contains(chooseRelays(gateways), self)
+}
+
+// chooseRelays returns the names of the relays among gateways, of as many zones as possible.
+func chooseRelays(gateways []roster.Entry) []string {
+	score := func(name string) uint64 { return xxhash.Sum64String("relay\x00" + name) }
+	ordered := slices.Clone(gateways)
+	slices.SortFunc(ordered, func(a, b roster.Entry) int {
+		if score(a.Name) < score(b.Name) {
+			return -1
+		}
+		return 1
+	})
+	var relays []string
+	perZone := map[string]int{}
+	for most := 0; len(relays) < min(relayCount, len(ordered)); most++ {
+		for _, g := range ordered {
+			if len(relays) < relayCount && perZone[g.Zone] == most && !slices.Contains(relays, g.Name) {
+				relays = append(relays, g.Name)
+				perZone[g.Zone]++
+			}
+		}
+	}
+	return relays
+}
+
+// watches reports whether this gateway watches the store whatever its peers do, and for how long.
+func (f *storeFeed) watches() (bool, time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.gateways <= maxWatchingGateways {
+		return true, watchWait
+	}
+	return f.isRelay, relayWatchWait
+}
+
+// confirmationTTL returns how long this gateway relies on an answer of the store to a relay.
+func (f *storeFeed) confirmationTTL() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ttl := confirmationTTL
+	for n := fleetOfConfirmationTTL; n < f.gateways; n *= 2 {
+		ttl += confirmationTTLStep
+	}
+	return ttl
+}
+
+// run follows one kind until ctx ends.
+func (f *storeFeed) run(ctx context.Context, k *kindFeed) {
+	for ctx.Err() == nil {
+		watches, wait := f.watches()
+		if !watches && !k.needsStore(f.confirmationTTL(), time.Now()) {
+			sleep(ctx, feedCheckInterval)
+			continue
+		}
+		_, before := k.cursor.Position()
+		if k.takeReadNow() {
+			wait = 0
+		}
+		succeeded := k.cursor.Advance(ctx, wait)
+		if succeeded {
+			k.confirm(time.Now())
+		}
+		if _, after := k.cursor.Position(); after != before {
+			f.onChange()
+		}
+		switch {
+		case !succeeded && !watches:
+			k.waitForPeer(ctx)
+		case succeeded:
+			sleep(ctx, minWatchPause)
+		}
+	}
+}
+
+// needsStore reports whether a gateway that is no relay has to call the store: it has read nothing, has to read large
+// changes, or hears of no recent answer of the store.
+func (k *kindFeed) needsStore(ttl time.Duration, now time.Time) bool {
+	position, _ := k.cursor.Position()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return position.Revision < 0 || k.readNow || k.cursor.IsLost() || now.Sub(k.peerConfirmedAt) > ttl
+}
+
+func (k *kindFeed) takeReadNow() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	taken := k.readNow
+	k.readNow = false
+	return taken
+}
+
+func (k *kindFeed) confirm(at time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.confirmedAt = at
+}
+
+// waitForPeer waits for lostRetryDelay or until a peer has an answer of the store.
+func (k *kindFeed) waitForPeer(ctx context.Context) {
+	begun := time.Now()
+	for ctx.Err() == nil && time.Since(begun) < lostRetryDelay {
+		sleep(ctx, feedCheckInterval)
+		k.mu.Lock()
+		answered := k.peerConfirmedAt.After(begun)
+		k.mu.Unlock()
+		if answered {
+			return
+		}
+	}
+}
+
+// reports returns what a heartbeat tells.
+func (f *storeFeed) reports(now time.Time) []FeedReport {
+	f.mu.Lock()
+	kinds := f.kinds
+	f.mu.Unlock()
+	out := make([]FeedReport, len(kinds))
+	for i, k := range kinds {
+		p, changedAt := k.cursor.Position()
+		k.mu.Lock()
+		confirmedAt := k.confirmedAt
+		if k.peerConfirmedAt.After(confirmedAt) {
+			confirmedAt = k.peerConfirmedAt
+		}
+		k.mu.Unlock()
+		out[i] = FeedReport{p.Era, p.Revision, changedAt, now.Sub(confirmedAt).Milliseconds()}
+	}
+	return out
+}
+
+// handleReports compares the reports of a peer with what is known here. It returns the kinds of which the peer
+// has changes that are missing here.
+func (f *storeFeed) handleReports(reports []FeedReport, now time.Time) []*kindFeed {
+	f.mu.Lock()
+	kinds := f.kinds
+	f.mu.Unlock()
+	if len(reports) != len(kinds) {
+		return nil // the peer has not begun or follows other kinds
+	}
+	ttl := f.confirmationTTL()
+	var missing []*kindFeed
+	for i, k := range kinds {
+		r := reports[i]
+		age := time.Duration(max(0, r[3])) * time.Millisecond
+		peerAt := platform.Position{Era: r[0], Revision: r[1]}
+		if r[1] < 0 || age > ttl {
+			continue
+		}
+		own, _ := k.cursor.Position()
+		switch {
+		case k.cursor.Confirm(peerAt, r[2]):
+			k.confirmByPeer(now.Add(-age))
+		case own.Revision >= 0 && (peerAt.Era > own.Era || peerAt.Era == own.Era && r[2] > own.Revision):
+			missing = append(missing, k)
+		}
+	}
+	return missing
+}
+
+func (k *kindFeed) confirmByPeer(at time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if at.After(k.peerConfirmedAt) {
+		k.peerConfirmedAt = at
+	}
+}
+
+// ChangesRequest requests the changes of a kind since a position.
+type ChangesRequest struct {
+	Kind     string `json:"kind"`
+	Era      int64  `json:"era"`
+	Revision int64  `json:"revision"`
+}
+
+// ChangesResponse has the changes of a kind up to a position.
+type ChangesResponse struct {
+	Era      int64          `json:"era"`
+	Revision int64          `json:"revision"`
+	IsList   bool           `json:"is_list,omitempty"`
+	Objects  []ChangedValue `json:"objects,omitempty"`
+	// TooLarge is set in place of the objects if they are to be read from the store.
+	TooLarge bool `json:"too_large,omitempty"`
+}
+
+// ChangedValue is an object of the store that has changed.
+type ChangedValue struct {
+	Name     string `json:"name"`
+	Revision int64  `json:"revision"`
+	// Spec is the JSON text of the object.
+	Spec    string `json:"spec,omitempty"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+// handleChanges answers a peer.
+func (f *storeFeed) handleChanges(r ChangesRequest) ChangesResponse {
+	f.mu.Lock()
+	i := slices.IndexFunc(f.kinds, func(k *kindFeed) bool { return k.kind == r.Kind })
+	if i < 0 {
+		f.mu.Unlock()
+		return ChangesResponse{Revision: -1}
+	}
+	cursor := f.kinds[i].cursor
+	f.mu.Unlock()
+	changes := cursor.ChangesSince(platform.Position{Era: r.Era, Revision: r.Revision})
+	out := ChangesResponse{Era: changes.To.Era, Revision: changes.To.Revision, IsList: changes.IsList}
+	size := 0
+	for _, o := range changes.Objects {
+		size += len(o.Spec)
+		out.Objects = append(out.Objects, ChangedValue{Name: o.Name, Revision: o.Revision, Spec: string(o.Spec), Deleted: o.Deleted})
+	}
+	if size > maxRelayedBytes {
+		out.Objects, out.TooLarge = nil, true
+	}
+	return out
+}
+
+// pullChanges reads the changes of some kinds from a peer.
+func (p *Peers) pullChanges(kinds []*kindFeed, name, address string) {
+	for _, k := range kinds {
+		if k.beginPull() {
+			go p.pull(k, name, address)
+		}
+	}
+}
+
+func (k *kindFeed) beginPull() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.pulling {
+		return false
+	}
+	k.pulling = true
+	return true
+}
+
+func (p *Peers) pull(k *kindFeed, name, address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), heartbeatTimeout)
+	defer cancel()
+	from, _ := k.cursor.Position()
+	response, err := p.transport.changes(ctx, address, ChangesRequest{Kind: k.kind, Era: from.Era, Revision: from.Revision})
+	k.mu.Lock()
+	k.pulling = false
+	k.readNow = k.readNow || err != nil || response.TooLarge
+	k.mu.Unlock()
+	if err != nil {
+		p.log.Info("changes-not-read", "kind", k.kind, "peer", name, "error", err.Error())
+		return
+	}
+	if response.TooLarge {
+		return
+	}
+	changes := platform.Changes{IsList: response.IsList, To: platform.Position{Era: response.Era, Revision: response.Revision}}
+	for _, o := range response.Objects {
+		changes.Objects = append(changes.Objects, platform.Object{Name: o.Name, Revision: o.Revision, Spec: []byte(o.Spec), Deleted: o.Deleted})
+	}
+	if k.cursor.Apply(from, changes) {
+		p.log.Info("changes-read", "kind", k.kind, "peer", name, "objects", len(changes.Objects), "revision", strconv.FormatInt(response.Revision, 10))
+		p.tell()
+	}
+}
--- a/pkg/gossip/table.go
+++ b/pkg/gossip/table.go
@@ -423,6 +423,17 @@
 	return out
 }
 
+// Running returns the entries of the gateways that are not down, this one included.
+func (t *Table) Running() []roster.Entry {
+	out := []roster.Entry{t.self.Entry}
+	for _, m := range t.members {
+		if m.Status != Down {
+			out = append(out, m.Entry)
+		}
+	}
+	return out
+}
+
 // Live returns the names of the gateways that are not down, this one included, sorted.
 func (t *Table) Live() []string {
 	out := []string{t.self.Name}
