--- a/pkg/placement/even.go
+++ b/pkg/placement/even.go
@@ -1,6 +1,9 @@
 package placement
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // EvenPlanner plans the placement of a group whose ranks share the load of an expert evenly among
 // its replicas, so that only the choice of ranks balances.
@@ -132,6 +135,8 @@
 	// layers share it. newCount is, by rank, the number of new experts in this layer.
 	loadsLeft []int
 	newCount  []int
+	// changed is the result of the newest call of changedRanks.
+	changed []int
 }
 
 // newEvenLayer returns the layer with the placement expertsOn, by rank, for loads by expert.
@@ -220,20 +225,40 @@
 			best = s
 		}
 	}
+	targets := l.ranksByLoad()
 	for _, e := range l.expertsOn[full] {
 		if len(l.ranksOf[e]) > 1 {
 			try(evenStep{add: noExpert, evict: noExpert, remove: e, from: full, swapIn: noExpert})
 		}
-		for to := range l.expertsOn {
-			if to == full || l.load[to] >= l.load[full] || slices.Contains(l.expertsOn[to], e) || !l.canLoad(to, e) {
+		tried := 0
+		for _, to := range targets {
+			if tried == maxTargets || l.load[to] >= l.load[full] {
+				break
+			}
+			if to == full || slices.Contains(l.expertsOn[to], e) || !l.canLoad(to, e) {
 				continue
 			}
+			tried++
 			l.tryStepsTo(full, to, e, try)
 		}
 	}
 	return best
 }
 
+// maxTargets is the number of ranks to which an expert may go that are weighed for one step, the least loaded ones
+// first. With all ranks, the time of a plan would grow with the square of their number.
+const maxTargets = 16
+
+// ranksByLoad returns the ranks in the order of ascending load.
+func (l *evenLayer) ranksByLoad() []int {
+	order := make([]int, len(l.load))
+	for r := range order {
+		order[r] = r
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(l.load[a], l.load[b]) })
+	return order
+}
+
 // tryStepsTo tries the steps that copy or move expert e from rank full to rank to.
 func (l *evenLayer) tryStepsTo(full, to, e int, try func(evenStep)) {
 	copyTo := evenStep{add: e, to: to, evict: noExpert, remove: noExpert, from: full, swapIn: noExpert}
@@ -286,27 +311,28 @@
 	return before - after
 }
 
-// changedRanks lists the ranks whose load a step changes.
+// changedRanks lists the ranks whose load a step changes, until the next call.
 func (l *evenLayer) changedRanks(s evenStep) []int {
-	var buffer [64]int
-	ranks := buffer[:0]
-	add := func(list ...int) {
-		for _, r := range list {
-			if !slices.Contains(ranks, r) {
-				ranks = append(ranks, r)
-			}
-		}
-	}
+	l.changed = l.changed[:0]
 	for _, e := range [...]int{s.add, s.evict, s.remove} {
-		if e != noExpert {
-			add(l.ranksOf[e]...)
+		if e == noExpert {
+			continue
+		}
+		for _, r := range l.ranksOf[e] {
+			l.addChanged(r)
 		}
 	}
-	add(s.from)
+	l.addChanged(s.from)
 	if s.add != noExpert {
-		add(s.to)
+		l.addChanged(s.to)
+	}
+	return l.changed
+}
+
+func (l *evenLayer) addChanged(rank int) {
+	if !slices.Contains(l.changed, rank) {
+		l.changed = append(l.changed, rank)
 	}
-	return ranks
 }
 
 // addLoadChange adds the load changes of a step, times sign, to the rank loads.
