Close the connection on which an upstream refused a request

Report of other operators: a faulty worker wrote an earlier refusal once more on a kept connection, and clients were told 'not run' for requests that had run. A copy that comes where the response to another request is due was skipped already, by its id, and a connection whose last response has the id of the next request is not used for it. What remained: a call is refused, its connection carries another call, and then the second attempt of the first one, which waited for its group; the copy then has the right id (REFUSED, and TWICE by the caller's next try).

The connection of a refusal is closed. It costs a new connection for each refusal. The test failed before: the next three requests came on the connection of the refusal. The whole sequence was not played.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -238,7 +238,9 @@
 	switch {
 	case outcome.NotRun:
 		c.logAttempt(target, "attempt-refused", http.StatusText(outcome.Status)+", at fault: "+outcome.DelayedBy, startedAt)
-		_ = drain(response) // the request did not run there
+		// The connection is not kept: the upstream may send the refusal once more, and a later attempt of this
+		// call would take it for its own response.
+		response.Close()
 		if outcome.Misdirected {
 			return notRun, ResultUnreachable
 		}
--- a/pkg/gateway/foreignresponse_test.go
+++ b/pkg/gateway/foreignresponse_test.go
@@ -78,3 +78,32 @@
 	_, text, _, _ := b.call("/once/x", "key-1", "")
 	is.True(text != "other") // bytes of another response's body
 }
+
+// A worker refused a call and wrote the refusal once more on the kept connection, after a response to another call: where
+// that connection came to carry the second attempt of the call, its caller was told that a request had not run
+// which had.
+func TestConnectionOfARefusalIsNotUsedAgain(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(t, 1)
+	b.configure("1")
+	w := b.workers[0]
+	var refusedOn atomic.Pointer[string]
+	var again atomic.Bool
+	w.SetHandler(func(rw http.ResponseWriter, r *http.Request) {
+		if refusedOn.CompareAndSwap(nil, &r.RemoteAddr) {
+			w.Shed(rw, r)
+			return
+		}
+		again.Store(again.Load() || r.RemoteAddr == *refusedOn.Load())
+		w.Succeed(rw, r)
+	})
+	status, _, _, err := b.call("/once/x", "key-1", "")
+	is.NoErr(err)
+	is.Equal(status, http.StatusServiceUnavailable)
+	for range 3 {
+		status, _, _, err = b.call("/once/x", "key-1", "")
+		is.NoErr(err)
+		is.Equal(status, http.StatusOK)
+	}
+	is.True(!again.Load())
+}
