Test the answers of the next worker in a broken stream

Report of other operators: a stream broke off, the next worker answered with an error, and clients found its text or its whole head in their stream, or the stream ended as if it were complete. It could not be shown here: 13 forms of such answers (refusal, signed and unsigned errors, redirects, texts and whole heads in framed and unframed streams) pass on the code as it is, and leave the stream visibly incomplete.

--- a/pkg/gateway/brokenstream_test.go
+++ b/pkg/gateway/brokenstream_test.go
@@ -292,3 +292,64 @@
 	statusLine, _, _ := strings.Cut(string(text), "\r\n")
 	is.True(err != nil || !strings.Contains(statusLine, " 200 ")) // the caller must see that the response is not complete
 }
+
+// A stream broke off and the next worker answered with an error of some form: callers found the text of the error, or its
+// whole head, in the midst of their stream, or the stream ended as if it were complete.
+func TestErrorOfTheNextWorkerIsNoPartOfABrokenStream(t *testing.T) {
+	const secret = "failed"
+	respond := func(status int, signed bool, header ...string) behaviour {
+		return func(w *standin.Worker) func(http.ResponseWriter, *http.Request) {
+			return func(rw http.ResponseWriter, _ *http.Request) {
+				if signed {
+					w.Sign(rw)
+				}
+				for i := 0; i < len(header); i += 2 {
+					rw.Header().Set(header[i], header[i+1])
+				}
+				rw.WriteHeader(status)
+				_, _ = io.WriteString(rw, secret)
+			}
+		}
+	}
+	raw := func(text func(w *standin.Worker, rw http.ResponseWriter) string) behaviour {
+		return func(w *standin.Worker) func(http.ResponseWriter, *http.Request) {
+			return func(rw http.ResponseWriter, _ *http.Request) { writeRaw(rw, text(w, rw), true) }
+		}
+	}
+	const eventStream = "text/event-stream"
+	cases := map[string]behaviour{
+		"refusal":                       func(w *standin.Worker) func(http.ResponseWriter, *http.Request) { return w.Shed },
+		"signed 503":                    respond(http.StatusServiceUnavailable, true),
+		"429":                           respond(http.StatusTooManyRequests, true),
+		"400":                           respond(http.StatusBadRequest, true),
+		"302":                           respond(http.StatusFound, true, "Location", "/other"),
+		"206":                           respond(http.StatusPartialContent, true, "Content-Type", eventStream),
+		"200 without signature":         respond(http.StatusOK, false, "Content-Type", eventStream),
+		"200 with text":                 respond(http.StatusOK, true, "Content-Type", "text/plain"),
+		"200 with text as event stream": respond(http.StatusOK, true, "Content-Type", eventStream),
+		"500 as event stream":           respond(http.StatusInternalServerError, true, "Content-Type", eventStream),
+		"500 in an unframed stream": raw(func(w *standin.Worker, rw http.ResponseWriter) string {
+			return rawResponse(w, rw, "200 OK", "Content-Type: text/event-stream\r\n", "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 6\r\n\r\n"+secret)
+		}),
+		"500 in an unframed stream, as lines": raw(func(w *standin.Worker, rw http.ResponseWriter) string {
+			return rawResponse(w, rw, "200 OK", "Content-Type: text/event-stream\r\n", "HTTP/1.1 500 Internal Server Error\n\n"+secret+"\n\n")
+		}),
+		"500 in a stream with length": raw(func(w *standin.Worker, rw http.ResponseWriter) string {
+			body := "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 6\r\n\r\n" + secret + "\n\n"
+			return rawResponse(w, rw, "200 OK", fmt.Sprintf("Content-Type: text/event-stream\r\nContent-Length: %d\r\n", len(body)), body)
+		}),
+	}
+	for name, later := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newTestbed(t, 2)
+			b.configure("1")
+			b.setBehaviours(breakAfterTwoEvents, later)
+			_, text, _, err := b.call("/stream/x", "key-1", "")
+			is.Equal(strings.Count(text, "data:"), 2)
+			is.True(!strings.Contains(text, secret))
+			is.True(!strings.Contains(text, "HTTP/1.1"))
+			is.True(err != nil) // the caller must see that the response is not complete
+		})
+	}
+}
