Fetch the state of a peer once, and try one kind of objects while the store is away

Causes: a new configuration that few have read before the store goes away (0.5 MB) was fetched from each neighbour that told of it, up to 16 times in 5 s; and each gateway that is no relay tried the store every 1.5 s for each of three kinds.

One fetch is in progress at a time. The first kind is tried every 1.5 s; the others when the store has answered it or a relay, or after 6 s. The calls were not measured again alone.

--- a/pkg/gateway/heartbeat.go
+++ b/pkg/gateway/heartbeat.go
@@ -134,8 +134,11 @@
 	case len(news) > 0:
 		p.wakeUp()
 	}
-	if known && p.gateway.needsSnapshot(h.Version, now) {
-		go p.fetchSnapshot(entry.Name, entry.PeerAddress)
+	if known && p.gateway.needsSnapshot(h.Version, now) && p.fetchingSnapshot.CompareAndSwap(false, true) {
+		go func() {
+			defer p.fetchingSnapshot.Store(false)
+			p.fetchSnapshot(entry.Name, entry.PeerAddress)
+		}()
 	}
 	if fetchesEvidence {
 		go p.fetchEvidence(entry.Name, entry.PeerAddress)
@@ -167,7 +170,7 @@
 func (p *Peers) fetchSnapshot(name, address string) {
 	ctx, cancel := context.WithTimeout(context.Background(), heartbeatTimeout)
 	defer cancel()
-	s, err := peer.Call[Snapshot](ctx, p.clients.get(address), methodSnapshot, struct{}{})
+	s, err := p.transport.snapshot(ctx, address)
 	if err != nil {
 		p.log.Debug("snapshot-failed", "peer", name, "error", err.Error())
 		return
--- a/pkg/gateway/memoryfleet_test.go
+++ b/pkg/gateway/memoryfleet_test.go
@@ -94,6 +94,19 @@
 	return response, nil
 }
 
+// snapshot implements transport.
+func (n memoryTransport) snapshot(ctx context.Context, address string) (Snapshot, error) {
+	p := n.find(n.from, address)
+	if p == nil {
+		<-ctx.Done()
+		return Snapshot{}, errUnreachable
+	}
+	s := p.gateway.snapshot()
+	n.count(s)
+	time.Sleep(10 * networkDelay) // it is large
+	return s, nil
+}
+
 // isHeard implements transport.
 func (n memoryTransport) isHeard(ctx context.Context, address, name string) (bool, error) {
 	n.count(name)
--- a/pkg/gateway/peerclients.go
+++ b/pkg/gateway/peerclients.go
@@ -65,6 +65,11 @@
 	return callGateway[ChangesResponse](ctx, c, address, methodChanges, r)
 }
 
+// snapshot implements transport.
+func (c *peerClients) snapshot(ctx context.Context, address string) (Snapshot, error) {
+	return callGateway[Snapshot](ctx, c, address, methodSnapshot, struct{}{})
+}
+
 // callGateway calls a method of a gateway. After a failure it closes the connection, which may be broken for
 // good; the next call opens another.
 func callGateway[R any](ctx context.Context, c *peerClients, address, method string, params any) (R, error) {
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -52,6 +53,7 @@
 	heartbeat(ctx context.Context, address string, h Heartbeat) (Heartbeat, error)
 	isHeard(ctx context.Context, address, name string) (bool, error)
 	changes(ctx context.Context, address string, r ChangesRequest) (ChangesResponse, error)
+	snapshot(ctx context.Context, address string) (Snapshot, error)
 }
 
 // Peers tracks the other gateways. It is safe for concurrent use.
@@ -77,6 +79,9 @@
 	toldAll bool
 	// evidenceAt is when evidence on crashes was last requested.
 	evidenceAt time.Time
+	// fetchingSnapshot is set while the state of a peer is fetched: all neighbours tell of a new version at
+	// once, and it may be large.
+	fetchingSnapshot atomic.Bool
 }
 
 // NewPeers returns a view without other gateways.
--- a/pkg/gateway/storefeed.go
+++ b/pkg/gateway/storefeed.go
@@ -39,8 +39,10 @@
 	// feedCheckInterval is the time between two looks whether a gateway has to watch the store.
 	feedCheckInterval = 100 * time.Millisecond
 	// lostRetryDelay is the time between two calls of a gateway that is no relay to a store that does not
-	// respond. It tries at once when a relay has an answer.
-	lostRetryDelay = 1500 * time.Millisecond
+	// respond, for the first kind; the other kinds are tried at once when the store has answered this gateway
+	// or a relay, and otherwise after otherKindsRetryDelay.
+	lostRetryDelay       = 1500 * time.Millisecond
+	otherKindsRetryDelay = 6 * time.Second
 	// maxRelayedBytes is the size of changes up to which they are read from a neighbour. Larger ones are read from
 	// the store.
 	maxRelayedBytes = 32 << 10
@@ -169,7 +171,7 @@
 		}
 		switch {
 		case !succeeded && !watches:
-			k.waitForPeer(ctx)
+			f.waitForAnswer(ctx, k)
 		case succeeded:
 			sleep(ctx, minWatchPause)
 		}
@@ -199,20 +201,26 @@
 	k.confirmedAt = at
 }
 
-// waitForPeer waits for lostRetryDelay or until a peer has an answer of the store.
-func (k *kindFeed) waitForPeer(ctx context.Context) {
+// waitForAnswer waits until the store has answered this gateway or a relay, or until it is time to try again.
+func (f *storeFeed) waitForAnswer(ctx context.Context, k *kindFeed) {
+	first := f.kinds[0]
+	limit := otherKindsRetryDelay
+	if k == first {
+		limit = lostRetryDelay
+	}
 	begun := time.Now()
-	for ctx.Err() == nil && time.Since(begun) < lostRetryDelay {
+	for ctx.Err() == nil && time.Since(begun) < limit && !first.answeredSince(begun) && !k.answeredSince(begun) {
 		sleep(ctx, feedCheckInterval)
-		k.mu.Lock()
-		answered := k.peerConfirmedAt.After(begun)
-		k.mu.Unlock()
-		if answered {
-			return
-		}
 	}
 }
 
+// answeredSince reports whether the store has answered this gateway or a relay since a time.
+func (k *kindFeed) answeredSince(at time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.confirmedAt.After(at) || k.peerConfirmedAt.After(at)
+}
+
 // reports returns what a heartbeat tells.
 func (f *storeFeed) reports(now time.Time) []FeedReport {
 	f.mu.Lock()
--- a/pkg/gateway/storefeed_test.go
+++ b/pkg/gateway/storefeed_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -179,3 +180,28 @@
 		}
 	})
 }
+
+// platform_down: a configuration that few gateways have read before the store went away passes on from gateway to gateway. Each
+// fetched it from all of its neighbours at once, which took more of its link than all else.
+func TestConfigurationOfPeersIsFetchedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const gateways, size = 40, 300 << 10
+		f := startMemoryFleetWithStore(gateways, true, newWorkerStore(10))
+		defer f.stopAll()
+		time.Sleep(5 * time.Second)
+		f.store.FailAll(503)
+		time.Sleep(5 * time.Second)
+		f.resetCount()
+		large := append([]byte(`{"other":"`+strings.Repeat("x", size)+`",`), configuration("2")[1:]...)
+		f.network.peers[memoryName(0)].gateway.ApplyConfiguration(large, "test")
+		f.network.peers[memoryName(0)].tell()
+		time.Sleep(3 * time.Second)
+		_, bytes := f.resetCount()
+		for _, p := range f.network.peers {
+			is.Equal(p.gateway.Version(), int64(2))
+		}
+		t.Logf("%.2f copies for each gateway", float64(bytes)/size/gateways)
+		is.True(bytes <= gateways*size*6/5)
+	})
+}
