Load as many experts for one map as fit a time, and switch large groups later

Two matters of what callers saw once large groups got maps. What costs time is the load of experts, 111 ms each where the two were chosen and 16 to 27 ms on the large sites. A plan now loads for 220 ms, and two experts at least: two as before on the three smaller sites, 8 and 13 on the larger ones. Orders to 72 ranks through relays take 180 ms, two passes 130 ms, so the group stood still for 80 ms at each change. Groups above 16 ranks switch four passes ahead, the number that was used after an order without response.

--- a/pkg/steward/leader.go
+++ b/pkg/steward/leader.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/fanout"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/mapswitch"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/route"
 	"github.com/coltsfootpitch/coltsfootpitch/platform"
@@ -115,6 +116,7 @@
 		steward: s, fencingToken: fencingToken, rankCount: r.Size, group: r.Group, mapSwitch: mapswitch.New(r.Index), currentVersion: mapswitch.None,
 		lastMajority: time.Now(), loadAcceptedAt: map[int]time.Time{}, foreignSeenAt: map[string]time.Time{},
 	}
+	l.mapSwitch.SetPassesAhead(passesAhead(r.Size, safePassesAheadPeriod))
 	l.limits = newLimitPublisher(s, r.Group, fencingToken)
 	reason := l.run(ctx)
 	s.log.Info("leader-ended", "group", r.Group, "fence", fencingToken, "reason", reason)
@@ -443,8 +445,14 @@
 			l.loadAcceptedAt[orders[i].Rank] = now
 		}
 	}
-	l.mapSwitch.SetPassesAhead(mapswitch.DefaultPassesAhead)
-	if now.Sub(l.lastOrderWithoutResponse) < safePassesAheadPeriod {
-		l.mapSwitch.SetPassesAhead(mapswitch.SafePassesAhead)
+	l.mapSwitch.SetPassesAhead(passesAhead(l.rankCount, now.Sub(l.lastOrderWithoutResponse)))
+}
+
+// passesAhead returns the number of passes before a switch. Orders to a large group go through relays and reach its
+// ranks only after some passes; the group would stand still until then.
+func passesAhead(ranks int, sinceOrderWithoutResponse time.Duration) int64 {
+	if ranks > fanout.MaxDirect || sinceOrderWithoutResponse < safePassesAheadPeriod {
+		return mapswitch.SafePassesAhead
 	}
+	return mapswitch.DefaultPassesAhead
 }
--- a/pkg/steward/plan.go
+++ b/pkg/steward/plan.go
@@ -9,9 +9,10 @@
 )
 
 const (
-	// maxLoadsPerPlan limits the experts that one rank loads for one map: small plans take
-	// effect sooner.
-	maxLoadsPerPlan = 2
+	// maxPlanLoadTime limits the time for which a rank loads experts for one map, as small plans take effect
+	// sooner, and minLoadsPerPlan is the number of experts that it may load in any case.
+	maxPlanLoadTime = 220 * time.Millisecond
+	minLoadsPerPlan = 2
 	// loadingSlowdown is the relative increase of the pass time while ranks load experts.
 	loadingSlowdown = 0.15
 	// switchStall is how long a switch of maps stalls the group.
@@ -36,6 +37,14 @@
 	horizon time.Duration
 }
 
+// loadsPerPlan returns how many experts a rank may load for one map.
+func loadsPerPlan(e *route.Engine) int {
+	if e.ExpertLoadTime <= 0 {
+		return minLoadsPerPlan
+	}
+	return max(minLoadsPerPlan, int(maxPlanLoadTime/e.ExpertLoadTime))
+}
+
 // startWorthwhilePlan plans a new map and starts the switch to it if the gain justifies the
 // cost. It reports whether it did.
 func (l *leader) startWorthwhilePlan(ranks []mapswitch.RankState, running int, now time.Time) bool {
@@ -43,7 +52,7 @@
 	if loads == nil || l.currentVersion == mapswitch.None {
 		return false
 	}
-	g := placement.EvenPlanner{Slots: l.engine.ExpertSlots, MaxNewPerLayer: l.engine.ReserveExperts, MaxNewPerPlan: maxLoadsPerPlan, GoalSkew: targetSkew, Slowdown: l.slowdowns}
+	g := placement.EvenPlanner{Slots: l.engine.ExpertSlots, MaxNewPerLayer: l.engine.ReserveExperts, MaxNewPerPlan: loadsPerPlan(l.engine), GoalSkew: targetSkew, Slowdown: l.slowdowns}
 	skew := g.Skew(l.currentMap, loads)
 	pass := max(l.passTimer.mean(), expectedPassTime(l.engine, float64(running)/float64(l.rankCount), skew))
 	work := workload{
