--- a/pkg/gateway/storefeed.go
+++ b/pkg/gateway/storefeed.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -23,10 +22,8 @@
 	maxWatchingGateways = 16
 	// relayCount is the number of relays of a larger fleet.
 	relayCount = 4
-	// watchWait is how long the store may hold a watch without a change if all gateways watch, and relayWatchWait if
-	// only the relays do. A shorter time costs more billed calls, a longer time delays the detection of a
-	// hung watch.
-	watchWait      = 2500 * time.Millisecond
+	// relayWatchWait is how long the store may hold a watch of a relay without a change; a gateway of a smaller fleet
+	// waits for platform.WatchWait. What the others know is as old as the newest answer to a relay.
 	relayWatchWait = time.Second
 	// confirmationTTL is how long a gateway relies on an answer of the store to a relay. Each doubling of the fleet
 	// beyond fleetOfConfirmationTTL takes a heartbeat more from the relays, and adds confirmationTTLStep.
@@ -43,9 +40,6 @@
 	// or a relay, and otherwise after otherKindsRetryDelay.
 	lostRetryDelay       = 1500 * time.Millisecond
 	otherKindsRetryDelay = 6 * time.Second
-	// maxRelayedBytes is the size of changes up to which they are read from a neighbour. Larger ones are read from
-	// the store.
-	maxRelayedBytes = 32 << 10
 )
 
 // storeFeed keeps a gateway up to date with the store, together with its peers. It is safe for concurrent use.
@@ -134,7 +128,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.gateways <= maxWatchingGateways {
-		return true, watchWait
+		return true, platform.WatchWait
 	}
 	return f.isRelay, relayWatchWait
 }
@@ -276,97 +270,3 @@
 		k.peerConfirmedAt = at
 	}
 }
-
-// ChangesRequest requests the changes of a kind since a position.
-type ChangesRequest struct {
-	Kind     string `json:"kind"`
-	Era      int64  `json:"era"`
-	Revision int64  `json:"revision"`
-}
-
-// ChangesResponse has the changes of a kind up to a position.
-type ChangesResponse struct {
-	Era      int64          `json:"era"`
-	Revision int64          `json:"revision"`
-	IsList   bool           `json:"is_list,omitempty"`
-	Objects  []ChangedValue `json:"objects,omitempty"`
-	// TooLarge is set in place of the objects if they are to be read from the store.
-	TooLarge bool `json:"too_large,omitempty"`
-}
-
-// ChangedValue is an object of the store that has changed.
-type ChangedValue struct {
-	Name     string `json:"name"`
-	Revision int64  `json:"revision"`
-	// Spec is the JSON text of the object.
-	Spec    string `json:"spec,omitempty"`
-	Deleted bool   `json:"deleted,omitempty"`
-}
-
-// handleChanges answers a peer.
-func (f *storeFeed) handleChanges(r ChangesRequest) ChangesResponse {
-	f.mu.Lock()
-	i := slices.IndexFunc(f.kinds, func(k *kindFeed) bool { return k.kind == r.Kind })
-	if i < 0 {
-		f.mu.Unlock()
-		return ChangesResponse{Revision: -1}
-	}
-	cursor := f.kinds[i].cursor
-	f.mu.Unlock()
-	changes := cursor.ChangesSince(platform.Position{Era: r.Era, Revision: r.Revision})
-	out := ChangesResponse{Era: changes.To.Era, Revision: changes.To.Revision, IsList: changes.IsList}
-	size := 0
-	for _, o := range changes.Objects {
-		size += len(o.Spec)
-		out.Objects = append(out.Objects, ChangedValue{Name: o.Name, Revision: o.Revision, Spec: string(o.Spec), Deleted: o.Deleted})
-	}
-	if size > maxRelayedBytes {
-		out.Objects, out.TooLarge = nil, true
-	}
-	return out
-}
-
-// pullChanges reads the changes of some kinds from a peer.
-func (p *Peers) pullChanges(kinds []*kindFeed, name, address string) {
-	for _, k := range kinds {
-		if k.beginPull() {
-			go p.pull(k, name, address)
-		}
-	}
-}
-
-func (k *kindFeed) beginPull() bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.pulling {
-		return false
-	}
-	k.pulling = true
-	return true
-}
-
-func (p *Peers) pull(k *kindFeed, name, address string) {
-	ctx, cancel := context.WithTimeout(context.Background(), heartbeatTimeout)
-	defer cancel()
-	from, _ := k.cursor.Position()
-	response, err := p.transport.changes(ctx, address, ChangesRequest{Kind: k.kind, Era: from.Era, Revision: from.Revision})
-	k.mu.Lock()
-	k.pulling = false
-	k.readNow = k.readNow || err != nil || response.TooLarge
-	k.mu.Unlock()
-	if err != nil {
-		p.log.Info("changes-not-read", "kind", k.kind, "peer", name, "error", err.Error())
-		return
-	}
-	if response.TooLarge {
-		return
-	}
-	changes := platform.Changes{IsList: response.IsList, To: platform.Position{Era: response.Era, Revision: response.Revision}}
-	for _, o := range response.Objects {
-		changes.Objects = append(changes.Objects, platform.Object{Name: o.Name, Revision: o.Revision, Spec: []byte(o.Spec), Deleted: o.Deleted})
-	}
-	if k.cursor.Apply(from, changes) {
-		p.log.Info("changes-read", "kind", k.kind, "peer", name, "objects", len(changes.Objects), "revision", strconv.FormatInt(response.Revision, 10))
-		p.tell()
-	}
-}
