--- a/pkg/steward/leader.go
+++ b/pkg/steward/leader.go
@@ -25,10 +25,10 @@
 	// idlePollInterval is the time between two polls while no map is prepared or switched, and
 	// loadPollInterval while ranks load experts.
 	idlePollInterval = 80 * time.Millisecond
+	loadPollInterval = 30 * time.Millisecond
 	// ranksAtIdlePollInterval is the number of ranks up to which idlePollInterval holds. Each further rank adds its
 	// state to a poll, so that larger groups are polled less often.
 	ranksAtIdlePollInterval = 80
-	loadPollInterval        = 30 * time.Millisecond
 	// switchPollInterval is the time between two polls while a hold is in force.
 	switchPollInterval = 4 * time.Millisecond
 	// listRefreshInterval is the time between two reads of the list of upstreams.
