Soak: a reset during the body of a request is a reset

The kernel resets connections that were not accepted; callers may be closed on before their request was read. The soak took it for bytes that are no answer, as net/http wraps an error that comes while it copies a body so that errors.Is does not find its cause.

The caller keeps the error of its connection. Bytes that are no answer are found as before. The test fails with the request written directly.

--- a/test/soak/caller_test.go
+++ b/test/soak/caller_test.go
@@ -168,7 +168,7 @@
 	standin.SetTimeout(req, callerTimeout)
 	standin.SetPromptParts(req, append(parts, o.id)...)
 	_ = c.conn.SetDeadline(time.Now().Add(callerTimeout + callerMargin))
-	err = req.Write(c.conn)
+	err = writeRequest(c.conn, req)
 	o.sentAt = time.Now()
 	if err == nil {
 		err = c.read(req, o)
@@ -181,6 +181,31 @@
 	}
 }
 
+// errorKeeper keeps the first error of a writer.
+type errorKeeper struct {
+	io.Writer
+	err error
+}
+
+// Write implements io.Writer.
+func (k *errorKeeper) Write(p []byte) (int, error) {
+	n, err := k.Writer.Write(p)
+	if k.err == nil {
+		k.err = err
+	}
+	return n, err
+}
+
+// writeRequest writes a request. It returns the error of w itself: net/http hides one that comes while it copies
+// the body.
+func writeRequest(w io.Writer, req *http.Request) error {
+	k := &errorKeeper{Writer: w}
+	if err := req.Write(k); err != nil && k.err == nil {
+		return err
+	}
+	return k.err
+}
+
 // read reads the answer to a request.
 func (c *caller) read(req *http.Request, o *outcome) error {
 	resp, err := http.ReadResponse(c.reader, req)
