Bounded answers: chunks of 64 bytes in place of one

It reads 32 MB in chunks of one byte. Chunks of 64 bytes have 70 bytes with their framing, so that a bound which counted the content only would still be exceeded by 3 MB, where the test allows 64 KB; the bounds are unchanged.

--- a/pkg/exchange/endless_test.go
+++ b/pkg/exchange/endless_test.go
@@ -52,7 +52,7 @@
 		{"continued header line", ok + "X-A: b\r\n", " c\r\n", maxHeadBytes},
 		{"interim answers", "", "HTTP/1.1 103 Early Hints\r\n\r\n", maxHeadBytes},
 		{"body without length", ok + "\r\n", "x", maxHeadBytes + maxBodyBytes},
-		{"chunks", ok + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", maxHeadBytes + maxBodyBytes},
+		{"chunks", ok + "Transfer-Encoding: chunked\r\n\r\n", "40\r\n" + strings.Repeat("x", 64) + "\r\n", maxHeadBytes + maxBodyBytes},
 		{"one chunk", ok + "Transfer-Encoding: chunked\r\n\r\n7fffffff\r\n", "x", maxHeadBytes + maxBodyBytes},
 		{"chunk extension", ok + "Transfer-Encoding: chunked\r\n\r\n1;a=", "x", maxHeadBytes + maxBodyBytes},
 		{"trailers", ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-A: b\r\n", maxHeadBytes + maxBodyBytes},
