Choose suspended upstreams before superseded ones

Cause: a group that stands still marks its upstreams by address as a last resort, the new ID at an address and the old one alike. An old ID was a last resort too, with the same penalty, so that old and new were level. Ruled out: late news; the gateways had the new IDs 0.9 s before.

Change: an upstream whose address another has since taken has a penalty of its own, above that of the others.

The new test chose the old ID 10 times of 20 before, 0 of 20 now.

--- a/pkg/gateway/fleet.go
+++ b/pkg/gateway/fleet.go
@@ -326,7 +326,7 @@
 		}
 		c := pick.Candidate{
 			ID: id, Running: s.totalWork(f.gatewayCount, now), Capacity: e.Capacity, Failures: s.decayedFailureRate(now), Cold: cold,
-			Unconfirmed: e.Unconfirmed || f.upstreams.IsSuperseded(id), OtherZone: e.Zone != f.zone,
+			Unconfirmed: e.Unconfirmed, Superseded: f.upstreams.IsSuperseded(id), OtherZone: e.Zone != f.zone,
 			Suspended: now.Before(s.suspendedUntil) || now.Before(s.stalledUntil) || f.isSilent(service, s, now) || now.Before(s.toldSilentUntil),
 		}
 		if now.Sub(s.reportedAt) <= loadTTL {
--- a/pkg/gateway/fleet_test.go
+++ b/pkg/gateway/fleet_test.go
@@ -151,3 +151,18 @@
 	now = now.Add(toldSilenceTTL + time.Millisecond) // the peer no longer says so
 	is.True(chooseCounts(f, 8, now)["a"] > 0)
 }
+
+// power_off_all: all ranks of a group came back under new IDs, and the list still had the old ones. While the group stood
+// still all counted as a last resort, and half of the first requests went to IDs that no longer exist.
+func TestStalledUpstreamsAreChosenBeforeSupersededOnes(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	f := newFleet(now)
+	f.Update(func(v *inventory.Inventory, _ func(string) time.Duration) {
+		for i, id := range []string{"old", "new"} {
+			v.Put(inventory.Upstream{ID: id, Service: "s", Address: "a:1", Zone: "z", Capacity: 12, StartedAt: now.Add(time.Duration(i) * time.Second)}, 0, now)
+		}
+	})
+	f.SetStalled(map[string]int{"a:1": 0}, now.Add(stalledTTL))
+	is.Equal(chooseCounts(f, 20, now), map[string]int{"new": 20})
+}
--- a/pkg/pick/pick.go
+++ b/pkg/pick/pick.go
@@ -36,6 +36,9 @@
 	// Suspended is set for an upstream that failed a moment ago. It is tried only when there is
 	// no other.
 	Suspended bool
+	// Superseded is set for an upstream at whose address another one has started since. It is tried only when all
+	// others are superseded too.
+	Superseded bool
 	// OtherZone is set for an upstream in another availability zone.
 	OtherZone bool
 }
@@ -50,6 +53,8 @@
 	// lastResortPenalty exceeds the score of any load, so that an upstream with this penalty is
 	// chosen only when all candidates have it.
 	lastResortPenalty = 1000.0
+	// supersededPenalty exceeds the score of a suspended upstream.
+	supersededPenalty = 10 * lastResortPenalty
 )
 
 // Best returns the index of the candidate with the lowest score, or -1 when there is none. Ties
@@ -124,6 +129,9 @@
 	if c.Suspended || c.Unconfirmed {
 		s += lastResortPenalty
 	}
+	if c.Superseded {
+		s += supersededPenalty
+	}
 	return s
 }
 
--- a/pkg/pick/pick_test.go
+++ b/pkg/pick/pick_test.go
@@ -26,6 +26,7 @@
 		{"not the slow one", []Candidate{{Capacity: 6, Slowdown: 5}, {Running: 2, Capacity: 6, Slowdown: 1}}, 1},
 		{"the own zone", []Candidate{{Capacity: 6, OtherZone: true}, {Capacity: 6}}, 1},
 		{"an overloaded one before an unconfirmed one", []Candidate{{Capacity: 6, Unconfirmed: true}, {Running: 30, Capacity: 6}}, 1},
+		{"a suspended one before one whose address another has", []Candidate{{Capacity: 6, Superseded: true}, {Running: 30, Capacity: 6, Suspended: true, Unconfirmed: true}}, 1},
 		{"a suspended one when there is no other", []Candidate{{Capacity: 6, Suspended: true}}, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
