List each member of a group once

Cause: the store lists a worker that started again under its old ID too, until that expires three seconds later. A leader took each entry for a member: 144 for 72 ranks, each steward polled twice, through relays of relays. Ruled out: the leader's processor alone; the relays failed too.

Change: members with the same upstream address are one member.

The new test listed 4 members for 2 upstreams before.

--- a/pkg/steward/members.go
+++ b/pkg/steward/members.go
@@ -34,7 +34,8 @@
 	}
 	// Members of a zone stand together, so that a relay and its part are near each other.
 	slices.SortFunc(out, func(a, b Member) int { return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Upstream, b.Upstream)) })
-	return out, nil
+	// An upstream that has started again is listed under its old ID too until that expires.
+	return slices.CompactFunc(out, func(a, b Member) bool { return a.Upstream == b.Upstream }), nil
 }
 
 // digestOf identifies a list of members.
--- a/pkg/steward/members_test.go
+++ b/pkg/steward/members_test.go
@@ -4,9 +4,13 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/route"
+	"github.com/coltsfootpitch/coltsfootpitch/platform"
+	"github.com/coltsfootpitch/coltsfootpitch/platform/standin"
 )
 
 // Routes differ in the pause between events that callers accept. The strictest route of a group
@@ -21,3 +25,21 @@
 	is.Equal(shortestEventGap([]route.Route{to("s", 200*time.Millisecond), to("s", 150*time.Millisecond), to("t", 50*time.Millisecond)}, "s"),
 		150*time.Millisecond)
 }
+
+// power_off_all: for three seconds the store lists all ranks twice, under their old IDs and the new ones. A leader polled
+// each steward twice, through twice as many relays, and its polls took longer than they may.
+func TestMembersAreListedOnce(t *testing.T) {
+	is := is.New(t)
+	s := standin.NewMemoryStore()
+	for _, id := range []string{"old", "new"} {
+		for _, address := range []string{"10.1.0.1:9000", "10.1.0.2:9000"} {
+			s.Put(platform.KindUpstreams, id+"-"+address, map[string]any{"service": "s", "address": address, "zone": "z", "capacity": 12, "state": "ready"})
+		}
+	}
+	store := platform.NewStore("10.0.0.1:1", metrics.NewRegistry(), hclog.NewNullLogger())
+	store.SetTransport(s)
+	members, err := listMembers(t.Context(), store, platform.Settings{UpstreamService: "s"})
+	is.NoErr(err)
+	is.Equal(len(members), 2)
+	is.Equal(upstreams(members), []string{"10.1.0.1:9000", "10.1.0.2:9000"})
+}
