Give the first polls of a new leader of a large group twice the time

Cause: after all processes have started again, a poll of a large group opens connections on each level of the tree: the leader's to its relays, theirs to their parts. A relay that is late is avoided for two seconds in favour of the next of its part, whose connections are missing too, so that polls stay incomplete.

Change: until a poll has reached all ranks, and for at most a second, a poll of more than 16 ranks may take 300 ms. That is half of the time after which a leader counts as silent.

--- a/pkg/steward/calls.go
+++ b/pkg/steward/calls.go
@@ -15,9 +15,9 @@
 )
 
 // observeMembers reads all members concurrently. It returns the observation of each member, nil for those
-// that did not respond, and the sum of the choices of experts of all.
-func (s *Steward) observeMembers(ctx context.Context, members []Member, r ObserveRequest) ([]*Observation, []int64) {
-	ctx, cancel := context.WithTimeout(ctx, observeTimeout)
+// that did not respond within a time, and the sum of the choices of experts of all.
+func (s *Steward) observeMembers(ctx context.Context, timeout time.Duration, members []Member, r ObserveRequest) ([]*Observation, []int64) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return s.observeParts(ctx, members, fanout.MaxDirect, r)
 }
--- a/pkg/steward/leader.go
+++ b/pkg/steward/leader.go
@@ -12,6 +12,7 @@
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/fanout"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/mapswitch"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/route"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/standstill"
 	"github.com/coltsfootpitch/coltsfootpitch/platform"
 )
 
@@ -19,6 +20,9 @@
 	// observeTimeout limits a poll of one rank: the calls of its steward to the rank and one
 	// round trip.
 	observeTimeout = 150 * time.Millisecond
+	// firstObserveTimeout limits a poll of a large group by a new leader: it and the relays have to open connections
+	// first. A relay that responds late would be replaced by one that has to open its connections as well.
+	firstObserveTimeout = 2 * observeTimeout
 	// largePrepareTimeout limits the orders to load a map of a large group: the map takes the links of the relays
 	// some time. It is short of the time after which a leader counts as silent.
 	largePrepareTimeout = 300 * time.Millisecond
@@ -81,6 +85,9 @@
 	lastStoreRead    time.Time
 	storeReadRunning atomic.Bool
 	description      atomic.Pointer[serviceDescription]
+	// startedAt is when this leader made its first poll, and reachedAll is set once a poll has reached all ranks.
+	startedAt  time.Time
+	reachedAll bool
 	// sendsMembers is set if a steward of the group has another list of members.
 	sendsMembers bool
 	// lastMajority is when more than half of the ranks were last reached.
@@ -233,7 +240,7 @@
 	}
 	l.steward.mu.Unlock()
 	begun := time.Now()
-	responses, sum := l.steward.observeMembers(ctx, members, request)
+	responses, sum := l.steward.observeMembers(ctx, l.observeTimeout(begun), members, request)
 	if choices {
 		l.loads.StartSample(begun)
 		l.loads.AddChoices(sum)
@@ -262,9 +269,21 @@
 			l.foreignSeenAt[members[i].Upstream] = now
 		}
 	}
+	l.reachedAll = l.reachedAll || len(observations) == l.rankCount
 	return observations, newestFencingToken
 }
 
+// observeTimeout returns the limit for a poll.
+func (l *leader) observeTimeout(now time.Time) time.Duration {
+	if l.startedAt.IsZero() {
+		l.startedAt = now
+	}
+	if l.rankCount > fanout.MaxDirect && !l.reachedAll && now.Sub(l.startedAt) < standstill.FirstContactTime {
+		return firstObserveTimeout
+	}
+	return observeTimeout
+}
+
 // groupMembers returns the members without those that were recently seen in another group.
 func (l *leader) groupMembers(members []Member, now time.Time) []Member {
 	out := make([]Member, 0, len(members))
--- a/pkg/steward/orphanedhold.go
+++ b/pkg/steward/orphanedhold.go
@@ -92,7 +92,7 @@
 func (s *Steward) readGroup(ctx context.Context, members []Member, r platform.RankReport) ([]mapswitch.RankState, map[int]Member) {
 	ranks := make([]mapswitch.RankState, r.Size)
 	memberByRank := map[int]Member{}
-	responses, _ := s.observeMembers(ctx, members, ObserveRequest{Leader: s.settings.Name})
+	responses, _ := s.observeMembers(ctx, observeTimeout, members, ObserveRequest{Leader: s.settings.Name})
 	s.observeDirectly(ctx, members, responses)
 	for i, o := range responses {
 		if o != nil && o.Report.Group == r.Group && o.Report.Index < r.Size {
