Do not count ranks as missing that a new leader has not reached yet

Cause: the first poll of a new leader saw 45 of 72 ranks. The others counted as missing, and the leader told the gateways that the group would be away for two seconds, the time in which a lost instance returns; they rejected all that could not wait so long.

--- a/pkg/standstill/standstill_test.go
+++ b/pkg/standstill/standstill_test.go
@@ -32,3 +32,21 @@
 	is.Equal(tracker.Update(ranks(4, true), now.Add(3*time.Second)), State{})
 	is.Equal(tracker.Update(nil, now), State{}) // without reports no stall is assumed
 }
+
+// power_off_all: a new leader did not reach a third of the ranks with its first calls. It told the entries that ranks were
+// missing and that the group would be away for two seconds; they rejected all that waited, 0.1 s before the group ran.
+func TestRanksThatANewLeaderHasNotReachedAreNotMissing(t *testing.T) {
+	is := is.New(t)
+	const formTime = 600 * time.Millisecond
+	tracker := &Tracker{FormTime: formTime}
+	now := time.Unix(100, 0)
+	ranks := make([]mapswitch.RankState, 4)
+	ranks[0].Known, ranks[1].Known = true, true
+	is.Equal(tracker.Update(ranks, now), State{Stalled: true, ResumesIn: formTime})
+	ranks[2].Known = true
+	is.Equal(tracker.Update(ranks, now.Add(200*time.Millisecond)), State{Stalled: true, ResumesIn: formTime - 200*time.Millisecond})
+	ranks[2].Known = false // it was reached, and is away
+	is.Equal(tracker.Update(ranks, now.Add(300*time.Millisecond)), State{Stalled: true, ResumesIn: RankReturnTime})
+	ranks[2].Known = true
+	is.Equal(tracker.Update(ranks, now.Add(FirstContactTime+time.Millisecond)), State{Stalled: true, ResumesIn: RankReturnTime})
+}
