Count free permits in the expected wait of a request

Callers saw: when a group ran again, requests that had waited for it and were late by then were rejected, although all permits were free.

Cause: the expected wait counted a turn for each request ahead, also where free permits let those start at once. A late request with 0.1 s left was taken to wait half a second behind nine others that started in the same moment. The same for a closed gate: one turn for each request ahead, although all permits are free when it opens.

Change: only those ahead that find no free permit count.

--- a/pkg/permit/gate.go
+++ b/pkg/permit/gate.go
@@ -159,20 +159,20 @@
 // expectedWait returns the expected wait of a request that is added to the queue of on-time or of
 // late requests.
 func (g *Gate) expectedWait(onTime bool) time.Duration {
-	ahead, permits := g.onTime.Len()+1, float64(g.limit)
+	ahead, permits, running := float64(g.onTime.Len()+1), float64(g.limit), float64(g.running)
 	if !onTime {
-		ahead += g.late.Len()
+		ahead += float64(g.late.Len())
 		permits *= latePermitShare
 	}
+	wait := time.Duration(0)
 	if g.closed {
-		// All permits are free when the gate opens.
-		return g.resumesIn + time.Duration(float64(ahead-1)*float64(g.serviceTime)/max(permits, 1))
-	}
-	if g.limit <= 0 {
+		wait, running = g.resumesIn, 0 // all permits are free when the gate opens
+	} else if g.limit <= 0 {
 		return g.serviceTime
 	}
-	ahead += int(max(0, float64(g.running)-permits))
-	return time.Duration(float64(ahead) * float64(g.serviceTime) / permits)
+	// A free permit serves one of those ahead at once.
+	queued := max(0, ahead+running-permits)
+	return wait + time.Duration(queued*float64(g.serviceTime)/max(permits, 1))
 }
 
 // Abandon removes a queued request. It reports false when the request is not queued, as after a
