Pack the list of members that a leader sends

Cause: with the second poll a leader sends the list of members, as all stewards have just started and need it. With the names of all fields and both addresses, that was 6.5 KB to each relay and from there to each steward: 60 ms of the link of the leader and 50 ms of that of each relay.

Change: a member is its upstream address and the port of its steward, 1.6 KB for 72 members; polls with the list may take as long as the first ones.

New test: 16 ms of the leader's link for a list.

--- a/pkg/steward/leader.go
+++ b/pkg/steward/leader.go
@@ -21,7 +21,8 @@
 	// round trip.
 	observeTimeout = 150 * time.Millisecond
 	// firstObserveTimeout limits a poll of a large group by a new leader: it and the relays have to open connections
-	// first. A relay that responds late would be replaced by one that has to open its connections as well.
+	// first and to send the list of members. A relay that responds late would be replaced by one that has to open its
+	// connections as well.
 	firstObserveTimeout = 2 * observeTimeout
 	// largePrepareTimeout limits the orders to load a map of a large group: the map takes the links of the relays
 	// some time. It is short of the time after which a leader counts as silent.
@@ -236,7 +237,7 @@
 	members := l.groupMembers(l.steward.members, time.Now())
 	request.MembersDigest = l.steward.membersDigest
 	if l.sendsMembers {
-		request.Members = l.steward.members
+		request.Members = packMembers(l.steward.members)
 	}
 	l.steward.mu.Unlock()
 	begun := time.Now()
@@ -278,7 +279,7 @@
 	if l.startedAt.IsZero() {
 		l.startedAt = now
 	}
-	if l.rankCount > fanout.MaxDirect && !l.reachedAll && now.Sub(l.startedAt) < standstill.FirstContactTime {
+	if l.rankCount > fanout.MaxDirect && (!l.reachedAll || l.sendsMembers) && now.Sub(l.startedAt) < standstill.FirstContactTime {
 		return firstObserveTimeout
 	}
 	return observeTimeout
--- a/pkg/steward/members.go
+++ b/pkg/steward/members.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -38,6 +39,28 @@
 	return slices.CompactFunc(out, func(a, b Member) bool { return a.Upstream == b.Upstream }), nil
 }
 
+// packMembers returns the members as upstream address and port of the steward, which are on one instance: a leader sends
+// the list to all stewards of a large group.
+func packMembers(members []Member) []string {
+	out := make([]string, len(members))
+	for i, m := range members {
+		out[i] = m.Upstream + "/" + m.Steward[strings.LastIndex(m.Steward, ":")+1:]
+	}
+	return out
+}
+
+// unpackMembers returns the members that were packed, without those that are malformed.
+func unpackMembers(packed []string) []Member {
+	out := make([]Member, 0, len(packed))
+	for _, p := range packed {
+		upstream, port, _ := strings.Cut(p, "/")
+		if host, _, err := net.SplitHostPort(upstream); err == nil && port != "" {
+			out = append(out, Member{Upstream: upstream, Steward: net.JoinHostPort(host, port)})
+		}
+	}
+	return out
+}
+
 // digestOf identifies a list of members.
 func digestOf(members []Member) uint64 {
 	var d xxhash.Digest
--- a/pkg/steward/members_test.go
+++ b/pkg/steward/members_test.go
@@ -1,6 +1,7 @@
 package steward
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/fanout"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/route"
 	"github.com/coltsfootpitch/coltsfootpitch/platform"
 	"github.com/coltsfootpitch/coltsfootpitch/platform/standin"
@@ -43,3 +45,22 @@
 	is.Equal(len(members), 2)
 	is.Equal(upstreams(members), []string{"10.1.0.1:9000", "10.1.0.2:9000"})
 }
+
+// power_off_all: a leader sends its list of members to all stewards of a group that has started again. With the names of all fields it took
+// the link of the leader longer than a poll may.
+func TestListOfMembersFitsIntoAPoll(t *testing.T) {
+	is := is.New(t)
+	f := newMemoryStewards(72)
+	for i := range f.members {
+		f.members[i].Zone = ""
+	}
+	packed := packMembers(f.members)
+	is.Equal(unpackMembers(packed), f.members)
+	text, err := json.Marshal(packed)
+	is.NoErr(err)
+	relays := len(f.members)/fanout.MaxRelayed + 1
+	took := time.Duration(float64(relays*len(text)) / stewardLinkBytes * float64(time.Second))
+	t.Logf("%d bytes to each of %d relays, %v", len(text), relays, took)
+	is.True(took <= observeTimeout/5)
+	is.Equal(len(unpackMembers([]string{"", "x", "10.1.0.1:9000", "10.1.0.1/7340"})), 0)
+}
--- a/pkg/steward/message.go
+++ b/pkg/steward/message.go
@@ -35,9 +35,9 @@
 	// the rank has loaded.
 	IncludeChoices bool `json:"choices,omitempty"`
 	IncludeExperts bool `json:"lists,omitempty"`
-	// Members is the leader's list of members, for stewards that cannot read it from the store. It is sent
-	// when a steward has another one than that with MembersDigest.
-	Members       []Member `json:"members,omitempty"`
+	// Members is the leader's packed list of members, for stewards that cannot read it from the store. It is sent when a
+	// steward has another one than that with MembersDigest.
+	Members       []string `json:"members,omitempty"`
 	MembersDigest uint64   `json:"members_digest,omitempty"`
 }
 
--- a/pkg/steward/steward.go
+++ b/pkg/steward/steward.go
@@ -112,7 +112,7 @@
 	}
 	s.mu.Lock()
 	if s.fence.recordContact(r.FencingToken, time.Now()) && len(r.Members) > 0 {
-		s.members, s.membersDigest = r.Members, r.MembersDigest
+		s.members, s.membersDigest = unpackMembers(r.Members), r.MembersDigest
 	}
 	o := Observation{NewestFencingToken: s.fence.newestFencingToken, NeedsMembers: r.MembersDigest != s.membersDigest}
 	s.mu.Unlock()
