Do not take time without work for the duration of a pass

Cause: a group without work makes no passes. The pass timer divided the time by the few passes in it and kept the result: 243 ms and more for a group whose passes take 70 ms, for as long as it stayed idle. Gateways expect as much of each pass.

Change: a poll that sees no running request starts a new measurement, and the duration is unknown until there is work.

New test: 2.1 s in place of unknown after an idle time before.

--- a/pkg/steward/leader.go
+++ b/pkg/steward/leader.go
@@ -301,7 +301,7 @@
 	now := time.Now()
 	ranks := l.rankStates(observations, now)
 	l.slowdowns = slowdownsOf(observations, l.rankCount)
-	l.passTimer.update(ranks, now)
+	l.passTimer.update(ranks, runningRequests(observations), now)
 	l.limits.update(ctx, l.passTimer.mean(), ranks, observations, l.memberByRank, now)
 	// Planning needs the map in use; completing a hold does not.
 	mapKnown := l.trackCurrentMap(observations, ranks)
--- a/pkg/steward/passtimer.go
+++ b/pkg/steward/passtimer.go
@@ -19,10 +19,11 @@
 	meanPassTime    time.Duration
 }
 
-// update records the newest pass of the ranks. A new epoch starts a new measurement.
-func (t *passTimer) update(ranks []mapswitch.RankState, now time.Time) {
+// update records the newest pass of the ranks and the number of running requests. A new epoch starts a new measurement,
+// and so does a group without work, which makes no passes: the time until the next one is not the duration of a pass.
+func (t *passTimer) update(ranks []mapswitch.RankState, running int, now time.Time) {
 	newest, epoch := newestPass(ranks)
-	if epoch != t.epoch || newest < t.windowStartPass {
+	if epoch != t.epoch || newest < t.windowStartPass || running == 0 {
 		*t = passTimer{epoch: epoch, windowStart: now, windowStartPass: newest}
 		return
 	}
--- a/pkg/steward/steward_test.go
+++ b/pkg/steward/steward_test.go
@@ -206,7 +206,7 @@
 	now := time.Unix(0, 0)
 	update := func(epoch, pass int64) {
 		now = now.Add(100 * time.Millisecond)
-		c.update([]mapswitch.RankState{{Known: true, Epoch: epoch, Pass: pass}, {}}, now)
+		c.update([]mapswitch.RankState{{Known: true, Epoch: epoch, Pass: pass}, {}}, 9, now)
 	}
 	for pass := range int64(10) {
 		update(1, 2*pass)
@@ -221,3 +221,26 @@
 	update(2, 0)
 	is.Equal(c.mean(), time.Duration(0)) // a new epoch starts a new measurement
 }
+
+// evacuate, low traffic: a group makes no passes without work. The time until the next pass counted as the duration of one, and
+// requests were rejected as too slow for passes of seconds.
+func TestTimeWithoutWorkIsNotTheDurationOfAPass(t *testing.T) {
+	is := is.New(t)
+	var c passTimer
+	now := time.Unix(0, 0)
+	update := func(pass int64, running int) {
+		now = now.Add(100 * time.Millisecond)
+		c.update([]mapswitch.RankState{{Known: true, Epoch: 1, Pass: pass}}, running, now)
+	}
+	for range 20 {
+		update(7, 0)
+	}
+	update(8, 1) // the first request after two seconds
+	is.Equal(c.mean(), time.Duration(0))
+	for pass := range int64(8) {
+		update(10+2*pass, 1)
+	}
+	is.Equal(c.mean(), 50*time.Millisecond)
+	update(25, 0)
+	is.Equal(c.mean(), time.Duration(0)) // what it was with work does not hold without
+}
