Leave groups without usable ranks out of limits and pass times

Cause: where each zone has a group of its own, a service has groups that get no work while their zone is out. Their leaders go on to report. A gateway refused requests that were too long for the slowest group, which was the idle one, and added the permits of the idle group to those of the others, which then ran more than their passes bear.

Change: a group of whose ranks none may get work counts neither for permits nor for pass times.

--- a/pkg/gateway/fleet.go
+++ b/pkg/gateway/fleet.go
@@ -184,6 +184,22 @@
 	}
 }
 
+// isAnyUsable reports whether work may go to some of the upstreams at addresses, and always for none.
+func (f *Fleet) isAnyUsable(loads map[string]int, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	listed := false
+	for _, e := range f.upstreams.Entries() {
+		if _, ok := loads[e.Address]; ok {
+			listed = true
+			if !e.Leaving && !f.isZoneOut(e.Zone, now) {
+				return true
+			}
+		}
+	}
+	return !listed
+}
+
 // SetStalled marks the upstreams of a stalled group, by address, as a last resort until the given
 // time: another group of the service may be running.
 func (f *Fleet) SetStalled(loads map[string]int, until time.Time) {
--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -28,6 +28,8 @@
 	fencingToken int64
 	limit        int
 	reportedAt   time.Time
+	// unusable is set if no work may go to the ranks of the group, as when their zone is taken out.
+	unusable bool
 	// passTime is the time of a pass, and tokensPerPass what a request gains in it.
 	passTime      time.Duration
 	tokensPerPass int
@@ -40,9 +42,9 @@
 	resumesIn time.Duration
 }
 
-// isFresh reports whether the leader of a running group reported within limitTTL.
+// isFresh reports whether the leader of a running group that may get work reported within limitTTL.
 func (l groupLimit) isFresh() bool {
-	return !l.reportedAt.IsZero() && time.Since(l.reportedAt) < limitTTL
+	return !l.unusable && !l.reportedAt.IsZero() && time.Since(l.reportedAt) < limitTTL
 }
 
 // applyLimit applies a report of a group's leader and returns this gateway's demand: its running
@@ -80,7 +82,7 @@
 	}
 	g.fleet.SetLoads(limit.Loads, limit.Slowdowns, now)
 	return groupLimit{
-		fencingToken: limit.FencingToken, limit: limit.Share, reportedAt: now, tokensPerPass: limit.TokensPerPass,
+		fencingToken: limit.FencingToken, limit: limit.Share, reportedAt: now, unusable: !g.fleet.isAnyUsable(limit.Loads, now), tokensPerPass: limit.TokensPerPass,
 		passTime: milliseconds(limit.PassMillis), emptyPassTime: milliseconds(limit.EmptyPassMillis),
 	}
 }
--- a/pkg/gateway/overload_test.go
+++ b/pkg/gateway/overload_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/inventory"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/permit"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/roster"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/route"
@@ -211,6 +212,36 @@
 	is.True(!closed)
 }
 
+// evacuate: a group whose zone is taken out made few passes, and its leader reported a pass time of seconds. Requests were
+// rejected as too slow for it although they went to the other groups, and its share of permits went to those as well.
+func TestGroupWithoutUsableRanksDoesNotCount(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(t, 2)
+	b.configure("1")
+	g := b.gateway
+	out := b.workers[1]
+	b.store.Put(platform.KindUpstreams, out.ID, out.UpstreamSpec("plain", "other"))
+	zoneOf := func(id string) (zone string) {
+		g.fleet.Update(func(v *inventory.Inventory, _ func(string) time.Duration) { zone = v.Entries()[id].Zone })
+		return zone
+	}
+	waitFor(t, "the new zone", func() bool { return zoneOf(out.ID) == "other" })
+	report := func() int {
+		g.applyLimit(roster.Limit{Service: "plain", Group: "a", FencingToken: 1, Share: 5, PassMillis: 60, TokensPerPass: 4, Loads: map[string]int{b.workers[0].Address(): 3}})
+		g.applyLimit(roster.Limit{Service: "plain", Group: "b", FencingToken: 1, Share: 7, PassMillis: 600, TokensPerPass: 4, Loads: map[string]int{out.Address(): 0}})
+		g.permits.mu.Lock()
+		defer g.permits.mu.Unlock()
+		return g.permits.gates["plain"].Limit()
+	}
+	is.Equal(report(), 12)
+	is.True(g.requiredResponseTime("plain", 100) > 8*time.Second)
+	g.fleet.SetZonesOut([]string{"other"})
+	is.Equal(report(), 5)
+	is.True(g.requiredResponseTime("plain", 100) < 2*time.Second)
+	g.fleet.SetZonesOut(nil)
+	is.Equal(report(), 12)
+}
+
 // hot_key: all requests are for the same path and body. No upstream is bound to it, so all take part.
 func TestRequestsForOneKeyAreSpread(t *testing.T) {
 	is := is.New(t)
