Demand of each group of a service its part of the requests

Cause: a gateway told each group's leader all its requests to the service. Each leader divided its own limit by the demand for all groups: gateways with few requests got as many permits as they asked for from each group, two or three times what they could use, and the busy ones an equal share of the rest. Ruled out: too little room; gateways with spare permits had no wait at all.

Change: a gateway demands of each group that runs and may get work an equal part of its requests.

The new test (40 entries, limits of all groups a tenth above all demand) gave busy entries too little before.

--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -47,13 +47,13 @@
 	return !l.unusable && !l.reportedAt.IsZero() && time.Since(l.reportedAt) < limitTTL
 }
 
-// applyLimit applies a report of a group's leader and returns this gateway's demand: its running
-// and waiting requests. Reports with an outdated fencing token and queries only return the demand.
+// applyLimit applies a report of a group's leader and returns this gateway's demand for the group: its
+// part of the running and waiting requests. Reports with an outdated fencing token and queries only return the demand.
 func (g *Gateway) applyLimit(limit roster.Limit) roster.LimitResponse {
 	running, waiting := g.permits.usage(limit.Service)
-	response := roster.LimitResponse{Demand: sharing.Demand{Running: running, Waiting: waiting}}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	response := roster.LimitResponse{Demand: sharing.DemandForOne(running, waiting, g.usableGroups(limit.Service))}
 	current := g.groupLimits[limit.Service][limit.Group]
 	if limit.FencingToken < current.fencingToken || limit.Share < 0 && !limit.Stalled {
 		return response
@@ -66,6 +66,17 @@
 	return response
 }
 
+// usableGroups returns the number of groups of a service that run and may get work. The caller holds g.mu.
+func (g *Gateway) usableGroups(service string) int {
+	n := 0
+	for _, current := range g.groupLimits[service] {
+		if !current.stalled && current.isFresh() {
+			n++
+		}
+	}
+	return n
+}
+
 // updatedLimit returns the state of a group after a report of its leader. The caller holds g.mu.
 func (g *Gateway) updatedLimit(limit roster.Limit, current groupLimit, now time.Time) groupLimit {
 	if limit.Stalled {
--- a/pkg/gateway/overload_test.go
+++ b/pkg/gateway/overload_test.go
@@ -13,6 +13,7 @@
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/permit"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/roster"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/route"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/sharing"
 	"github.com/coltsfootpitch/coltsfootpitch/platform"
 )
 
@@ -191,6 +192,13 @@
 	n, closed := limit()
 	is.Equal(n, 12) // fencing tokens of the groups are independent
 	is.True(!closed)
+	for range 3 {
+		_, _ = g.permits.requestPermit("plain", permit.Request{ID: strconv.Itoa(n), Organisation: "o", MaxWait: time.Second, MaxOnTimeWait: time.Second})
+		n++
+	}
+	response := g.applyLimit(roster.Limit{Service: "plain", Group: "b", FencingToken: 1, Share: -1})
+	is.Equal(response.Demand, sharing.Demand{Running: 2}) // the other half is demanded of the other group
+	n = 12
 	report("a", 9, -1, false)
 	n, _ = limit()
 	is.Equal(n, 12) // a report without a limit changes nothing
--- a/pkg/sharing/sharing.go
+++ b/pkg/sharing/sharing.go
@@ -85,6 +85,15 @@
 	Waiting int `json:"waiting"`
 }
 
+// DemandForOne returns the part of an entry's running and waiting requests that it demands of one of several groups of a
+// service. Each group divides a limit of its own: were all asked for the whole, entries with few requests would get more than
+// they use, and the others too little.
+func DemandForOne(running, waiting, groups int) Demand {
+	groups = max(groups, 1)
+	part := func(n int) int { return (n + groups - 1) / groups }
+	return Demand{Running: part(running), Waiting: part(running+waiting) - part(running)}
+}
+
 // Divide splits a limit among entries. Each gets what it demands up to an equal share. What is
 // left is split equally among those that demand more, and what exceeds all demands is split
 // among all entries, so that an idle entry may start some work at once.
--- a/pkg/sharing/sharing_test.go
+++ b/pkg/sharing/sharing_test.go
@@ -100,3 +100,35 @@
 	running, _ = l.settle(7*18*time.Millisecond, 500*time.Microsecond, 1000, 7)
 	is.True(running >= 60) // all responses are late, but all requests are served
 }
+
+// SHORT, evacuate: a service has several groups, and callers choose entries at random, so that some have three times the
+// requests of others. Each group divided its limit by the demand for all groups: entries with few requests got theirs from
+// each group, and the busy ones had to reject although all groups together had room.
+func TestBusyEntriesGetWhatAllGroupsTogetherAllow(t *testing.T) {
+	is := is.New(t)
+	for _, groups := range []int{1, 2, 3, 5} {
+		var running []int
+		total := 0
+		for i := range 40 {
+			running = append(running, 4+i%3*10)
+			total += running[i]
+		}
+		limit := total*11/10/groups + 40 // a tenth more than all demand, and what rounding takes
+		got := make([]int, len(running))
+		for range groups {
+			var demands []Demand
+			for _, n := range running {
+				demands = append(demands, DemandForOne(n/2, n-n/2, groups))
+			}
+			for i, share := range Divide(limit, demands) {
+				got[i] += share
+			}
+		}
+		for i, n := range running {
+			is.True(got[i] >= n)
+		}
+	}
+	is.Equal(DemandForOne(5, 2, 0), Demand{Running: 5, Waiting: 2})
+	is.Equal(DemandForOne(5, 2, 2), Demand{Running: 3, Waiting: 1})
+	is.Equal(DemandForOne(0, 1, 3), Demand{Running: 0, Waiting: 1})
+}
