Try a group that forms with one request at a time

Cause, four parts of one thing, a guess that was taken for knowledge: - A gateway without word of a leader suspends a service when a rank refuses. After 0.5 s it sent all waiting requests; all were refused, and those with two attempts were out of them. - Each refusal began the time that the group needs to form anew, and a request that could not wait for it was rejected. - The same for an estimate of a leader: a request that could wait for 0.5 s was rejected as the group was to be away for 0.6 s. - A request that was served did not count as word that the group ran, if the leader had last said otherwise.

Change: a suspended service stays closed and gets one request in 0.5 s; the first that is served opens it. The time to form counts from the first refusal. Waiting requests are rejected when they cannot wait for half of the estimate; new ones still by the whole.

Failed tries: a limit of one permit in place of a probe; each waiting request was then late by the estimate of its wait and rejected.

TestGroupThatIsFormingIsTriedWithOneCall served 0 of 8 before.

--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -5,6 +5,7 @@
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/roster"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/sharing"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/standstill"
 )
 
 const (
@@ -40,6 +41,8 @@
 	stalled   bool
 	stalledAt time.Time
 	resumesIn time.Duration
+	// suspendedSince is when a rank first refused work, for suspendedGroup. It is zero while the service is not suspended.
+	suspendedSince time.Time
 }
 
 // isFresh reports whether the leader of a running group that may get work reported within limitTTL.
@@ -61,6 +64,9 @@
 	if g.groupLimits[limit.Service] == nil {
 		g.groupLimits[limit.Service] = map[string]groupLimit{}
 	}
+	if !limit.Stalled {
+		delete(g.groupLimits[limit.Service], suspendedGroup)
+	}
 	g.groupLimits[limit.Service][limit.Group] = g.updatedLimit(limit, current, time.Now())
 	g.updateLimit(limit.Service)
 	return response
@@ -101,7 +107,8 @@
 func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
 // expireStalled treats a stalled group as running again once its leader has sent no report for
-// stalledTTL.
+// stalledTTL. A service that is suspended without a report of a leader stays closed and is tried with one request: were
+// all waiting requests sent to a group that still refuses them, each would lose an attempt.
 func (g *Gateway) expireStalled(service string, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -109,6 +116,12 @@
 		if !current.stalled || now.Sub(current.stalledAt) < stalledTTL {
 			continue
 		}
+		if !current.suspendedSince.IsZero() {
+			current.stalledAt = now
+			g.groupLimits[service][group] = current
+			g.permits.probe(service)
+			continue
+		}
 		g.log.Info("group-unheard", "service", service, "group", group, "silence", now.Sub(current.stalledAt).Round(time.Millisecond))
 		current.stalled = false
 		g.groupLimits[service][group] = current
@@ -136,8 +149,8 @@
 	return false
 }
 
-// suspendService stops all grants of a service whose ranks refuse work, until a leader reports or for
-// stalledTTL.
+// suspendService stops all grants of a service whose ranks refuse work, until a leader reports or a request is served;
+// one is tried in each stalledTTL.
 func (g *Gateway) suspendService(service string, now time.Time) {
 	s := g.table.Load().Service(service)
 	if s == nil || s.Engine == nil {
@@ -149,10 +162,34 @@
 	if g.groupLimits[service] == nil {
 		g.groupLimits[service] = map[string]groupLimit{}
 	}
-	if !g.groupLimits[service][suspendedGroup].stalled {
+	since := g.groupLimits[service][suspendedGroup].suspendedSince
+	if since.IsZero() {
+		since = now
 		g.log.Info("service-suspended", "service", service, "form_time", formTime)
 	}
-	g.groupLimits[service][suspendedGroup] = groupLimit{stalled: true, stalledAt: now, resumesIn: formTime}
+	g.groupLimits[service][suspendedGroup] = groupLimit{
+		stalled: true, stalledAt: now, resumesIn: standstill.ExpectedFormTime(formTime, now.Sub(since)), suspendedSince: since,
+	}
+	g.updateLimit(service)
+	time.AfterFunc(stalledTTL, func() { g.expireStalled(service, time.Now()) })
+}
+
+// resumeService ends the suspension of a service that has served a request.
+func (g *Gateway) resumeService(service string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.groupLimits[service][suspendedGroup].suspendedSince.IsZero() {
+		return
+	}
+	g.log.Info("service-resumed", "service", service)
+	delete(g.groupLimits[service], suspendedGroup)
+	if len(g.groupLimits[service]) == 1 {
+		for group, current := range g.groupLimits[service] {
+			// What its leader last said is older than the response.
+			current.stalled = false
+			g.groupLimits[service][group] = current
+		}
+	}
 	g.updateLimit(service)
 }
 
--- a/pkg/gateway/permits.go
+++ b/pkg/gateway/permits.go
@@ -51,7 +51,8 @@
 }
 
 // close stops all grants of a service that is expected to resume after resumesIn. It rejects the
-// waiting requests whose deadline is earlier.
+// waiting requests that cannot wait for half of that time. The others wait on, as the time is an estimate and the service
+// may resume earlier.
 func (p *permits) close(service string, resumesIn time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -62,7 +63,7 @@
 	}
 	g.Close(resumesIn)
 	for id, w := range p.waiters {
-		if w.service == service && w.deadline.Before(time.Now().Add(resumesIn)) {
+		if w.service == service && w.deadline.Before(time.Now().Add(resumesIn/2)) {
 			g.Abandon(id)
 			close(w.rejected)
 			delete(p.waiters, id)
@@ -70,6 +71,16 @@
 	}
 }
 
+// probe grants one request of a closed service, see permit.Gate.
+func (p *permits) probe(service string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if g := p.gates[service]; g != nil && g.Closed() {
+		p.grant(g.Probe(time.Now()))
+		p.reject(g.TakeOverdue())
+	}
+}
+
 func (p *permits) reject(ids []string) {
 	for _, id := range ids {
 		if w := p.waiters[id]; w != nil {
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -111,6 +111,7 @@
 		}
 		if !c.headSent {
 			c.sendHead(response, unknownLength)
+			c.gateway.resumeService(c.service)
 			c.timeToFirstEvent = time.Since(c.startedAt)
 			c.gateway.permits.recordFirstEventDelay(c.service, c.timeToFirstEvent-c.permitWait)
 			c.gateway.observe("first_event", c.timeToFirstEvent)
@@ -203,6 +204,9 @@
 // recordDelivered marks the response to the caller as complete, counts and logs it.
 func (c *call) recordDelivered(status int) {
 	c.completed = true
+	if status < http.StatusMultipleChoices {
+		c.gateway.resumeService(c.service)
+	}
 	c.gateway.count("answers_" + strconv.Itoa(status))
 	c.gateway.observe("answer", time.Since(c.startedAt))
 	c.logEnd(status, "answered")
--- a/pkg/gateway/retry_test.go
+++ b/pkg/gateway/retry_test.go
@@ -34,7 +34,7 @@
 func (b *testbed) configureGroup() {
 	b.t.Helper()
 	b.store.PutRaw(platform.KindConfiguration, platform.NameConfiguration, []byte(strings.Replace(string(configuration("1")),
-		`"max_connections":50`, `"max_connections":50,"engine":{"capacity":12,"stride":4,"step_ms":4.55,"sets":2,"experts":8}`, 1)))
+		`"max_connections":50`, `"max_connections":50,"engine":{"capacity":12,"stride":4,"step_ms":4.55,"sets":2,"experts":8,"form_ms":600}`, 1)))
 	b.waitUntil("the workers", func() bool { n, _ := b.gateway.fleet.UsableCapacity("plain"); return b.gateway.Ready() && n == 2 })
 }
 
@@ -66,6 +66,41 @@
 	is.Equal(b.requestCount(), 3)
 }
 
+// power_off_all: a group forms for longer than a suspension without a leader lasts. All waiting calls were sent to it
+// then, were refused, and had no attempt left when it ran; and each refusal counted the time to form anew, so that calls
+// that could have waited were rejected.
+func TestGroupThatIsFormingIsTriedWithOneCall(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(t, 2)
+	b.configureGroup()
+	b.setBehaviours(shed, shed)
+	const calls = 8
+	statuses := make(chan int, calls)
+	call := func() {
+		status, _, _, _ := b.call("/stream/a", "key-1", "")
+		statuses <- status
+	}
+	begin := time.Now()
+	for range calls - 1 {
+		go call()
+		time.Sleep(10 * time.Millisecond)
+	}
+	time.Sleep(time.Until(begin.Add(stalledTTL * 6 / 5)))
+	go call()
+	time.Sleep(time.Until(begin.Add(stalledTTL * 3 / 2)))
+	is.True(b.requestCount() <= 2) // the first one, and one when the suspension ended
+	for _, w := range b.workers {
+		w.SetHandler(w.Stream(3, 0))
+	}
+	served := 0
+	for range calls {
+		if <-statuses == http.StatusOK {
+			served++
+		}
+	}
+	is.True(served >= calls-1) // the call that was refused twice has no attempt left
+}
+
 // A rank that has as much work as it can run rejects more of it for that reason, and other ranks are
 // tried as usual.
 func TestFullRankDoesNotSuspendTheService(t *testing.T) {
--- a/pkg/permit/gate.go
+++ b/pkg/permit/gate.go
@@ -82,6 +82,8 @@
 	// closed is set while nothing is granted; resumesIn is the expected time until that ends.
 	closed    bool
 	resumesIn time.Duration
+	// probes is the number of requests that a closed gate still grants.
+	probes int
 	// nextReturn is the earliest time for which the next rejected caller is told to return.
 	nextReturn time.Time
 }
@@ -114,7 +116,7 @@
 // SetLimit, and removed by Abandon.
 func (g *Gate) Acquire(r Request, now time.Time) Decision {
 	if g.onTime.Len() == 0 && g.hasFreePermit(r.MaxOnTimeWait > 0) && (r.MaxOnTimeWait > 0 || g.late.Len() == 0) {
-		g.running++
+		g.takePermit()
 		return Decision{Outcome: Granted}
 	}
 	wait := g.expectedWait(r.MaxOnTimeWait > 0)
@@ -149,11 +151,19 @@
 
 // hasFreePermit reports whether an on-time request or, if onTime is false, a late one may start.
 func (g *Gate) hasFreePermit(onTime bool) bool {
+	if g.closed {
+		return g.probes > 0
+	}
 	permits := float64(g.limit)
 	if !onTime {
 		permits *= latePermitShare
 	}
-	return !g.closed && float64(g.running) < permits
+	return float64(g.running) < permits
+}
+
+func (g *Gate) takePermit() {
+	g.running++
+	g.probes = max(0, g.probes-1)
 }
 
 // expectedWait returns the expected wait of a request that is added to the queue of on-time or of
@@ -194,7 +204,7 @@
 // requests that are granted now.
 func (g *Gate) SetLimit(limit int, now time.Time) []string {
 	g.limit = limit
-	g.closed, g.resumesIn = false, 0
+	g.closed, g.resumesIn, g.probes = false, 0, 0
 	return g.grantQueued(now)
 }
 
@@ -204,6 +214,14 @@
 func (g *Gate) Close(resumesIn time.Duration) {
 	g.closed = true
 	g.resumesIn = resumesIn
+	g.probes = 0
+}
+
+// Probe grants one request of a closed gate, which shows whether the service has resumed, and returns the IDs of the
+// queued requests that are granted now. Without a queued request the next one is granted.
+func (g *Gate) Probe(now time.Time) []string {
+	g.probes = 1
+	return g.grantQueued(now)
 }
 
 // ResumesIn returns the expected time from Close until a closed gate opens.
@@ -220,7 +238,7 @@
 		if !ok {
 			break
 		}
-		g.running++
+		g.takePermit()
 		out = append(out, item.ID)
 	}
 	return out
--- a/pkg/permit/gate_test.go
+++ b/pkg/permit/gate_test.go
@@ -89,6 +89,25 @@
 	is.Equal(g.Acquire(request("new", "o", 0), testTime).Outcome, Granted)
 }
 
+// power_off_all: a group was known to be forming, and no leader told when it runs. One request at a time must find out; the
+// others wait and keep their attempts.
+func TestProbeGrantsOneRequestOfAClosedGate(t *testing.T) {
+	is := is.New(t)
+	g := NewGate(4, time.Second)
+	g.Close(300 * time.Millisecond)
+	for _, id := range []string{"a", "b"} {
+		is.Equal(g.Acquire(request(id, "o", time.Second), testTime).Outcome, Queued)
+	}
+	is.Equal(g.Probe(testTime), []string{"a"})
+	is.Equal(g.Acquire(request("c", "o", time.Second), testTime).Outcome, Queued)
+	is.Equal(len(g.Release(time.Second, testTime)), 0)
+	is.Equal(g.Probe(testTime), []string{"b"})
+	is.Equal(g.Probe(testTime), []string{"c"})
+	is.Equal(len(g.Probe(testTime)), 0)
+	is.Equal(g.Acquire(request("d", "o", time.Second), testTime).Outcome, Granted) // nothing was queued
+	is.Equal(g.Acquire(request("e", "o", time.Second), testTime).Outcome, Queued)
+}
+
 // power_off_all: when a group ran again, requests that had become late were rejected for the time that those ahead of them
 // would take, although there were free permits for all of them.
 func TestLateRequestsStartWhenThereAreFreePermits(t *testing.T) {
