Wait for a start at a cold upstream

Cause: all upstreams came back cold, and a gateway may start only some requests a second at each. One that had used up its starts for the moment had no candidate, or only the old IDs that the list still had.

Change: a request waits for the next start that it may make, as long as it may wait for a permit.

The new test got 503 for the second of five requests before.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -93,6 +93,12 @@
 func (c *call) chooseAdmitted(ctx context.Context) (Target, bool) {
 	for ctx.Err() == nil {
 		target, ok := c.gateway.fleet.Choose(c.service, c.triedUpstreams, time.Now())
+		if (!ok || target.Superseded) && c.waitForColdStart(ctx) {
+			if ok {
+				c.gateway.fleet.Unreserve(target.ID)
+			}
+			continue
+		}
 		if !ok {
 			return Target{}, false
 		}
@@ -106,6 +112,19 @@
 	return Target{}, false
 }
 
+// waitForColdStart waits until this gateway may start a request at a cold upstream. It reports false at once if there is none, or
+// none in time to be of use.
+func (c *call) waitForColdStart(ctx context.Context) bool {
+	now := time.Now()
+	wait := c.gateway.fleet.ColdStartWait(c.service, c.triedUpstreams, now)
+	if wait == 0 || now.Add(wait).Sub(c.startedAt) > c.maxWait() {
+		return false
+	}
+	c.gateway.count("cold_start_waits")
+	sleep(ctx, wait)
+	return true
+}
+
 // canAttemptAgain reports whether the route and the time left allow a further attempt after this
 // number of attempts that reached an upstream.
 func (c *call) canAttemptAgain(reached int) bool {
--- a/pkg/gateway/fleet.go
+++ b/pkg/gateway/fleet.go
@@ -243,6 +243,8 @@
 	// HasRoom is set if the work known at the upstream is below its capacity, so that a rejection
 	// has another reason.
 	HasRoom bool
+	// Superseded is set if another upstream has started at the address since, so that the attempt will be rejected.
+	Superseded bool
 }
 
 // Choose reserves a slot at the best upstream of a service, except those with an ID in tried. It
@@ -269,7 +271,7 @@
 	f.startRate(service).started++
 	return Target{
 		ID: e.ID, Address: e.Address, MaxConnections: f.connectionLimit(service), Incarnation: incarnationOf(e),
-		HasRoom: candidates[best].Running < candidates[best].Capacity,
+		HasRoom: candidates[best].Running < candidates[best].Capacity, Superseded: candidates[best].Superseded,
 	}, true
 }
 
--- a/pkg/gateway/retry_test.go
+++ b/pkg/gateway/retry_test.go
@@ -117,3 +117,32 @@
 	is.Equal(status, http.StatusOK)
 	is.Equal(b.requestCount(), 2)
 }
+
+// power_off_all: all upstreams of a service came back cold. A gateway that had used up its starts for the moment rejected a
+// request at once, or sent it to an ID that no longer existed, although it could start it some milliseconds later.
+func TestRequestsWaitForAStartAtAColdUpstream(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(t, 0)
+	const rate = 10
+	b.store.PutRaw(platform.KindConfiguration, platform.NameConfiguration, []byte(strings.Replace(string(configuration("1")),
+		`"max_connections":50`, `"max_connections":50,"warmup_s":60,"warmup_per_s":10`, 1)))
+	w := standin.NewWorker("new")
+	t.Cleanup(w.Close)
+	w.SetHandler(w.Stream(3, 0))
+	b.workers = append(b.workers, w)
+	for i, id := range []string{"old", "new"} {
+		spec := w.UpstreamSpec("plain", "z")
+		spec["born"], spec["warmup_left_ms"] = 1_000_000+i, 60_000
+		b.store.Put(platform.KindUpstreams, id, spec)
+	}
+	b.waitUntil("the workers", func() bool { n, _ := b.gateway.fleet.UsableCapacity("plain"); return b.gateway.Ready() && n == 2 })
+	begin := time.Now()
+	const calls = 5
+	for range calls {
+		status, _, _, err := b.call("/stream/a", "key-1", "")
+		is.NoErr(err)
+		is.Equal(status, http.StatusOK)
+	}
+	is.Equal(b.requestCount(), calls) // none was sent to the old ID, which the worker would have got too
+	is.True(time.Since(begin) >= (calls-2)*time.Second/rate)
+}
--- a/pkg/pick/pick.go
+++ b/pkg/pick/pick.go
@@ -164,6 +164,11 @@
 // Ready reports whether Take would succeed. It changes nothing.
 func (b *TokenBucket) Ready(rate float64, now time.Time) bool { return b.at(rate, now) >= 1 }
 
+// WaitAt returns the time until Take succeeds, at a rate in starts per second.
+func (b *TokenBucket) WaitAt(rate float64, now time.Time) time.Duration {
+	return time.Duration(max(0, 1-b.at(rate, now)) / rate * float64(time.Second))
+}
+
 // Wait returns the time from the last Take until there is a token, at a rate in starts per second.
 func (b *TokenBucket) Wait(rate float64) time.Duration {
 	return time.Duration(max(0, 1-b.tokens) / rate * float64(time.Second))
