Give the first limits of a new leader to many entries twice the time

Cause: as for its first polls, a new leader and the relays among the gateways open connections first.

Change: for a second, a leader of more than 16 gateways waits 300 ms for their responses. There is no test of its own: the calls go through the same tree as polls, whose test covers it.

--- a/pkg/steward/limits.go
+++ b/pkg/steward/limits.go
@@ -22,6 +22,8 @@
 	limitInterval = 100 * time.Millisecond
 	// limitTimeout limits the call to an entry.
 	limitTimeout = 150 * time.Millisecond
+	// firstLimitTimeout limits the calls of a new leader to many entries: connections have to be opened first.
+	firstLimitTimeout = 2 * limitTimeout
 	// defaultEventGap is the target pause between events of services whose routes set none.
 	defaultEventGap = 120 * time.Millisecond
 	// minRunningPerRank is the number of running requests per rank that is always allowed.
@@ -31,11 +33,13 @@
 // limitPublisher divides the concurrency limit of a group among the entries and sends each its
 // share.
 type limitPublisher struct {
-	steward       *Steward
-	group         string
-	fencingToken  int64
-	entries       []roster.Entry
-	limit         *sharing.Limit
+	steward      *Steward
+	group        string
+	fencingToken int64
+	entries      []roster.Entry
+	limit        *sharing.Limit
+	// startedAt is the time of the first update, and nextUpdate that of the next one.
+	startedAt     time.Time
 	nextUpdate    time.Time
 	passTime      time.Duration
 	tokensPerPass int
@@ -96,6 +100,9 @@
 	} else if now.Before(p.nextUpdate) {
 		return
 	}
+	if p.startedAt.IsZero() {
+		p.startedAt = now
+	}
 	p.nextUpdate = now.Add(limitInterval)
 	p.stall = stall
 	p.passTime = pass
@@ -166,8 +173,12 @@
 	for _, s := range shares {
 		p.sending[s.Name] = true
 	}
+	timeout := limitTimeout
+	if len(shares) > fanout.MaxDirect && time.Since(p.startedAt) < standstill.FirstContactTime {
+		timeout = firstLimitTimeout
+	}
 	go func() {
-		ctx, cancel := context.WithTimeout(ctx, limitTimeout)
+		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		demands := roster.SendLimit(ctx, p.steward.entryTree, fanout.MaxDirect, limit, shares, p.steward.callEntry)
 		p.mu.Lock()
