Fewer calls to the store by gateways that start together

A gateway that has just started knows no other one and watches the store itself, until it has heard of enough others, 0.5 s later; each registration of a worker woke all gateways. While the store was away, such gateways tried all three kinds five times a second, as only gateways of a known large fleet kept two kinds back.

Change: a gateway that knows no other one waits 0.5 s between its first lists and its first watch. All gateways keep the other kinds back until the store has answered for the first kind, or for 1.5 s.

--- a/pkg/gateway/storefeed.go
+++ b/pkg/gateway/storefeed.go
@@ -35,11 +35,18 @@
 	minWatchPause = 100 * time.Millisecond
 	// feedCheckInterval is the time between two looks whether a gateway has to watch the store.
 	feedCheckInterval = 100 * time.Millisecond
+	// answerCheckInterval is the time between two looks whether the store has answered again.
+	answerCheckInterval = 25 * time.Millisecond
 	// lostRetryDelay is the time between two calls of a gateway that is no relay to a store that does not
 	// respond, for the first kind; the other kinds are tried at once when the store has answered this gateway
 	// or a relay, and otherwise after otherKindsRetryDelay.
 	lostRetryDelay       = 1500 * time.Millisecond
 	otherKindsRetryDelay = 6 * time.Second
+	// watcherRetryDelay is the same for the other kinds of a gateway that watches the store whatever its peers do.
+	watcherRetryDelay = 1500 * time.Millisecond
+	// firstWatchDelay is the time from the first answer of the store to the first watch of a gateway that knows no other
+	// one. In it the gateway finds the others: most need no watch then.
+	firstWatchDelay = 500 * time.Millisecond
 )
 
 // storeFeed keeps a gateway up to date with the store, together with its peers. It is safe for concurrent use.
@@ -152,7 +159,7 @@
 			sleep(ctx, feedCheckInterval)
 			continue
 		}
-		_, before := k.cursor.Position()
+		position, before := k.cursor.Position()
 		if k.takeReadNow() {
 			wait = 0
 		}
@@ -164,9 +171,11 @@
 			f.onChange()
 		}
 		switch {
-		case !succeeded && !watches:
-			f.waitForAnswer(ctx, k)
-		case succeeded:
+		case !succeeded:
+			f.waitForAnswer(ctx, k, watches)
+		case position.Revision < 0 && f.isAlone():
+			sleep(ctx, firstWatchDelay)
+		default:
 			sleep(ctx, minWatchPause)
 		}
 	}
@@ -195,16 +204,29 @@
 	k.confirmedAt = at
 }
 
-// waitForAnswer waits until the store has answered this gateway or a relay, or until it is time to try again.
-func (f *storeFeed) waitForAnswer(ctx context.Context, k *kindFeed) {
+// isAlone reports whether this gateway knows no other one.
+func (f *storeFeed) isAlone() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.gateways <= 1
+}
+
+// waitForAnswer waits until the store has answered this gateway or a relay, or until it is time to try again. The first
+// kind of a gateway that watches the store is tried again at once.
+func (f *storeFeed) waitForAnswer(ctx context.Context, k *kindFeed, watches bool) {
 	first := f.kinds[0]
 	limit := otherKindsRetryDelay
-	if k == first {
+	switch {
+	case k == first && watches:
+		return
+	case k == first:
 		limit = lostRetryDelay
+	case watches:
+		limit = watcherRetryDelay
 	}
 	begun := time.Now()
 	for ctx.Err() == nil && time.Since(begun) < limit && !first.answeredSince(begun) && !k.answeredSince(begun) {
-		sleep(ctx, feedCheckInterval)
+		sleep(ctx, answerCheckInterval)
 	}
 }
 
--- a/pkg/gateway/storefeed_test.go
+++ b/pkg/gateway/storefeed_test.go
@@ -109,6 +109,39 @@
 	})
 }
 
+// power_off_all, platform_down: all gateways start at once and know no other one. Each watched the store until it did and was woken by
+// each registration, and while the store was away each tried three kinds five times a second.
+func TestStoreCallsOfGatewaysThatStartTogether(t *testing.T) {
+	const gateways, kinds = 40, 3
+	callsOfStart := func(t *testing.T, isAway bool) float64 {
+		store := newWorkerStore(10)
+		if isAway {
+			store.FailAll(503)
+		}
+		f := startMemoryFleetWithStore(gateways, false, store)
+		defer f.stopAll()
+		for i := range 30 {
+			putWorker(store, 10+i)
+			time.Sleep(100 * time.Millisecond)
+		}
+		if !isAway {
+			time.Sleep(changeTime)
+			is.New(t).True(f.seesWorkers(40))
+		}
+		calls := float64(f.storeCalls.Load()) / gateways
+		t.Logf("store away: %v, calls of a gateway: %.1f", isAway, calls)
+		return calls
+	}
+	synctest.Test(t, func(t *testing.T) {
+		const lists, watchesOfRelays = kinds, relayCount * kinds * 5.0 / gateways
+		is.New(t).True(callsOfStart(t, false) <= lists+kinds+2*watchesOfRelays) // a list of each kind and about one watch
+	})
+	synctest.Test(t, func(t *testing.T) {
+		const seconds, perSecond = 3, 6 // the retries of one kind, and some of the others
+		is.New(t).True(callsOfStart(t, true) <= seconds*perSecond)
+	})
+}
+
 // A store that was away must be followed again by all, also by those that learn of it from others.
 func TestGatewaysRecoverWithTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
