Stewards ask a store that is away three times a second

Without that token it also tried to take the next one.

Change: after a failure the next read comes after 150 to 450 ms, and only a steward that has read the token tries to lead.

--- a/pkg/steward/controlcost_test.go
+++ b/pkg/steward/controlcost_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
 	"slices"
 	"sync"
 	"testing"
@@ -20,6 +21,7 @@
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/standstill"
 	"github.com/coltsfootpitch/coltsfootpitch/platform"
+	"github.com/coltsfootpitch/coltsfootpitch/platform/standin"
 )
 
 const (
@@ -324,3 +326,33 @@
 	}
 	is.Equal(accepted, n-1)
 }
+
+// power_off_all, platform_down: all stewards start while the store is away. Each asked it ten times a second for the fencing token.
+func TestStewardsAskALostStoreSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newMemoryStewards(1)
+		s := f.stewards[0]
+		s.fence.loaded = false
+		store := &countingStore{Store: standin.NewMemoryStore()}
+		store.FailAll(503)
+		s.store.SetTransport(store)
+		ctx, cancel := context.WithTimeout(t.Context(), 6*time.Second)
+		defer cancel()
+		s.run(ctx)
+		t.Logf("%d calls in 6 s", store.calls)
+		is.True(store.calls >= 6 && store.calls <= 6*4)
+	})
+}
+
+// countingStore counts the calls to a store.
+type countingStore struct {
+	*standin.Store
+	calls int
+}
+
+// RoundTrip implements http.RoundTripper.
+func (c *countingStore) RoundTrip(r *http.Request) (*http.Response, error) {
+	c.calls++
+	return c.Store.RoundTrip(r)
+}
--- a/pkg/steward/steward.go
+++ b/pkg/steward/steward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -32,6 +33,9 @@
 	// over. Each further rank waits leaderTimeoutPerRank longer, so that only one does.
 	leaderTimeout        = 600 * time.Millisecond
 	leaderTimeoutPerRank = 150 * time.Millisecond
+	// fenceRetryDelay is the mean time between two reads of the fencing token while the store does not respond: all
+	// stewards may have started together.
+	fenceRetryDelay = 300 * time.Millisecond
 )
 
 // ownRank is the rank beside a steward.
@@ -60,6 +64,8 @@
 	fence   fenceState
 	members []Member
 	clients map[string]*peer.Client
+	// nextFenceRead is when the store is next asked for the fencing token after it has failed; only run uses it.
+	nextFenceRead time.Time
 	// prepared is the map that the own rank was last ordered to prepare.
 	prepared mapswitch.Target
 	// choices derives the choices of experts since the last observation.
@@ -238,7 +244,8 @@
 		if report.State.HeldPass != mapswitch.None {
 			s.endHold(ctx, report)
 		}
-		if s.sinceLeaderContact() > leaderTimeout+time.Duration(report.Index)*leaderTimeoutPerRank {
+		// Without the newest fencing token from the store, the next one cannot be had there either.
+		if s.isFenceLoaded() && s.sinceLeaderContact() > leaderTimeout+time.Duration(report.Index)*leaderTimeoutPerRank {
 			s.lead(ctx, report)
 		}
 	}
@@ -262,12 +269,13 @@
 
 // loadFence reads the newest fencing token from the store unless that was done already.
 func (s *Steward) loadFence(ctx context.Context, group string) {
-	if s.isFenceLoaded() {
+	if s.isFenceLoaded() || time.Now().Before(s.nextFenceRead) {
 		return
 	}
 	t, _, err := readTerm(ctx, s.store, group)
 	if err != nil {
 		s.log.Warn("fence-unknown", "error", err.Error())
+		s.nextFenceRead = time.Now().Add(fenceRetryDelay/2 + rand.N(fenceRetryDelay))
 		return
 	}
 	s.mu.Lock()
