Requests wait until a gateway knows the upstreams

Cause: a gateway serves as soon as it has the configuration; the list of upstreams comes with another call to the store or from a peer. Until then no upstream is known, which counted as none there is.

Change: until the store or a peer has told which upstreams there are, services are closed as those of a group that forms: requests wait for as long as is of use to them.

The new test got 503 before.

--- a/pkg/gateway/fleet.go
+++ b/pkg/gateway/fleet.go
@@ -27,7 +27,9 @@
 
 	mu        sync.Mutex
 	upstreams *inventory.Inventory
-	zonesOut  map[string]bool
+	// upstreamsListed is set once the store has listed the upstreams.
+	upstreamsListed bool
+	zonesOut        map[string]bool
 	// zonesListed is set once the store has listed the zones that are out.
 	zonesListed bool
 	// zonesKeptOut are the zones that were out before the store was rewound, until rewoundUntil.
@@ -147,6 +149,21 @@
 	}
 }
 
+// ReplaceUpstreams replaces the list of upstreams by that of the store.
+func (f *Fleet) ReplaceUpstreams(list []inventory.Upstream) {
+	f.mu.Lock()
+	f.upstreamsListed = true
+	f.mu.Unlock()
+	f.Update(func(v *inventory.Inventory, warmup func(string) time.Duration) { v.Replace(list, warmup, time.Now()) })
+}
+
+// KnowsUpstreams reports whether the store or a peer has told which upstreams there are.
+func (f *Fleet) KnowsUpstreams() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.upstreamsListed || len(f.upstreams.Entries()) > 0
+}
+
 // Update calls change with the list of upstreams while it holds the fleet's lock.
 func (f *Fleet) Update(change func(list *inventory.Inventory, warmup func(service string) time.Duration)) {
 	f.mu.Lock()
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -101,9 +101,7 @@
 		}
 		list = append(list, u)
 	}
-	f.gateway.fleet.Update(func(v *inventory.Inventory, warmup func(string) time.Duration) {
-		v.Replace(list, warmup, time.Now())
-	})
+	f.gateway.fleet.ReplaceUpstreams(list)
 	f.gateway.RefreshLimits()
 	f.gateway.log.Info("upstreams-listed", "count", len(list))
 }
--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -21,6 +21,8 @@
 	// limitTTL is how long the limit given by a group's leader is valid without a new report; after
 	// a change of leader the next one reports within about a second.
 	limitTTL = 3 * time.Second
+	// listReadTime is the expected time until a gateway that has just started knows the upstreams.
+	listReadTime = 25 * time.Millisecond
 )
 
 // groupLimit is the newest report of a group's leader: this gateway's share of the group's limit on
@@ -195,8 +197,12 @@
 
 // updateLimit sets the permits of a service to the sum of the limits given by the leaders of its
 // groups, or without such reports to this gateway's share of the slots plus headroom. Nothing
-// starts while all groups are stalled. The caller holds g.mu.
+// starts while all groups are stalled, and before the upstreams are known. The caller holds g.mu.
 func (g *Gateway) updateLimit(service string) {
+	if !g.fleet.KnowsUpstreams() {
+		g.permits.close(service, listReadTime)
+		return
+	}
 	total, hasReport, isStalled, resumesIn := 0, false, false, time.Duration(0)
 	for _, current := range g.groupLimits[service] {
 		switch {
--- a/pkg/gateway/overload_test.go
+++ b/pkg/gateway/overload_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/inventory"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/permit"
@@ -15,6 +19,7 @@
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/route"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/sharing"
 	"github.com/coltsfootpitch/coltsfootpitch/platform"
+	"github.com/coltsfootpitch/coltsfootpitch/platform/standin"
 )
 
 func waitFor(t *testing.T, description string, condition func() bool) {
@@ -250,6 +255,30 @@
 	is.Equal(report(), 12)
 }
 
+// power_off_all, roll_term: a gateway had read the configuration and not yet the list of upstreams, or the store was away
+// when it started. It rejected requests for want of an upstream, which could have waited for the list.
+func TestRequestsWaitForTheListOfUpstreams(t *testing.T) {
+	is := is.New(t)
+	n := platform.Settings{Name: "edge-1", Zone: "z", RetryLimits: platform.RetryLimits{Ratio: 0.2, Allowance: 94, Window: 10 * time.Second}}
+	b := &testbed{t: t, gateway: New(n, NewFleet(n, hclog.NewNullLogger()), hclog.NewNullLogger(), metrics.NewRegistry())}
+	b.server = httptest.NewServer(b.gateway)
+	t.Cleanup(b.server.Close)
+	w := standin.NewWorker("i-a")
+	t.Cleanup(w.Close)
+	w.SetHandler(w.Stream(3, 0))
+	b.gateway.ApplyConfiguration(configuration("1"), "test")
+	served := make(chan int)
+	go func() {
+		status, _, _, _ := b.call("/stream/a", "key-1", "")
+		served <- status
+	}()
+	waitFor(t, "one waiting request", func() bool { _, n := b.gateway.permits.usage("plain"); return n == 1 })
+	spec, err := json.Marshal(w.UpstreamSpec("plain", "z"))
+	is.NoErr(err)
+	(&upstreamFollower{b.gateway}).Replace([]platform.Object{{Name: w.ID, Spec: spec}})
+	is.Equal(<-served, http.StatusOK)
+}
+
 // hot_key: all requests are for the same path and body. No upstream is bound to it, so all take part.
 func TestRequestsForOneKeyAreSpread(t *testing.T) {
 	is := is.New(t)
