Try a plain upstream again after a slow response

An upstream whose response time is above the mean is chosen only while the others are busy. One slow response, as after a change of its limit, and an idle service sends it next to nothing that could show that it is fast.

Change: a slow response counts for less as time passes (3 s), in what an upstream is compared by and in its average; below 5 in 100 an upstream does not count as slow.

--- a/pkg/gateway/fleet.go
+++ b/pkg/gateway/fleet.go
@@ -63,8 +63,9 @@
 	// failureRate is the moving average of the fraction of failed attempts, as of failureRateAt.
 	failureRate   float64
 	failureRateAt time.Time
-	// responseTime is the moving average of the duration of successful attempts.
-	responseTime time.Duration
+	// responseTime is the moving average of the duration of successful attempts, of which the last ended at responseTimeAt.
+	responseTime   time.Duration
+	responseTimeAt time.Time
 	// suspendedUntil is the time until which the upstream is chosen only if there is no other, and
 	// consecutiveFailures the number of failed connections since the last success.
 	suspendedUntil      time.Time
@@ -85,6 +86,10 @@
 	// failureDecayTime is the time in which a failure loses two thirds of its weight. Without the
 	// decay an upstream that is no longer chosen could not show that it has recovered.
 	failureDecayTime = 1500 * time.Millisecond
+	// slowdownDecayTime is the same for slow responses.
+	slowdownDecayTime = 3 * time.Second
+	// leastSlowdown is the slowdown from which an upstream counts as slower than the others.
+	leastSlowdown = 1.05
 	// minSuspension and maxSuspension limit how long an upstream is avoided after its connection
 	// failed; the time doubles with each consecutive failure.
 	minSuspension = 250 * time.Millisecond
@@ -244,6 +249,27 @@
 	return s.failureRate * math.Exp(-float64(now.Sub(s.failureRateAt))/float64(failureDecayTime))
 }
 
+// recordResponseTime adds a response to the moving average. The longer ago the last one was, the less counts what was before.
+func (s *observation) recordResponseTime(took time.Duration, now time.Time) {
+	if s.responseTime == 0 {
+		s.responseTime = took
+	}
+	weight := 1 - (1-sampleWeight)*math.Exp(-float64(now.Sub(s.responseTimeAt))/float64(slowdownDecayTime))
+	s.responseTime += time.Duration(weight * float64(took-s.responseTime))
+	s.responseTimeAt = now
+}
+
+// decayedSlowdown returns the response time relative to the mean of all upstreams. A slow response counts for less as time
+// passes: an upstream that is avoided for it gets no requests that could show that it is fast.
+func (s *observation) decayedSlowdown(mean time.Duration, now time.Time) float64 {
+	slowdown := float64(s.responseTime) / float64(mean)
+	slowdown = 1 + max(0, slowdown-1)*math.Exp(-float64(now.Sub(s.responseTimeAt))/float64(slowdownDecayTime))
+	if slowdown < leastSlowdown {
+		return 1
+	}
+	return slowdown
+}
+
 // recordResult adds an attempt to the failure rate: 1 for a failure and 0 for a success.
 func (s *observation) recordResult(failure float64, now time.Time) {
 	s.failureRate = s.decayedFailureRate(now) + sampleWeight*(failure-s.decayedFailureRate(now))
@@ -368,7 +394,7 @@
 			c.Slowdown = s.slowdown
 		}
 		if meanTime > 0 {
-			c.Slowdown = float64(s.responseTime) / float64(meanTime)
+			c.Slowdown = s.decayedSlowdown(meanTime, now)
 		}
 		candidates = append(candidates, c)
 		ids = append(ids, id)
@@ -435,10 +461,7 @@
 		s.recordResult(0, now)
 		s.consecutiveFailures = 0
 		s.suspendedUntil = time.Time{}
-		if s.responseTime == 0 {
-			s.responseTime = took
-		}
-		s.responseTime += time.Duration(sampleWeight * float64(took-s.responseTime))
+		s.recordResponseTime(took, now)
 	case ResultFailed:
 		s.recordResult(1, now)
 	case ResultUnreachable:
--- a/pkg/gateway/fleet_test.go
+++ b/pkg/gateway/fleet_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -166,3 +167,36 @@
 	f.SetStalled(map[string]int{"a:1": 0}, now.Add(stalledTTL))
 	is.Equal(chooseCounts(f, 20, now), map[string]int{"new": 20})
 }
+
+// A plain upstream had one slow response and was not chosen again while the others were idle, so that nothing showed that it
+// was fast. A limit that it had named was not used up for that.
+func TestUpstreamIsTriedAgainAfterASlowResponse(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	f := newFleet(now, "a", "b", "c")
+	random := rand.New(rand.NewPCG(1, 2))
+	serve := func(slow string) string {
+		target, ok := f.Choose("s", nil, now)
+		is.True(ok)
+		took := time.Millisecond + time.Duration(random.Int64N(int64(time.Millisecond)))
+		if target.ID == slow {
+			took = 200 * time.Millisecond
+		}
+		f.Release(target.ID, ResultSucceeded, took, now)
+		now = now.Add(25 * time.Millisecond)
+		return target.ID
+	}
+	for serve("a") != "a" {
+	}
+	counts := map[string]int{}
+	for range 40 * 3 {
+		counts[serve("")]++
+	}
+	is.True(counts["a"] <= 5) // it is avoided at first
+	clear(counts)
+	now = now.Add(5 * slowdownDecayTime)
+	for range 40 * 10 {
+		counts[serve("")]++
+	}
+	is.True(counts["a"] >= 2) // further responses show that it is fast
+}
