Open a suspended service when its probe is not refused

If the request that finds out got none, as from a worker that hangs, or its caller left, the others waited for the next one, 0.5 s later, and so on.

Change: if a request that was granted is not refused within 0.5 s, the service opens.

The new test found it closed before.

--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -45,6 +45,8 @@
 	resumesIn time.Duration
 	// suspendedSince is when a rank first refused work, for suspendedGroup. It is zero while the service is not suspended.
 	suspendedSince time.Time
+	// isProbed is set if a request was granted since a rank last refused work.
+	isProbed bool
 }
 
 // isFresh reports whether the leader of a running group that may get work reported within limitTTL.
@@ -109,8 +111,9 @@
 func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
 // expireStalled treats a stalled group as running again once its leader has sent no report for
-// stalledTTL. A service that is suspended without a report of a leader stays closed and is tried with one request: were
-// all waiting requests sent to a group that still refuses them, each would lose an attempt.
+// stalledTTL. A service that is suspended without a report of a leader is tried with one request first, and opens if that is
+// not refused within stalledTTL either: were all waiting requests sent to a group that still refuses them, each would
+// lose an attempt.
 func (g *Gateway) expireStalled(service string, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -118,14 +121,14 @@
 		if !current.stalled || now.Sub(current.stalledAt) < stalledTTL {
 			continue
 		}
-		if !current.suspendedSince.IsZero() {
-			current.stalledAt = now
+		if !current.suspendedSince.IsZero() && !current.isProbed {
+			current.stalledAt, current.isProbed = now, true
 			g.groupLimits[service][group] = current
 			g.permits.probe(service)
 			continue
 		}
 		g.log.Info("group-unheard", "service", service, "group", group, "silence", now.Sub(current.stalledAt).Round(time.Millisecond))
-		current.stalled = false
+		current.stalled, current.suspendedSince = false, time.Time{}
 		g.groupLimits[service][group] = current
 		g.updateLimit(service)
 	}
--- a/pkg/gateway/retry_test.go
+++ b/pkg/gateway/retry_test.go
@@ -101,6 +101,38 @@
 	is.True(served >= calls-1) // the call that was refused twice has no attempt left
 }
 
+// srv_grey: a group runs again, and the one request that finds out gets no response. The others must not wait for further
+// ones.
+func TestSuspendedServiceOpensWithoutARefusal(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(t, 2)
+	b.configureGroup()
+	b.setBehaviours(shed, shed)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _, _, _ = b.call("/stream/a", "key-1", "")
+	}()
+	waitFor(t, "the refused call to wait", func() bool { _, n := b.gateway.permits.usage("plain"); return n == 1 })
+	tried := make(chan struct{}, 9)
+	for _, w := range b.workers {
+		w.SetHandler(func(_ http.ResponseWriter, r *http.Request) {
+			tried <- struct{}{}
+			<-r.Context().Done()
+		})
+	}
+	<-tried
+	closed := func() bool {
+		b.gateway.permits.mu.Lock()
+		defer b.gateway.permits.mu.Unlock()
+		return b.gateway.permits.gates["plain"].Closed()
+	}
+	is.True(closed())
+	b.gateway.expireStalled("plain", time.Now().Add(stalledTTL))
+	is.True(!closed())
+	<-done
+}
+
 // A rank that has as much work as it can run rejects more of it for that reason, and other ranks are
 // tried as usual.
 func TestFullRankDoesNotSuspendTheService(t *testing.T) {
