Test of request limits: workers take as long as for real work

Cause: the workers of the test answered in a millisecond, so that their response times differed by chance more than by anything else. One that seemed slower than the others got next to nothing while those were idle, and the check that its limit was used failed ("Try a plain upstream again after a slow response"). Nobody needs a limit of an idle service to be used up.

Change: they take 20 ms; and the check asks for three quarters of what the limit allows in place of half.

--- a/pkg/gateway/requestlimit_test.go
+++ b/pkg/gateway/requestlimit_test.go
@@ -140,6 +140,13 @@
 	is := is.New(t)
 	f := newLimitFleet(t, 5, 3)
 	limited := f.workers[0]
+	for _, w := range f.workers {
+		// With the time of real work, no worker seems faster than the others by chance, which would get it all requests.
+		w.SetHandler(func(rw http.ResponseWriter, r *http.Request) {
+			time.Sleep(20 * time.Millisecond)
+			w.Succeed(rw, r)
+		})
+	}
 	const limit, rate = 2.0, 40
 	limited.SetRequestLimit("2.0")
 	begin := time.Now()
@@ -156,7 +163,7 @@
 	used := arrivals(limited, begin.Add(contactTime))
 	t.Logf("at most %d in %v, %d in all, statuses %v", most, limitWindow, used, f.statuses)
 	is.True(most <= maxAllowed(limit))
-	is.True(float64(used) >= 0.5*limit*8)                              // what the limit allows is used
+	is.True(float64(used) >= 0.75*limit*8)                             // what the limit allows is used
 	is.Equal(f.statuses[http.StatusOK], sum(f.statuses)-f.statuses[0]) // the others serve the rest
 
 	limited.SetRequestLimit("")
