Print the trace of a panic that ended the tests of a package

The cause is not known, as the trace was lost.

Cause of the loss: a panic outside the goroutine of a test counts as output of the test that runs, which then neither passes nor fails; the gate prints the output of failed tests only.

Change: for a package that failed without a failed test, the gate prints the output of the tests that did not end.

New test: the trace was missing before.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 )
@@ -79,6 +80,8 @@
 	case r.Action == "pass" && r.Test != "":
 		g.passedTests++
 		delete(g.outputs, name)
+	case r.Action == "skip":
+		delete(g.outputs, name)
 	case r.Action == "fail" && r.Test != "":
 		g.failedTests[name] = true
 	case r.Action == "fail":
@@ -114,12 +117,24 @@
 		if !g.hasFailedTest(p) {
 			passed = false
 			fmt.Fprintln(out, "FAILURE of package:", p)
+			g.printUnfinished(p, out)
 		}
 	}
 	fmt.Fprintf(out, "%d passed, %d failed\n", g.passedTests, len(g.failedTests))
 	return passed && g.passedTests+len(g.failedTests) > 0
 }
 
+// printUnfinished prints the output of the tests of a package that have neither passed nor failed: a panic in another goroutine
+// ends the process, and its trace counts as output of the test that ran.
+func (g *Gate) printUnfinished(p string, out io.Writer) {
+	for _, name := range slices.Sorted(maps.Keys(g.outputs)) {
+		if strings.HasPrefix(name, p+".") && !g.failedTests[name] {
+			fmt.Fprintln(out, "did not end:", name)
+			fmt.Fprint(out, g.outputs[name].String())
+		}
+	}
+}
+
 // isKnownFailure reports whether a failed test is on the list, or has failed subtests that are
 // all known failures.
 func (g *Gate) isKnownFailure(name string) bool {
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -40,3 +40,24 @@
 		})
 	}
 }
+
+// A panic outside the goroutine of a test ended the tests of a package. The gate printed that the package had failed, and kept the
+// trace for itself.
+func TestOutputOfATestThatDidNotEndIsPrinted(t *testing.T) {
+	is := is.New(t)
+	g, err := New(strings.NewReader(""))
+	is.NoErr(err)
+	lines := []string{
+		`{"Action":"output","Package":"p","Test":"TestA","Output":"of the one that passed"}`,
+		`{"Action":"pass","Package":"p","Test":"TestA"}`,
+		`{"Action":"output","Package":"p","Test":"TestS","Output":"of the one that was skipped"}`,
+		`{"Action":"skip","Package":"p","Test":"TestS"}`,
+		`{"Action":"output","Package":"p","Test":"TestB","Output":"panic: trace"}`,
+		`{"Action":"fail","Package":"p"}`,
+	}
+	var out strings.Builder
+	is.NoErr(g.Read(strings.NewReader(strings.Join(lines, "\n")), &out))
+	is.True(!g.Report(&out))
+	is.True(strings.Contains(out.String(), "panic: trace"))
+	is.True(!strings.Contains(out.String(), "of the one"))
+}
