Log the pauses that upstreams ask for, count retries

One line and a count for each pause named, counts of retries granted and denied. No decision changes. A 429 is about one client and asks for no pause of the upstream.

Ruled out: reading an HTTP date, whose clock nobody shares; the platform's pages name seconds.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -249,11 +249,25 @@
 		"prompt_parts", c.request.PromptParts, "attempt_events", c.attemptEvents, "reason", reason, "took", time.Since(startedAt).Round(time.Millisecond))
 }
 
+// logPause counts and logs the pause that an upstream asks for.
+func (c *call) logPause(target Target, outcome platform.Outcome) {
+	if outcome.UnreadablePause != "" {
+		c.gateway.count("pauses_unreadable")
+		c.gateway.log.Warn("upstream-pause-unreadable", "request", c.request.ID, "upstream", target.ID, "text", outcome.UnreadablePause, "counted_as", outcome.Pause)
+	}
+	if outcome.Pause > 0 {
+		c.gateway.count("pauses_requested")
+		c.gateway.log.Info("upstream-requests-pause", "request", c.request.ID, "upstream", target.ID, "address", target.Address,
+			"status", outcome.Status, "pause", outcome.Pause, "attempts", c.attemptsSent)
+	}
+}
+
 // handleResponse classifies the response of an upstream and forwards it if it is final.
 func (c *call) handleResponse(response *exchange.Response, target Target, isLast bool, startedAt time.Time) (attemptOutcome, AttemptResult) {
 	outcome := platform.ReadOutcome(response.Response)
 	c.gateway.fleet.limits.recordResponse(target.Incarnation, outcome, startedAt)
 	c.framing = response.Framing()
+	c.logPause(target, outcome)
 	switch {
 	case outcome.NotRun:
 		c.logAttempt(target, "attempt-refused", http.StatusText(outcome.Status)+", at fault: "+outcome.DelayedBy, startedAt)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -135,8 +135,14 @@
 // withdrawRetry takes one retry to a service from its budget and reports whether there was one.
 func (g *Gateway) withdrawRetry(service string, now time.Time) bool {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.retryWindow(service).Withdraw(now)
+	granted := g.retryWindow(service).Withdraw(now)
+	g.mu.Unlock()
+	if !granted {
+		g.count("retries_denied")
+		return false
+	}
+	g.count("retries_granted")
+	return true
 }
 
 // recordRequest counts a caller's request to a service in its retry budget.
