Keep the pauses that upstreams ask for, in one place that decides on requests

An upstream that turned away was only worse than the others by its failures; where all did, each got its full share. The class: a reason not to send that no way of sending asks about. Each reason had a place of its own (list, zones, limits, cold starts, suspensions), and each place that chose or waited had its own selection of them.

Change: pkg/availability weighs all reasons in one function and keeps pauses by incarnation, apart from the list. Fleet.check asks it for the choice, for waits, for Retry-After and just before a request is sent. An upstream returns with one request of a gateway at a time, and one more with each that it serves. A request that is turned away to pause goes on without using up an attempt of its route; the retry is taken from the budget when it is sent, not when a group refuses. When all upstreams pause, requests are rejected at once with the time of the first return.

--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -19,6 +19,8 @@
 	// ErrNotSent means that no byte of the request was sent, so that the upstream cannot have
 	// run it.
 	ErrNotSent = errors.New("exchange: nothing was sent")
+	// ErrNotAllowed means that the request was not to be sent any more when it could be.
+	ErrNotAllowed = errors.New("exchange: no longer allowed")
 	// ErrLost means that the connection was lost after the request was sent, so that the
 	// upstream may have run it.
 	ErrLost = errors.New("exchange: the connection was lost after the request was sent")
--- a/pkg/exchange/pool.go
+++ b/pkg/exchange/pool.go
@@ -54,16 +54,21 @@
 // Do sends req to address (host:port) and returns the response once its header has arrived.
 // isResponseTo reports whether a response belongs to req, by its status and header; it is called only
 // on a connection that carried another exchange before. maxConns limits the connections to the address; 0
-// means no limit. When ctx ends, the connection is closed.
+// means no limit. When ctx ends, the connection is closed. maySend is asked just before the request is sent, as opening
+// a connection takes time; nil allows it.
 //
-// The error is ErrNotSent if nothing was sent, ErrInvalidResponse if the received bytes are not
+// The error is ErrNotSent if nothing was sent, with ErrNotAllowed if maySend did not allow it, ErrInvalidResponse if the received bytes are not
 // a response to req, and otherwise ErrLost.
-func (p *Pool) Do(ctx context.Context, address string, req *http.Request, maxConns int, isResponseTo func(*http.Response) bool) (*Response, error) {
+func (p *Pool) Do(ctx context.Context, address string, req *http.Request, maxConns int, maySend func() bool, isResponseTo func(*http.Response) bool) (*Response, error) {
 	h := p.connsOf(address)
 	c, err := p.acquireConn(ctx, h, address, maxConns, isResponseTo)
 	if err != nil {
 		return nil, errors.Join(ErrNotSent, err)
 	}
+	if maySend != nil && !maySend() {
+		h.giveBack(c)
+		return nil, errors.Join(ErrNotSent, ErrNotAllowed)
+	}
 	a, err := c.exchange(ctx, req, h, isResponseTo)
 	if err != nil {
 		h.releaseSlot()
@@ -159,6 +164,16 @@
 	h.idle = append(h.idle, c)
 }
 
+// giveBack keeps a connection on which nothing was sent.
+func (h *hostConns) giveBack(c *conn) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if c.expiresAt.IsZero() {
+		c.expiresAt = time.Now().Add(defaultIdleTimeout)
+	}
+	h.idle = append(h.idle, c)
+}
+
 // CloseExpired closes the idle connections that have expired at now. It does not remove
 // addresses: their number is limited by the upstreams that were listed since the process
 // started.
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/availability"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/exchange"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/standstill"
 	"github.com/coltsfootpitch/coltsfootpitch/platform"
@@ -22,6 +23,9 @@
 	notSent
 	// notRun attempts were rejected by the upstream before they ran.
 	notRun
+	// turnedAway attempts were rejected before they ran by an upstream that asks for a pause. Other upstreams
+	// may still serve the call.
+	turnedAway
 	// failed attempts may have run and delivered no complete response.
 	failed
 	// groupRefused calls were rejected by a rank whose group is not known to run, and may wait for
@@ -35,6 +39,11 @@
 	maxSendRetries = 4
 	// minAttemptTime is the time that must be left for a further attempt to be of use.
 	minAttemptTime = 30 * time.Millisecond
+	// maxReturnWait is the longest wait for an upstream that returns from a pause. A request that waits longer is better
+	// told when to come back.
+	maxReturnWait = 100 * time.Millisecond
+	// reasonPaused is the reason for rejecting requests while all upstreams pause or return.
+	reasonPaused = "paused"
 	// overloadRetryAfter is the Retry-After of a request that upstreams rejected.
 	overloadRetryAfter = 400 * time.Millisecond
 )
@@ -44,7 +53,11 @@
 // runAttempts makes attempts until one is final, no further one is allowed or a group refuses the
 // call. It returns final or groupRefused.
 func (c *call) runAttempts(ctx context.Context) attemptOutcome {
-	reached := c.attemptsSent
+	reached := c.attemptsSent - c.timesTurnedAway
+	if c.attemptsSent > 0 && !c.gateway.withdrawRetry(c.service, time.Now()) {
+		c.respondFailure(ctx, "upstream-failed")
+		return final
+	}
 	for try := 0; ; try++ {
 		if c.isConvicted() {
 			c.respondFailure(ctx, reasonCrashes)
@@ -52,11 +65,7 @@
 		}
 		target, ok := c.chooseAdmitted(ctx)
 		if !ok {
-			reason := "no-upstream"
-			if c.gateway.fleet.LimitWait(c.service, time.Now()) > 0 {
-				reason = reasonLimited
-			}
-			c.respondFailure(ctx, reason)
+			c.respondFailure(ctx, c.noUpstreamReason())
 			return final
 		}
 		c.triedUpstreams = append(c.triedUpstreams, target.ID)
@@ -76,15 +85,19 @@
 			}
 			continue
 		}
-		reached++
-		if !c.allowRetry(outcome, reached) {
-			c.respondFailure(ctx, "upstream-failed")
-			return final
+		if outcome == turnedAway {
+			c.timesTurnedAway++
+		} else {
+			reached++
 		}
-		if outcome == notRun && !c.mayHaveRun && target.HasRoom && !c.gateway.isGroupKnownToRun(c.service) {
+		if outcome == notRun && !c.mayHaveRun && target.HasRoom && c.canAttemptAgain(reached) && !c.gateway.isGroupKnownToRun(c.service) {
 			c.triedUpstreams = nil
 			return groupRefused
 		}
+		if try >= maxSendRetries || !c.allowRetry(outcome, reached) {
+			c.respondFailure(ctx, "upstream-failed")
+			return final
+		}
 	}
 }
 
@@ -93,9 +106,9 @@
 func (c *call) chooseAdmitted(ctx context.Context) (Target, bool) {
 	for ctx.Err() == nil {
 		target, ok := c.gateway.fleet.Choose(c.service, c.triedUpstreams, time.Now())
-		if (!ok || target.Superseded) && c.waitForColdStart(ctx) {
+		if (!ok || target.Superseded) && c.waitForUpstream(ctx) {
 			if ok {
-				c.gateway.fleet.Unreserve(target.ID)
+				c.gateway.fleet.Unreserve(target, time.Now())
 			}
 			continue
 		}
@@ -107,22 +120,39 @@
 		}
 		c.gateway.count("limits_reached")
 		c.gateway.log.Info("upstream-limit-reached", "request", c.request.ID, "upstream", target.ID, "address", target.Address)
-		c.gateway.fleet.Unreserve(target.ID)
+		c.gateway.fleet.Unreserve(target, time.Now())
 	}
 	return Target{}, false
 }
 
-// waitForColdStart waits until this gateway may start a request at a cold upstream. It reports false at once if there is none, or
-// none in time to be of use.
-func (c *call) waitForColdStart(ctx context.Context) bool {
+// waitForUpstream waits until this gateway may start a request at a cold upstream or at one that returns from a pause. It
+// reports false at once if there is none, or none in time to be of use.
+func (c *call) waitForUpstream(ctx context.Context) bool {
 	now := time.Now()
-	wait := c.gateway.fleet.ColdStartWait(c.service, c.triedUpstreams, now)
-	if wait == 0 || now.Add(wait).Sub(c.startedAt) > c.maxWait() {
-		return false
+	outlook := c.gateway.fleet.Outlook(c.service, c.triedUpstreams, now)
+	waited := now.Sub(c.startedAt)
+	if wait := outlook.Wait(availability.Cold); wait > 0 && waited+wait <= c.maxWait() {
+		c.gateway.count("cold_start_waits")
+		sleep(ctx, wait)
+		return true
+	}
+	if wait := outlook.Wait(availability.Returning); wait > 0 && waited+wait <= min(c.maxWait(), maxReturnWait) {
+		c.gateway.count("return_waits")
+		sleep(ctx, wait)
+		return true
+	}
+	return false
+}
+
+// noUpstreamReason returns the reason for rejecting a request for which there is no upstream.
+func (c *call) noUpstreamReason() string {
+	switch reason, _ := c.gateway.fleet.Outlook(c.service, c.triedUpstreams, time.Now()).First(); reason {
+	case availability.Limited:
+		return reasonLimited
+	case availability.Paused, availability.Returning:
+		return reasonPaused
 	}
-	c.gateway.count("cold_start_waits")
-	sleep(ctx, wait)
-	return true
+	return "no-upstream"
 }
 
 // canAttemptAgain reports whether the route and the time left allow a further attempt after this
@@ -137,7 +167,7 @@
 	if !c.canAttemptAgain(reached) {
 		return false
 	}
-	if outcome != notRun && !c.route.IsRepeatable() {
+	if outcome == failed && !c.route.IsRepeatable() {
 		return false
 	}
 	return c.gateway.withdrawRetry(c.service, time.Now())
@@ -155,23 +185,29 @@
 			status = http.StatusGatewayTimeout
 		}
 	}
-	var retryAfter time.Duration
-	switch reason {
-	case reasonCrashes:
-		retryAfter = crashRetryAfter
-	case reasonLimited:
-		retryAfter = c.jitteredRetryAfter(max(overloadRetryAfter, c.gateway.fleet.LimitWait(c.service, time.Now())))
-	default:
-		retryAfter = c.jitteredRetryAfter(c.retryAfter())
+	retryAfter := crashRetryAfter
+	if reason != reasonCrashes {
+		retryAfter = c.retryAfter()
 	}
 	c.reject(status, retryAfter, reason)
 }
 
-// retryAfter returns the base of Retry-After for a request that was not served. Ranks that reject
-// it belong to a stalled group, which resumes when all of its ranks are back.
+// retryAfter returns the Retry-After of a request that was not served. While no upstream of the service may get a
+// request, it is at least the time until the first one may.
 func (c *call) retryAfter() time.Duration {
+	shortest := c.minRetryAfter()
+	if outlook := c.gateway.fleet.Outlook(c.service, nil, time.Now()); !outlook.IsServed {
+		_, wait := outlook.First()
+		shortest = max(shortest, wait)
+	}
+	return c.jitteredRetryAfter(shortest)
+}
+
+// minRetryAfter returns the shortest Retry-After of a request that was not served. Ranks that reject
+// it belong to a stalled group, which resumes when all of its ranks are back.
+func (c *call) minRetryAfter() time.Duration {
 	s := c.gateway.table.Load().Service(c.service)
-	if s != nil && s.Engine != nil && c.attemptsSent > 0 && !c.mayHaveRun {
+	if s != nil && s.Engine != nil && c.attemptsSent > c.timesTurnedAway && !c.mayHaveRun {
 		return standstill.RankReturnTime
 	}
 	return overloadRetryAfter
@@ -197,7 +233,14 @@
 	})
 	ctx, cancel := c.attemptContext(ctx, isLast)
 	defer cancel()
-	response, err := c.gateway.pool.Do(ctx, target.Address, req, target.MaxConnections, c.request.Matches)
+	c.trial = trial{fleet: c.gateway.fleet, target: target}
+	defer c.trial.end(false)
+	maySend := func() bool { return c.gateway.fleet.MaySend(target) }
+	response, err := c.gateway.pool.Do(ctx, target.Address, req, target.MaxConnections, maySend, c.request.Matches)
+	if errors.Is(err, exchange.ErrNotAllowed) {
+		c.logAttempt(target, "attempt-withdrawn", err.Error(), startedAt)
+		return notSent
+	}
 	if err != nil {
 		outcome := notSent
 		if !errors.Is(err, exchange.ErrNotSent) {
@@ -215,6 +258,7 @@
 	c.attemptsSent++
 	var outcome attemptOutcome
 	outcome, report = c.handleResponse(response, target, isLast, startedAt)
+	c.trial.end(report == ResultSucceeded)
 	return outcome
 }
 
@@ -249,14 +293,17 @@
 		"prompt_parts", c.request.PromptParts, "attempt_events", c.attemptEvents, "reason", reason, "took", time.Since(startedAt).Round(time.Millisecond))
 }
 
-// logPause counts and logs the pause that an upstream asks for.
-func (c *call) logPause(target Target, outcome platform.Outcome) {
+// recordPause records, counts and logs the pause that an upstream asks for.
+func (c *call) recordPause(target Target, outcome platform.Outcome) {
 	if outcome.UnreadablePause != "" {
 		c.gateway.count("pauses_unreadable")
 		c.gateway.log.Warn("upstream-pause-unreadable", "request", c.request.ID, "upstream", target.ID, "text", outcome.UnreadablePause, "counted_as", outcome.Pause)
 	}
-	if outcome.Pause > 0 {
-		c.gateway.count("pauses_requested")
+	if outcome.Pause == 0 {
+		return
+	}
+	c.gateway.count("pauses_requested")
+	if c.gateway.fleet.RecordPause(target, outcome.Pause, time.Now()) {
 		c.gateway.log.Info("upstream-requests-pause", "request", c.request.ID, "upstream", target.ID, "address", target.Address,
 			"status", outcome.Status, "pause", outcome.Pause, "attempts", c.attemptsSent)
 	}
@@ -267,15 +314,18 @@
 	outcome := platform.ReadOutcome(response.Response)
 	c.gateway.fleet.limits.recordResponse(target.Incarnation, outcome, startedAt)
 	c.framing = response.Framing()
-	c.logPause(target, outcome)
+	c.recordPause(target, outcome)
 	switch {
 	case outcome.NotRun:
 		c.logAttempt(target, "attempt-refused", http.StatusText(outcome.Status)+", at fault: "+outcome.DelayedBy, startedAt)
 		// The connection is not kept: the upstream may send the refusal once more, and a later attempt of this
 		// call would take it for its own response.
 		response.Close()
-		if outcome.Misdirected {
+		switch {
+		case outcome.Misdirected:
 			return notRun, ResultUnreachable
+		case outcome.Pause > 0:
+			return turnedAway, ResultNeutral
 		}
 		return notRun, ResultFailed
 	case outcome.Status < http.StatusMultipleChoices && !outcome.Signed:
--- a/pkg/gateway/coldstarts.go
+++ b/pkg/gateway/coldstarts.go
@@ -1,9 +1,9 @@
 package gateway
 
 import (
-	"slices"
 	"time"
 
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/inventory"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/pick"
 )
 
@@ -37,26 +37,7 @@
 	return rate / float64(starters)
 }
 
-// ColdStartWait returns the time until this gateway may start a request at a cold upstream of a service, except those with an
-// ID in tried. It is 0 if there is no such upstream.
-func (f *Fleet) ColdStartWait(service string, tried []string, now time.Time) time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	shortest := time.Duration(0)
-	if !f.limitsColdStarts(service) {
-		return shortest
-	}
-	for id, e := range f.upstreams.Entries() {
-		if e.Service != service || e.Leaving || !now.Before(e.ColdUntil) || f.isZoneOut(e.Zone, now) || slices.Contains(tried, id) {
-			continue
-		}
-		rate := f.coldStartRate(service, id)
-		if rate == 0 || f.upstreams.IsSuperseded(id) || f.limits.isDenied(incarnationOf(e), now) {
-			continue
-		}
-		if wait := max(f.observation(id).coldStarts.WaitAt(rate, now), time.Millisecond); shortest == 0 || wait < shortest {
-			shortest = wait
-		}
-	}
-	return shortest
+// isCold reports whether the starts at an upstream are limited now. The caller holds f.mu.
+func (f *Fleet) isCold(e *inventory.Entry, now time.Time) bool {
+	return now.Before(e.ColdUntil) && f.limitsColdStarts(e.Service)
 }
--- a/pkg/gateway/fleet.go
+++ b/pkg/gateway/fleet.go
@@ -10,6 +10,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/availability"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/inventory"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/pick"
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/requestlimit"
@@ -25,7 +26,9 @@
 	// limits has a lock of its own, which is taken after mu.
 	limits *requestLimits
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// pauses are those that upstreams asked this gateway for.
+	pauses    *availability.Pauses
 	upstreams *inventory.Inventory
 	// upstreamsListed is set once the store has listed the upstreams.
 	upstreamsListed bool
@@ -99,7 +102,7 @@
 // NewFleet returns a fleet without upstreams.
 func NewFleet(n platform.Settings, log hclog.Logger) *Fleet {
 	return &Fleet{
-		zone: n.Zone, self: n.Name, warmup: n.WarmupLimits, limits: newRequestLimits(n.Name, log), upstreams: inventory.New(),
+		zone: n.Zone, self: n.Name, warmup: n.WarmupLimits, limits: newRequestLimits(n.Name, log), upstreams: inventory.New(), pauses: availability.NewPauses(),
 		zonesOut: map[string]bool{}, zonesKeptOut: map[string]bool{}, services: map[string]*route.Service{},
 		observations: map[string]*observation{}, gatewayCount: 1, eventProgress: map[string]eventProgress{}, startRates: map[string]*startRate{},
 	}
@@ -206,22 +209,6 @@
 	}
 }
 
-// isAnyUsable reports whether work may go to some of the upstreams at addresses, and always for none.
-func (f *Fleet) isAnyUsable(loads map[string]int, now time.Time) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	listed := false
-	for _, e := range f.upstreams.Entries() {
-		if _, ok := loads[e.Address]; ok {
-			listed = true
-			if !e.Leaving && !f.isZoneOut(e.Zone, now) {
-				return true
-			}
-		}
-	}
-	return !listed
-}
-
 // SetStalled marks the upstreams of a stalled group, by address, as a last resort until the given
 // time: another group of the service may be running.
 func (f *Fleet) SetStalled(loads map[string]int, until time.Time) {
@@ -288,6 +275,8 @@
 	HasRoom bool
 	// Superseded is set if another upstream has started at the address since, so that the attempt will be rejected.
 	Superseded bool
+	// isTrial is set for one of the few requests that an upstream gets after a pause.
+	isTrial bool
 }
 
 // Choose reserves a slot at the best upstream of a service, except those with an ID in tried. It
@@ -314,6 +303,7 @@
 	f.startRate(service).started++
 	return Target{
 		ID: e.ID, Address: e.Address, MaxConnections: f.connectionLimit(service), Incarnation: incarnationOf(e),
+		isTrial: f.pauses.Start(incarnationOf(e), now),
 		HasRoom: candidates[best].Running < candidates[best].Capacity, Superseded: candidates[best].Superseded,
 	}, true
 }
@@ -328,35 +318,20 @@
 }
 
 // Unreserve frees a slot that Choose reserved for an attempt that was not made.
-func (f *Fleet) Unreserve(id string) {
+func (f *Fleet) Unreserve(t Target, now time.Time) {
+	f.EndTrial(t, false, now)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := f.observation(id)
+	s := f.observation(t.ID)
 	s.running--
 	s.startedSinceReport = max(0, s.startedSinceReport-1)
 }
 
-// LimitWait returns the time until the limit of an upstream of a service allows a request, 0 if none is
-// reached.
-func (f *Fleet) LimitWait(service string, now time.Time) time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	shortest := time.Duration(0)
-	for _, e := range f.upstreams.Entries() {
-		if e.Service != service || e.Leaving {
-			continue
-		}
-		if wait := f.limits.denialTime(incarnationOf(e), now); wait > 0 && (shortest == 0 || wait < shortest) {
-			shortest = wait
-		}
-	}
-	return shortest
-}
-
-// PruneLimits forgets the limits of upstreams that are gone.
-func (f *Fleet) PruneLimits(now time.Time) {
+// Prune forgets the limits of upstreams that are gone, and pauses that are over.
+func (f *Fleet) Prune(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.pauses.Prune(now)
 	listed := map[requestlimit.Upstream]bool{}
 	for _, e := range f.upstreams.Entries() {
 		listed[incarnationOf(e)] = true
@@ -374,21 +349,17 @@
 		meanTime = f.meanResponseTime(service)
 	}
 	for id, e := range f.upstreams.Entries() {
-		if e.Service != service || e.Leaving || f.isZoneOut(e.Zone, now) || slices.Contains(tried, id) {
+		if e.Service != service || slices.Contains(tried, id) {
 			continue
 		}
-		if f.limits.isDenied(incarnationOf(e), now) {
+		decision := f.check(e, now)
+		if decision.Excluded {
 			continue
 		}
 		s := f.observation(id)
-		cold := now.Before(e.ColdUntil) && f.limitsColdStarts(service)
-		if rate := f.coldStartRate(service, id); cold && (rate == 0 || !s.coldStarts.Ready(rate, now)) {
-			continue
-		}
 		c := pick.Candidate{
-			ID: id, Running: s.totalWork(f.gatewayCount, now), Capacity: e.Capacity, Failures: s.decayedFailureRate(now), Cold: cold,
-			Unconfirmed: e.Unconfirmed, Superseded: f.upstreams.IsSuperseded(id), OtherZone: e.Zone != f.zone,
-			Suspended: now.Before(s.suspendedUntil) || now.Before(s.stalledUntil) || f.isSilent(service, s, now) || now.Before(s.toldSilentUntil),
+			ID: id, Running: s.totalWork(f.gatewayCount, now), Capacity: e.Capacity, Failures: s.decayedFailureRate(now), Cold: f.isCold(e, now),
+			Superseded: decision.Reason == availability.Superseded, OtherZone: e.Zone != f.zone, LastResort: decision.IsLastResort(),
 		}
 		if now.Sub(s.reportedAt) <= loadTTL {
 			c.Slowdown = s.slowdown
@@ -417,16 +388,6 @@
 	return sum / time.Duration(n)
 }
 
-// connectionLimit returns this gateway's share of the connections to one upstream; 0 means no
-// limit.
-func (f *Fleet) connectionLimit(service string) int {
-	s := f.services[service]
-	if s == nil || s.MaxConnections <= 0 {
-		return 0
-	}
-	return max(2, s.MaxConnections/f.gatewayCount)
-}
-
 func (f *Fleet) observation(id string) *observation {
 	s := f.observations[id]
 	if s == nil {
@@ -470,26 +431,3 @@
 		s.consecutiveFailures++
 	}
 }
-
-// IsInService reports whether an upstream is listed and not leaving.
-func (f *Fleet) IsInService(id string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	e := f.upstreams.Entries()[id]
-	return e != nil && !e.Leaving
-}
-
-// UsableCapacity returns the number of upstreams of a service that accept work, and the total
-// number of their slots.
-func (f *Fleet) UsableCapacity(service string) (upstreams, slots int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := time.Now()
-	for _, e := range f.upstreams.Entries() {
-		if e.Service == service && !e.Leaving && !f.isZoneOut(e.Zone, now) {
-			upstreams++
-			slots += e.Capacity
-		}
-	}
-	return upstreams, slots
-}
--- a/pkg/gateway/module.go
+++ b/pkg/gateway/module.go
@@ -159,7 +159,7 @@
 		case now := <-tick.C:
 			p.gateway.pool.CloseExpired(now)
 			p.gateway.RefreshLimits()
-			p.gateway.fleet.PruneLimits(now)
+			p.gateway.fleet.Prune(now)
 			if t := p.gateway.table.Load(); t != nil && t.Limits().IdleTimeout > 0 {
 				p.idleConns.closeIdle(now, t.Limits().IdleTimeout)
 			}
--- a/pkg/gateway/pause_test.go
+++ b/pkg/gateway/pause_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -24,6 +25,8 @@
 	ledger  *standin.PauseLedger
 	// asksFor returns the pause in seconds that a worker asks for with its answer to a request, empty for none.
 	asksFor func(worker int) string
+	// work is how long a worker takes for a request that it serves.
+	work time.Duration
 
 	// mu guards the fields below.
 	mu      sync.Mutex
@@ -41,7 +44,7 @@
 // newPauseFleet starts gateways and workers that take as long as for real work.
 func newPauseFleet(t *testing.T, gateways, workers int, asksFor func(worker int) string) *pauseFleet {
 	t.Helper()
-	f := &pauseFleet{gatewayFleet: newGatewayFleet(t), ledger: standin.NewPauseLedger(), asksFor: asksFor}
+	f := &pauseFleet{gatewayFleet: newGatewayFleet(t), ledger: standin.NewPauseLedger(), asksFor: asksFor, work: 5 * time.Millisecond}
 	for i := range workers {
 		w := standin.NewWorker("i-" + strconv.Itoa(i))
 		t.Cleanup(w.Close)
@@ -63,7 +66,7 @@
 		w.Pause(text)(rw, r)
 		return
 	}
-	time.Sleep(5 * time.Millisecond)
+	time.Sleep(f.work)
 	if strings.HasPrefix(r.URL.Path, "/stream/") {
 		w.Stream(3, 0)(rw, r)
 		return
@@ -107,6 +110,16 @@
 	f.answers = append(f.answers, a)
 }
 
+// arrivalsAt returns the times at which requests reached a worker, in order.
+func (f *pauseFleet) arrivalsAt(worker int) []time.Time {
+	var times []time.Time
+	for _, r := range f.workers[worker].Requests() {
+		times = append(times, r.At)
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	return times
+}
+
 // statuses counts the answers to requests that were sent after a time.
 func (f *pauseFleet) statuses(after time.Time) map[int]int {
 	f.mu.Lock()
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -111,6 +111,7 @@
 		}
 		if !c.headSent {
 			c.sendHead(response, unknownLength)
+			c.trial.end(true)
 			c.gateway.resumeService(c.service)
 			c.timeToFirstEvent = time.Since(c.startedAt)
 			c.gateway.permits.recordFirstEventDelay(c.service, c.timeToFirstEvent-c.permitWait)
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -52,6 +52,10 @@
 	// triedUpstreams are the IDs of all upstreams chosen so far.
 	attemptsSent   int
 	triedUpstreams []string
+	// timesTurnedAway is the number of attempts that upstreams turned away to pause.
+	timesTurnedAway int
+	// trial is the newest attempt, if that was the trial of an upstream.
+	trial trial
 	// mayHaveRun is set when an attempt without a response may have run.
 	mayHaveRun bool
 	// headSent is set once the head of an upstream's response was sent to the caller, and completed once
--- a/pkg/pick/pick.go
+++ b/pkg/pick/pick.go
@@ -31,11 +31,8 @@
 	// Cold upstreams accept a limited rate of starts; see TokenBucket. The score does not depend
 	// on it.
 	Cold bool
-	// Unconfirmed is set for an upstream that may be gone.
-	Unconfirmed bool
-	// Suspended is set for an upstream that failed a moment ago. It is tried only when there is
-	// no other.
-	Suspended bool
+	// LastResort is set for an upstream that is tried only when there is no other.
+	LastResort bool
 	// Superseded is set for an upstream at whose address another one has started since. It is tried only when all
 	// others are superseded too.
 	Superseded bool
@@ -53,7 +50,7 @@
 	// lastResortPenalty exceeds the score of any load, so that an upstream with this penalty is
 	// chosen only when all candidates have it.
 	lastResortPenalty = 1000.0
-	// supersededPenalty exceeds the score of a suspended upstream.
+	// supersededPenalty exceeds the score of an upstream of last resort.
 	supersededPenalty = 10 * lastResortPenalty
 )
 
@@ -126,7 +123,7 @@
 	if c.OtherZone {
 		s += otherZoneWeight
 	}
-	if c.Suspended || c.Unconfirmed {
+	if c.LastResort {
 		s += lastResortPenalty
 	}
 	if c.Superseded {
--- a/pkg/pick/pick_test.go
+++ b/pkg/pick/pick_test.go
@@ -25,9 +25,9 @@
 		{"not the failing one", []Candidate{{Capacity: 6, Failures: 0.6}, {Running: 5, Capacity: 6}}, 1},
 		{"not the slow one", []Candidate{{Capacity: 6, Slowdown: 5}, {Running: 2, Capacity: 6, Slowdown: 1}}, 1},
 		{"the own zone", []Candidate{{Capacity: 6, OtherZone: true}, {Capacity: 6}}, 1},
-		{"an overloaded one before an unconfirmed one", []Candidate{{Capacity: 6, Unconfirmed: true}, {Running: 30, Capacity: 6}}, 1},
-		{"a suspended one before one whose address another has", []Candidate{{Capacity: 6, Superseded: true}, {Running: 30, Capacity: 6, Suspended: true, Unconfirmed: true}}, 1},
-		{"a suspended one when there is no other", []Candidate{{Capacity: 6, Suspended: true}}, 0},
+		{"an overloaded one before one of last resort", []Candidate{{Capacity: 6, LastResort: true}, {Running: 30, Capacity: 6}}, 1},
+		{"one of last resort before one whose address another has", []Candidate{{Capacity: 6, Superseded: true}, {Running: 30, Capacity: 6, LastResort: true}}, 1},
+		{"one of last resort when there is no other", []Candidate{{Capacity: 6, LastResort: true}}, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is.New(t).Equal(Best(c.list, alwaysHalf), c.want)
@@ -124,7 +124,7 @@
 	random := rand.New(rand.NewPCG(3, 4))
 	list := []Candidate{
 		{Running: 4, Capacity: 10}, {Running: 0, Capacity: 10}, {Running: 0, Capacity: 20}, {Running: 0, Capacity: 10, Slowdown: 2},
-		{Capacity: 10, Suspended: true},
+		{Capacity: 10, LastResort: true},
 	}
 	counts := make([]int, len(list))
 	const choices = 40_000
