Retry budget: count on when the number of gateways changes and after restarts

SetGatewayCount dropped the windows of all services, so that each change of the number allowed the whole share again; a process that starts had a full share although its former process may have spent it, and counted itself as the only gateway until it heard from others. After 10 s, each part of a divided fleet shared the allowance among its own gateways only. The class: a budget that all keep together, counted anew by one.

Change: windows keep what was spent, only the share changes. The share is divided among the gateways that may be spending: the known ones (as for limits of upstreams, requestlimit.View), and those that the store lists and that were not heard from yet. It is 0 while neither the store nor a gateway has told of any, and in the first window of a process; the ratio of its own requests is always allowed. Starts at cold upstreams are divided by the same number: a gateway that started with the store listed took itself for the only one.

Tests of single gateways now have gateways that have run for a while.

--- a/pkg/gateway/coldstarts.go
+++ b/pkg/gateway/coldstarts.go
@@ -28,8 +28,8 @@
 	}
 	rate := f.services[service].WarmupRate
 	starters := pick.ColdStarters(rate, f.warmup.Overage, f.warmup.Allowance)
-	if f.gatewayCount <= starters {
-		return rate / float64(f.gatewayCount)
+	if f.sharingCount <= starters {
+		return rate / float64(f.sharingCount)
 	}
 	if !pick.IsAmongFirst(f.self, f.gateways, id, starters) {
 		return 0
--- a/pkg/gateway/fleet.go
+++ b/pkg/gateway/fleet.go
@@ -40,9 +40,10 @@
 	rewoundUntil time.Time
 	services     map[string]*route.Service
 	observations map[string]*observation
-	// gatewayCount is the number of gateways that share the limits on upstreams. self is this one, and gateways are
-	// the names of those that run.
+	// gatewayCount is the number of gateways that run, and sharingCount that of those that may start requests at cold
+	// upstreams. self is this one, and gateways are the names of those that run.
 	gatewayCount int
+	sharingCount int
 	self         string
 	gateways     []string
 	// eventProgress has the newest event of all streams, by service.
@@ -104,7 +105,7 @@
 	return &Fleet{
 		zone: n.Zone, self: n.Name, warmup: n.WarmupLimits, limits: newRequestLimits(n.Name, log), upstreams: inventory.New(), pauses: availability.NewPauses(),
 		zonesOut: map[string]bool{}, zonesKeptOut: map[string]bool{}, services: map[string]*route.Service{},
-		observations: map[string]*observation{}, gatewayCount: 1, eventProgress: map[string]eventProgress{}, startRates: map[string]*startRate{},
+		observations: map[string]*observation{}, gatewayCount: 1, sharingCount: 1, eventProgress: map[string]eventProgress{}, startRates: map[string]*startRate{},
 	}
 }
 
@@ -115,11 +116,11 @@
 	f.services = s
 }
 
-// SetGatewayCount sets the number of gateways.
-func (f *Fleet) SetGatewayCount(n int) {
+// SetGatewayCount sets the numbers of gateways, see Gateway.SetGatewayCount.
+func (f *Fleet) SetGatewayCount(running, sharing int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.gatewayCount = max(n, 1)
+	f.gatewayCount, f.sharingCount = max(running, 1), max(sharing, 1)
 }
 
 // SetZoneOut marks an availability zone as taken out or as back in use.
--- a/pkg/gateway/fleet_test.go
+++ b/pkg/gateway/fleet_test.go
@@ -68,7 +68,7 @@
 	is := is.New(t)
 	now := time.Unix(100, 0)
 	f := newFleet(now, "a", "b")
-	f.SetGatewayCount(9)
+	f.SetGatewayCount(9, 9)
 	f.SetLoads(map[string]int{"a:1": 9}, nil, now)
 	is.True(chooseCounts(f, 8, now)["b"] <= 4)
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -47,7 +47,10 @@
 	// groupLimits are the newest reports of the leaders of groups, by service and group.
 	groupLimits  map[string]map[string]groupLimit
 	retryWindows map[string]*retry.Window
+	// gatewayCount is the number of gateways that run, and sharingCount that of those that may spend the
+	// retry budget, 0 while it is not known.
 	gatewayCount int
+	sharingCount int
 }
 
 // rawConfiguration is the newest configuration as received, kept for peers that request it.
@@ -60,7 +63,7 @@
 func New(n platform.Settings, f *Fleet, log hclog.Logger, m metrics.Registry) *Gateway {
 	return &Gateway{
 		node: n, log: log, metrics: m, fleet: f, permits: newPermits(), crashes: newCrashWatch(log), feed: newStoreFeed(), onSilence: func() {}, pool: exchange.NewPool(),
-		groupLimits: map[string]map[string]groupLimit{}, retryWindows: map[string]*retry.Window{}, gatewayCount: 1, startedAt: time.Now(),
+		groupLimits: map[string]map[string]groupLimit{}, retryWindows: map[string]*retry.Window{}, gatewayCount: 1, sharingCount: 1, startedAt: time.Now(),
 	}
 }
 
@@ -99,17 +102,17 @@
 // Ready reports whether the gateway has a configuration and is not stopping.
 func (g *Gateway) Ready() bool { return g.table.Load() != nil && !g.stopping.Load() }
 
-// SetGatewayCount sets the number of gateways among which shared limits are divided.
-func (g *Gateway) SetGatewayCount(n int) {
+// SetGatewayCount sets the number of gateways that run, and the number of those among which limits are divided that
+// all of them together must keep, 0 while that is not known.
+func (g *Gateway) SetGatewayCount(running, sharing int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if n == g.gatewayCount {
+	if running == g.gatewayCount && sharing == g.sharingCount {
 		return
 	}
-	g.log.Info("entries-changed", "from", g.gatewayCount, "to", n)
-	g.gatewayCount = n
-	g.retryWindows = map[string]*retry.Window{}
-	g.fleet.SetGatewayCount(n)
+	g.log.Info("entries-changed", "from", g.gatewayCount, "to", running, "sharing_from", g.sharingCount, "sharing_to", sharing)
+	g.gatewayCount, g.sharingCount = running, sharing
+	g.fleet.SetGatewayCount(running, sharing)
 	if t := g.table.Load(); t != nil {
 		for name := range t.Services() {
 			g.updateLimit(name)
@@ -135,7 +138,7 @@
 // withdrawRetry takes one retry to a service from its budget and reports whether there was one.
 func (g *Gateway) withdrawRetry(service string, now time.Time) bool {
 	g.mu.Lock()
-	granted := g.retryWindow(service).Withdraw(now)
+	granted := g.retryWindow(service, now).Withdraw(now)
 	g.mu.Unlock()
 	if !granted {
 		g.count("retries_denied")
@@ -149,16 +152,18 @@
 func (g *Gateway) recordRequest(service string, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.retryWindow(service).RecordRequest(now)
+	g.retryWindow(service, now).RecordRequest(now)
 }
 
-func (g *Gateway) retryWindow(service string) *retry.Window {
+// retryWindow returns the retry budget of a service, with this gateway's share as it is now. The caller holds g.mu.
+func (g *Gateway) retryWindow(service string, now time.Time) *retry.Window {
+	b := g.node.RetryLimits
 	w := g.retryWindows[service]
 	if w == nil {
-		b := g.node.RetryLimits
-		w = retry.NewWindow(b.Window, retryShare*b.Ratio, retryShare*b.Allowance/float64(g.gatewayCount))
+		w = retry.NewWindow(b.Window, retryShare*b.Ratio, 0)
 		g.retryWindows[service] = w
 	}
+	w.SetAllowance(retry.ShareOfAllowance(retryShare*b.Allowance, g.sharingCount, now.Sub(g.startedAt), b.Window))
 	return w
 }
 
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -52,7 +52,7 @@
 		RetryLimits: platform.RetryLimits{Ratio: 0.2, Allowance: 94, Window: 10 * time.Second},
 	}
 	m := metrics.NewRegistry()
-	b.gateway = New(n, NewFleet(n, hclog.NewNullLogger()), hclog.NewNullLogger(), m)
+	b.gateway = newRunningGateway(n, m)
 	b.gateway.followStore(t.Context(), platform.NewStore(n.StoreAddress, m, hclog.NewNullLogger()))
 	b.server = httptest.NewServer(b.gateway)
 	t.Cleanup(b.server.Close)
@@ -65,6 +65,13 @@
 	return b
 }
 
+// newRunningGateway returns a gateway that has run for longer than the window of its retry budget.
+func newRunningGateway(n platform.Settings, m metrics.Registry) *Gateway {
+	g := New(n, NewFleet(n, hclog.NewNullLogger()), hclog.NewNullLogger(), m)
+	g.startedAt = time.Now().Add(-time.Hour)
+	return g
+}
+
 // configure puts a configuration into force and waits until the gateway has it and all workers.
 func (b *testbed) configure(version string) {
 	b.t.Helper()
--- a/pkg/gateway/gatewayfleet_test.go
+++ b/pkg/gateway/gatewayfleet_test.go
@@ -72,7 +72,7 @@
 	}
 	m := metrics.NewRegistry()
 	store := platform.NewStore(n.StoreAddress, m, hclog.NewNullLogger())
-	g := New(n, NewFleet(n, hclog.NewNullLogger()), hclog.NewNullLogger(), m)
+	g := newRunningGateway(n, m)
 	p := NewPeers(n, g, peer.Credentials{}, hclog.NewNullLogger())
 	peerServer := peer.NewServer(peer.Credentials{})
 	p.register(peerServer)
--- a/pkg/gateway/limitpeers.go
+++ b/pkg/gateway/limitpeers.go
@@ -31,6 +31,11 @@
 func (p *Peers) limitView(now time.Time) requestlimit.View {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.view(now)
+}
+
+// view returns which gateways there are. The caller holds p.mu.
+func (p *Peers) view(now time.Time) requestlimit.View {
 	return requestlimit.View{Live: p.table.Live(), Recent: p.table.Recent(now), Known: p.table.Known(now)}
 }
 
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -194,12 +194,12 @@
 	suspects := p.table.Suspects(now)
 	targets = append(targets, p.introductions(now)...)
 	isAlone := p.isAlone()
-	recent := p.table.Recent(now)
+	recent, sharing := p.table.Recent(now), p.sharingCount(now)
 	running := p.table.Running()
 	live := p.table.Live()
 	self := p.table.Self().Name
 	p.mu.Unlock()
-	p.gateway.SetGatewayCount(recent)
+	p.gateway.SetGatewayCount(recent, sharing)
 	p.gateway.fleet.SetGateways(live)
 	p.gateway.feed.SetGateways(self, running)
 	p.clients.closeIdle(now)
@@ -216,6 +216,16 @@
 	}
 }
 
+// sharingCount returns the number of gateways that may spend what all of them share: those that are known, and those that the
+// store lists and that were not heard from yet. It is 0 while neither the store nor another gateway has told of any. The
+// caller holds p.mu.
+func (p *Peers) sharingCount(now time.Time) int {
+	if p.isAlone() && p.listedAt.IsZero() {
+		return 0
+	}
+	return p.view(now).Sharing() + len(p.listed)
+}
+
 // introductions returns the next gateways that are known from the store only. They may be reachable later only,
 // and what other gateways know of them may be cut off with them. The caller holds p.mu.
 func (p *Peers) introductions(now time.Time) []roster.Entry {
--- a/pkg/gateway/retrybudget_test.go
+++ b/pkg/gateway/retrybudget_test.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"github.com/matryer/is"
-
-	"github.com/coltsfootpitch/coltsfootpitch/platform"
 )
 
 // maxSpent ends the spending of a budget without end.
@@ -29,8 +27,7 @@
 	var out []*Gateway
 	for range count {
 		g := newTestbed(t, 0).gateway
-		g.startedAt = now.Add(-time.Hour)
-		g.SetGatewayCount(count)
+		g.SetGatewayCount(max(1, count), count)
 		out = append(out, g)
 	}
 	return out
@@ -44,14 +41,13 @@
 	spent := 0
 	for i := range 14 {
 		for _, g := range gateways {
-			g.SetGatewayCount(4 - i%2)
+			g.SetGatewayCount(4-i%2, 4-i%2)
 		}
 		spent += spend(gateways, now)
 		now = now.Add(700 * time.Millisecond)
 	}
-	allowance := platform.RetryLimits{Allowance: 94}.Allowance
 	t.Logf("%d retries in 9.8 s without a request", spent)
-	is.True(float64(spent) <= allowance)
+	is.True(spent <= 94)
 	is.True(spent >= 60) // the budget is used
 }
 
@@ -69,7 +65,7 @@
 	}
 	for _, count := range []int{0, 1, 2, 3, 4} { // they find each other
 		for _, g := range started {
-			g.SetGatewayCount(count)
+			g.SetGatewayCount(max(1, count), count)
 		}
 		spent += spend(started, now)
 		now = now.Add(time.Second)
--- a/pkg/retry/window.go
+++ b/pkg/retry/window.go
@@ -5,6 +5,17 @@
 // windowParts is the number of equal parts of a window. Counts expire one part at a time.
 const windowParts = 10
 
+// ShareOfAllowance returns the share of an entry in the retries that all entries may add to a ratio of the requests
+// within a window. It divides them among the entries that share them; with 0 entries their number is not known, and nothing may
+// be added. Age is the time since the start of the entry: in its first window it adds nothing, as its former process
+// may have spent the share.
+func ShareOfAllowance(allowance float64, entries int, age, window time.Duration) float64 {
+	if entries <= 0 || age < window {
+		return 0
+	}
+	return allowance / float64(entries)
+}
+
 // Window limits the retries of one service within a sliding window to a ratio of its
 // requests plus an allowance. It is not safe for concurrent use.
 type Window struct {
@@ -26,6 +37,9 @@
 	return &Window{ratio: ratio, allowance: allowance, partLength: max(length/windowParts, time.Millisecond)}
 }
 
+// SetAllowance changes this entry's share of the retries that all entries may add. What has been spent counts on.
+func (w *Window) SetAllowance(allowance float64) { w.allowance = allowance }
+
 // RecordRequest records a request of a caller.
 func (w *Window) RecordRequest(now time.Time) {
 	w.advance(now)
