Planned stop: take late requests only if they end before the process does

Late requests on connections that had been opened early were cut off unread by the shutdown of net/http.

Cause: a stopping gateway took every request that reached it, whatever time was left, and let the end of the process end what was in progress.

Change: from 2.8 s after the signal on, a request is taken only if its deadline is before the end of the process, and otherwise rejected as not run, before a permit and before it is sent. After the listener is closed, open connections are served until they end, and what is in progress 0.3 s before the end is answered: 502 if it may have run, 503 if not; a stream that has begun is broken off visibly.

Ruled out: requests on idle connections that cross their close; none was passed on.

Failed tries: Shutdown of net/http after the delay: it drops requests that it reads on connections that carried none before.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -63,6 +63,10 @@
 			c.respondFailure(ctx, reasonCrashes)
 			return final
 		}
+		if c.attemptsSent == 0 && !c.gateway.mayTake(c.deadline, time.Now()) { // it has waited
+			c.respondFailure(ctx, reasonStopping)
+			return final
+		}
 		target, ok := c.chooseAdmitted(ctx)
 		if !ok {
 			c.respondFailure(ctx, c.noUpstreamReason())
@@ -76,7 +80,7 @@
 		case outcome == final:
 			return final
 		case ctx.Err() != nil:
-			c.respondFailure(ctx, "time")
+			c.respondFailure(ctx, c.endReason())
 			return final
 		case outcome == notSent:
 			if try >= maxSendRetries {
@@ -173,6 +177,14 @@
 	return c.gateway.withdrawRetry(c.service, time.Now())
 }
 
+// endReason returns why the context of the call has ended.
+func (c *call) endReason() string {
+	if c.gateway.calls.Err() != nil {
+		return reasonStopping
+	}
+	return "time"
+}
+
 // respondFailure sends the final response when no attempt delivered one.
 func (c *call) respondFailure(ctx context.Context, reason string) {
 	if c.headSent {
@@ -185,8 +197,13 @@
 			status = http.StatusGatewayTimeout
 		}
 	}
-	retryAfter := crashRetryAfter
-	if reason != reasonCrashes {
+	var retryAfter time.Duration
+	switch reason {
+	case reasonCrashes:
+		retryAfter = crashRetryAfter
+	case reasonStopping:
+		retryAfter = stoppingRetryAfter
+	default:
 		retryAfter = c.retryAfter()
 	}
 	c.reject(status, retryAfter, reason)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,8 +31,11 @@
 	pool             *exchange.Pool
 	table            atomic.Pointer[route.Table]
 	rawConfiguration atomic.Pointer[rawConfiguration]
-	// stopping is set when the stop signal arrives.
-	stopping atomic.Bool
+	// plannedStop is set when the stop signal arrives.
+	plannedStop atomic.Pointer[plannedStop]
+	// calls ends when all calls in progress are to be ended, by endCalls.
+	calls    context.Context
+	endCalls context.CancelFunc
 	// requestCount is the number of requests since the start of the process; it numbers them.
 	requestCount atomic.Uint64
 	// storeLostAt is when the connection to the store was lost, in nanoseconds after startedAt;
@@ -61,7 +65,9 @@
 
 // New returns a gateway without a configuration.
 func New(n platform.Settings, f *Fleet, log hclog.Logger, m metrics.Registry) *Gateway {
+	calls, endCalls := context.WithCancel(context.Background())
 	return &Gateway{
+		calls: calls, endCalls: endCalls,
 		node: n, log: log, metrics: m, fleet: f, permits: newPermits(), crashes: newCrashWatch(log), feed: newStoreFeed(), onSilence: func() {}, pool: exchange.NewPool(),
 		groupLimits: map[string]map[string]groupLimit{}, retryWindows: map[string]*retry.Window{}, gatewayCount: 1, sharingCount: 1, startedAt: time.Now(),
 	}
@@ -100,7 +106,7 @@
 }
 
 // Ready reports whether the gateway has a configuration and is not stopping.
-func (g *Gateway) Ready() bool { return g.table.Load() != nil && !g.stopping.Load() }
+func (g *Gateway) Ready() bool { return g.table.Load() != nil && !g.isStopping() }
 
 // SetGatewayCount sets the number of gateways that run, and the number of those among which limits are divided that
 // all of them together must keep, 0 while that is not known.
--- a/pkg/gateway/idle_test.go
+++ b/pkg/gateway/idle_test.go
@@ -16,7 +16,7 @@
 // A gateway kept connections of callers that were idle longer than the configuration allows.
 func TestIdleConnectionIsClosed(t *testing.T) {
 	is := is.New(t)
-	idle := newIdleConns()
+	idle := newCallerConns()
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	server.Config.ConnState = idle.recordState
 	server.Start()
@@ -48,7 +48,7 @@
 // the request.
 func TestRequestThatWasReadIsNotCutByTheIdleTimeout(t *testing.T) {
 	is := is.New(t)
-	idle := newIdleConns()
+	idle := newCallerConns()
 	var cancelled atomic.Bool
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(w, r.Body)
@@ -98,7 +98,7 @@
 // under the request.
 func TestConnectionThatBecameActiveIsNotClosedAsIdle(t *testing.T) {
 	is := is.New(t)
-	idle := newIdleConns()
+	idle := newCallerConns()
 	var active atomic.Pointer[hookedConn]
 	closedActive := false
 	conns := [2]*hookedConn{{}, {}}
--- a/pkg/gateway/membership_test.go
+++ b/pkg/gateway/membership_test.go
@@ -48,7 +48,7 @@
 		defer f.stopAll()
 		time.Sleep(3 * time.Second)
 		p := f.network.peers[memoryName(7)]
-		p.gateway.stopping.Store(true)
+		p.gateway.beginStop(time.Now(), time.Now().Add(time.Minute))
 		p.tellNeighbours(t.Context())
 		time.Sleep(drainDelay / 4)
 		is.True(f.knownEverywhere(39))
--- a/pkg/gateway/module.go
+++ b/pkg/gateway/module.go
@@ -44,14 +44,15 @@
 	store           *platform.Store
 	peerServer      *peer.Server
 	callerServer    *http.Server
+	callerListener  net.Listener
 	internalServers []*http.Server
-	idleConns       *idleConns
+	callerConns     *callerConns
 	cancel          context.CancelFunc
 }
 
 func newProcess(n platform.Settings, log hclog.Logger, g *Gateway, p *Peers, s *platform.Store, server *peer.Server) *process {
 	p.register(server)
-	return &process{node: n, log: log, gateway: g, peers: p, store: s, peerServer: server, idleConns: newIdleConns()}
+	return &process{node: n, log: log, gateway: g, peers: p, store: s, peerServer: server, callerConns: newCallerConns()}
 }
 
 // headerTimeout limits the time to read a request's header; operators specify 3 s.
@@ -62,12 +63,14 @@
 	p.cancel = cancel
 	p.gateway.followStore(ctx, p.store)
 	p.callerServer = &http.Server{
-		Handler: p.gateway, ReadHeaderTimeout: headerTimeout, ConnState: p.idleConns.recordState,
+		Handler: p.gateway, ReadHeaderTimeout: headerTimeout, ConnState: p.callerConns.recordState,
 		ErrorLog: p.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
-	if err := startServer(p.callerServer, p.node.CallerAddress); err != nil {
+	listener, err := startServer(p.callerServer, p.node.CallerAddress)
+	if err != nil {
 		return err
 	}
+	p.callerListener = listener
 	if err := p.startInternalServers(); err != nil {
 		return err
 	}
@@ -96,7 +99,7 @@
 			continue
 		}
 		s := &http.Server{Handler: p.internalHandler(), ReadHeaderTimeout: headerTimeout}
-		if err := startServer(s, address); err != nil {
+		if _, err := startServer(s, address); err != nil {
 			return err
 		}
 		p.internalServers = append(p.internalServers, s)
@@ -133,17 +136,17 @@
 	return e
 }
 
-func startServer(s *http.Server, address string) error {
+func startServer(s *http.Server, address string) (net.Listener, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	go func() {
-		if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			panic(err)
 		}
 	}()
-	return nil
+	return l, nil
 }
 
 // maintenanceInterval is the time between two runs of the periodic maintenance.
@@ -161,29 +164,8 @@
 			p.gateway.RefreshLimits()
 			p.gateway.fleet.Prune(now)
 			if t := p.gateway.table.Load(); t != nil && t.Limits().IdleTimeout > 0 {
-				p.idleConns.closeIdle(now, t.Limits().IdleTimeout)
+				p.callerConns.closeIdle(now, t.Limits().IdleTimeout)
 			}
 		}
 	}
 }
-
-// drainDelay is how long a stopping gateway still accepts new connections: callers cache a
-// directory response for a second, and some of them three times as long.
-const drainDelay = 3 * time.Second
-
-// stop announces the stop to peers, serves for drainDelay, waits for the responses in progress and
-// closes the listeners.
-func (p *process) stop(ctx context.Context) error {
-	p.gateway.stopping.Store(true)
-	p.peers.tellNeighbours(ctx)
-	select {
-	case <-time.After(drainDelay):
-	case <-ctx.Done():
-	}
-	err := p.callerServer.Shutdown(ctx)
-	p.cancel()
-	for _, s := range p.internalServers {
-		err = errors.Join(err, s.Close())
-	}
-	return errors.Join(err, p.peerServer.Close())
-}
--- a/pkg/gateway/plannedstop_test.go
+++ b/pkg/gateway/plannedstop_test.go
@@ -31,6 +31,7 @@
 	t.Helper()
 	b := &stopBed{testbed: newTestbed(t, 1)}
 	b.workers[0].SetHandler(func(rw http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // net/http detects a closed connection only once the body was read
 		millis, _ := strconv.Atoi(r.URL.Path[strings.LastIndex(r.URL.Path, "/")+1:])
 		select {
 		case <-time.After(time.Duration(millis) * time.Millisecond):
@@ -48,9 +49,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b.address = l.Addr().String()
+	b.address, b.process.callerListener = l.Addr().String(), l
 	b.process.cancel = func() {}
-	b.process.callerServer = &http.Server{Handler: b.gateway, ReadHeaderTimeout: headerTimeout, ConnState: b.process.idleConns.recordState}
+	b.process.callerServer = &http.Server{Handler: b.gateway, ReadHeaderTimeout: headerTimeout, ConnState: b.process.callerConns.recordState}
 	go func() { _ = b.process.callerServer.Serve(l) }()
 	return b
 }
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -85,7 +85,7 @@
 // ServeHTTP handles one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
-	if g.stopping.Load() {
+	if g.isStopping() {
 		w.Header().Set("Connection", "close")
 	}
 	table := g.table.Load()
@@ -109,6 +109,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	defer context.AfterFunc(g.calls, cancel)()
 	control := http.NewResponseController(w)
 	_ = control.SetWriteDeadline(c.deadline.Add(writeGrace))
 	// The connection may carry further requests, whose deadlines are later.
@@ -211,6 +212,10 @@
 // serve waits for a permit and runs the attempts of the call.
 func (c *call) serve(ctx context.Context) {
 	c.gateway.recordRequest(c.service, c.startedAt)
+	if !c.gateway.mayTake(c.deadline, time.Now()) {
+		c.reject(http.StatusServiceUnavailable, stoppingRetryAfter, reasonStopping)
+		return
+	}
 	if c.route.Streaming && c.gateway.requiredResponseTime(c.service, c.request.ResponseTokens) > c.timeLeft() {
 		c.reject(http.StatusServiceUnavailable, c.jitteredRetryAfter(tooSlowRetryAfter), "too-slow")
 		return
@@ -307,6 +312,9 @@
 		retryAfter = 0
 	}
 	c.gateway.count("answers_own_" + strconv.Itoa(status))
+	if c.gateway.isStopping() { // the stop may have begun after the request
+		c.writer.Header().Set("Connection", "close")
+	}
 	c.logEnd(status, reason)
 	platform.Reject(c.writer, c.request, status, retryAfter)
 }
