Remember used starts at cold upstreams through a gap in the list

Cause: what a gateway knew of an upstream was dropped as soon as its entry left the list, so that the starts it had used while the upstream was cold were counted anew when the entry came back (as after an outage of the store). The class is that of the retry budget: a limit that all keep together, counted anew by one.

Change: observations are kept for 10 s without an entry.

Measured: TestStartsAtAColdUpstreamOutliveAGapInTheList failed before (two starts) and passes. Found by reading; nobody has seen its effect.

--- a/pkg/gateway/fleet.go
+++ b/pkg/gateway/fleet.go
@@ -78,6 +78,8 @@
 	// progressAt is when the upstream last sent an event of a stream, or when this gateway sent work
 	// to it while it had none there.
 	progressAt time.Time
+	// unlistedSince is when the upstream was last found to be missing in the list, zero while it is listed.
+	unlistedSince time.Time
 	// toldSilentUntil is the time until which the upstream counts as silent because a peer reported that.
 	toldSilentUntil time.Time
 }
@@ -94,6 +96,8 @@
 	slowdownDecayTime = 3 * time.Second
 	// leastSlowdown is the slowdown from which an upstream counts as slower than the others.
 	leastSlowdown = 1.05
+	// observationTTL is how long an upstream that is no longer listed is remembered: its entry may come back.
+	observationTTL = 10 * time.Second
 	// minSuspension and maxSuspension limit how long an upstream is avoided after its connection
 	// failed; the time doubles with each consecutive failure.
 	minSuspension = 250 * time.Millisecond
@@ -178,8 +182,18 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	change(f.upstreams, f.warmupTime)
-	for id := range f.observations {
-		if f.upstreams.Entries()[id] == nil && f.observations[id].running == 0 {
+	f.pruneObservations(time.Now())
+}
+
+// pruneObservations forgets the upstreams that have not been listed for observationTTL. The caller holds f.mu.
+func (f *Fleet) pruneObservations(now time.Time) {
+	for id, s := range f.observations {
+		switch {
+		case f.upstreams.Entries()[id] != nil:
+			s.unlistedSince = time.Time{}
+		case s.unlistedSince.IsZero():
+			s.unlistedSince = now
+		case now.Sub(s.unlistedSince) > observationTTL && s.running == 0:
 			delete(f.observations, id)
 		}
 	}
--- a/pkg/gateway/fleet_test.go
+++ b/pkg/gateway/fleet_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/inventory"
+	"github.com/coltsfootpitch/coltsfootpitch/pkg/route"
 	"github.com/coltsfootpitch/coltsfootpitch/platform"
 )
 
@@ -200,3 +201,23 @@
 	}
 	is.True(counts["a"] >= 2) // further responses show that it is fast
 }
+
+// FAILBACK: the starts that a gateway had used at a cold upstream were counted anew when the upstream left the list for a
+// moment.
+func TestStartsAtAColdUpstreamOutliveAGapInTheList(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	cold := inventory.Upstream{ID: "a", Service: "s", Address: "a:1", Zone: "z", Capacity: 12, WarmupLeft: time.Minute}
+	f := newFleet(now)
+	f.SetServices(map[string]*route.Service{"s": {WarmupRate: 1}})
+	put := func(v *inventory.Inventory, _ func(string) time.Duration) { v.Put(cold, time.Minute, now) }
+	f.Update(put)
+	is.Equal(len(chooseCounts(f, 5, now)), 1)
+	_, ok := f.Choose("s", nil, now)
+	is.True(!ok) // the start is used
+	f.Unreserve(Target{ID: "a"}, now)
+	f.Update(func(v *inventory.Inventory, _ func(string) time.Duration) { v.Remove("a", now) })
+	f.Update(put)
+	_, ok = f.Choose("s", nil, now)
+	is.True(!ok)
+}
