Soak: upstreams that ask for pauses, retry budget, groups, late requests

Cause: the soak played neither upstreams that ask for a pause nor counted retries, its workers were no ranks, and its clients sent each request at once and whole.

A fourth soak has the ranks of a group, whose leader reports. A tenth of the connections are open for up to 2.8 s before their first request, a twentieth of the requests has a body that is up to 1.5 s late.

--- a/test/soak/caller_test.go
+++ b/test/soak/caller_test.go
@@ -25,6 +25,10 @@
 	callerMargin = time.Second
 	// dialTimeout limits the time to open a connection.
 	dialTimeout = time.Second
+	// longestUnused is how long a connection may be open before its first request.
+	longestUnused = 2800 * time.Millisecond
+	// longestBodyDelay is the longest time between the head and the body of a request.
+	longestBodyDelay = 1500 * time.Millisecond
 	// promptKinds is the number of first parts of prompts.
 	promptKinds = 6
 )
@@ -141,6 +145,9 @@
 		return false
 	}
 	c.conn, c.reader, c.served = conn, bufio.NewReader(conn), 0
+	if c.random.IntN(10) == 0 { // it opens the connection long before it needs it
+		time.Sleep(time.Duration(c.random.Int64N(int64(longestUnused))))
+	}
 	return true
 }
 
@@ -154,11 +161,18 @@
 // send sends a request on the open connection and reads the answer.
 func (c *caller) send(o *outcome, parts []string) {
 	o.gateway, o.isKept = c.gateway, c.served > 0
-	req, err := http.NewRequest(http.MethodPost, "http://h/"+o.kind+"/x", strings.NewReader(o.requestBody))
+	body := io.Reader(strings.NewReader(o.requestBody))
+	delay := time.Duration(0)
+	if c.random.IntN(20) == 0 {
+		delay = time.Duration(c.random.Int64N(int64(longestBodyDelay)))
+		body = &lateReader{Reader: body, delay: delay}
+	}
+	req, err := http.NewRequest(http.MethodPost, "http://h/"+o.kind+"/x", body)
 	if err != nil {
 		panic(err)
 	}
-	if c.random.IntN(4) == 0 { // in chunks
+	req.ContentLength = int64(len(o.requestBody))
+	if delay > 0 || c.random.IntN(4) == 0 { // in chunks
 		req.ContentLength = -1
 	}
 	if o.key != "" {
@@ -167,7 +181,7 @@
 	standin.SetAttemptID(req, o.id)
 	standin.SetTimeout(req, callerTimeout)
 	standin.SetPromptParts(req, append(parts, o.id)...)
-	_ = c.conn.SetDeadline(time.Now().Add(callerTimeout + callerMargin))
+	_ = c.conn.SetDeadline(time.Now().Add(delay + callerTimeout + callerMargin))
 	err = writeRequest(c.conn, req)
 	o.sentAt = time.Now()
 	if err == nil {
@@ -181,6 +195,19 @@
 	}
 }
 
+// lateReader reads after a delay.
+type lateReader struct {
+	io.Reader
+	delay time.Duration
+}
+
+// Read implements io.Reader.
+func (r *lateReader) Read(p []byte) (int, error) {
+	time.Sleep(r.delay)
+	r.delay = 0
+	return r.Reader.Read(p)
+}
+
 // errorKeeper keeps the first error of a writer.
 type errorKeeper struct {
 	io.Writer
--- a/test/soak/oracle_test.go
+++ b/test/soak/oracle_test.go
@@ -88,6 +88,8 @@
 	}
 	o.checkCrashing()
 	o.checkLimits()
+	o.checkPauses()
+	o.checkRetries()
 }
 
 // isAllowed reports whether all configurations that may have been in force allow the request.
--- a/test/soak/schedule_test.go
+++ b/test/soak/schedule_test.go
@@ -21,7 +21,7 @@
  {"name":"once","host":"h","path_prefix":"/once/","type":"unsafe","service":"plain","max_attempts":2,"timeout_ms":%[2]d,"target_latency_ms":400},
  {"name":"stream","host":"h","path_prefix":"/stream/","type":"streaming","resumable":true,"service":"plain","max_attempts":3,"timeout_ms":%[2]d,"target_latency_ms":500,"session_affinity":true},
  {"name":"live","host":"h","path_prefix":"/live/","type":"streaming","service":"plain","max_attempts":2,"timeout_ms":%[2]d,"target_latency_ms":500}%[3]s],
- "services":[{"name":"plain","max_connections":50}],
+ "services":[{"name":"plain","max_connections":50%[5]s}],
  "limits":{"max_body_bytes":1000,"idle_timeout_ms":15000},
  "tenants":%[4]s}`
 
@@ -31,6 +31,9 @@
 	keylessText = `[{"name":"o","api_keys":[]}]`
 )
 
+// engineText makes the workers of the service the ranks of a group.
+const engineText = `,"engine":{"capacity":12,"stride":4,"step_ms":4.55,"sets":2,"experts":8,"form_ms":600}`
+
 const addedRouteText = `,
  {"name":"added","host":"h","path_prefix":"/added/","type":"safe","service":"plain","max_attempts":2,"timeout_ms":%d,"target_latency_ms":400}`
 
@@ -46,6 +49,8 @@
 	service  *standin.FaultyService
 	cause    crashCause
 	version  int
+	// leader reports for the group that the workers form, nil if they form none.
+	leader *leader
 	// keyless are the times in which a configuration without keys may be in force.
 	keyless []interval
 	// cycles are the stops and starts in progress.
@@ -102,7 +107,11 @@
 	if s.random.IntN(2) == 0 {
 		added = fmt.Sprintf(addedRouteText, timeout.Milliseconds())
 	}
-	text := fmt.Sprintf(configurationText, s.version, timeout.Milliseconds(), added, tenants)
+	engine := ""
+	if s.leader != nil {
+		engine = engineText
+	}
+	text := fmt.Sprintf(configurationText, s.version, timeout.Milliseconds(), added, tenants, engine)
 	s.store.PutRaw(platform.KindConfiguration, platform.NameConfiguration, []byte(text))
 }
 
@@ -133,6 +142,9 @@
 	{"limit a worker", 3, func(s *schedule) {
 		s.service.Limit(0.5+2*s.random.Float64(), between(s.random, 6*time.Second, 14*time.Second))
 	}},
+	{"pause a worker", 4, func(s *schedule) { s.pauseWorkers(1) }},
+	{"pause some workers", 4, func(s *schedule) { s.pauseWorkers(1 + s.random.IntN(4)) }},
+	{"pause all workers", 4, func(s *schedule) { s.pauseWorkers(allWorkers) }},
 	{"freeze a gateway", 2, (*schedule).freeze},
 	{"fail the store", 2, func(s *schedule) {
 		s.disturbStore(func(on bool) {
@@ -235,6 +247,16 @@
 	}
 }
 
+// allWorkers is more workers than there are.
+const allWorkers = 1000
+
+// pauseWorkers makes workers ask for pauses with some of their answers, or with all of them.
+func (s *schedule) pauseWorkers(count int) {
+	shares := []float64{0.1, 0.4, 1}
+	s.service.Pause(count, shares[s.random.IntN(len(shares))], between(s.random, 300*time.Millisecond, 4*time.Second),
+		between(s.random, 500*time.Millisecond, 6*time.Second))
+}
+
 // replaceWorker makes a worker leave, and adds one if there are few.
 func (s *schedule) replaceWorker(drain bool) {
 	const fewestWorkers = 6
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -62,17 +62,25 @@
 // Answers that look whole and are not, requests that run twice or after a refusal, requests lost
 // around planned stops, requests that run without a valid key, processes that outlive the grace period, and requests
 // that crash one worker after the other, under overlapping stops, kills, configurations and faults.
-func TestGatewaysKeepTheRulesUnderDisturbances(t *testing.T) { play(t, causePart, 0) }
+func TestGatewaysKeepTheRulesUnderDisturbances(t *testing.T) { play(t, causePart, 0, false) }
+
+// The same with the ranks of a group, whose leader reports to the gateways.
+func TestGatewaysOfAGroupKeepTheRulesUnderDisturbances(t *testing.T) { play(t, causePart, 0, true) }
 
 // The same with one request that comes again and crashes workers in the midst of its answer.
-func TestGatewaysKeepTheRulesWhileARequestCrashesMidAnswer(t *testing.T) { play(t, causeRequest, 0) }
+func TestGatewaysKeepTheRulesWhileARequestCrashesMidAnswer(t *testing.T) {
+	play(t, causeRequest, 0, false)
+}
 
 // The same with a fleet in which most gateways learn of changes of the store from others: they learned of them too late
 // or not at all while those that watch the store were stopped, killed or cut off.
-func TestManyGatewaysKeepTheRulesUnderDisturbances(t *testing.T) { play(t, causePart, *gateways) }
+func TestManyGatewaysKeepTheRulesUnderDisturbances(t *testing.T) {
+	play(t, causePart, *gateways, false)
+}
 
-// play plays one soak with a number of gateways, or with three to five for 0, and checks the rules.
-func play(t *testing.T, cause crashCause, count int) {
+// play plays one soak with a number of gateways, or with three to five for 0, whose workers may form a group, and checks
+// the rules.
+func play(t *testing.T, cause crashCause, count int, isGroup bool) {
 	t.Logf("seed %d for %v; repeat with -soak.seed=%d -soak.time=%v", seed, *duration, seed, *duration)
 	store := standin.NewStore()
 	t.Cleanup(store.Close)
@@ -83,6 +91,10 @@
 	for range 6 + s.random.IntN(3) {
 		s.service.Add()
 	}
+	if isGroup {
+		s.leader = newLeader(s.service)
+		t.Cleanup(s.leader.close)
+	}
 	s.configure()
 	if few := 3 + s.random.IntN(3); count == 0 {
 		count = few
@@ -91,6 +103,9 @@
 
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
+	if isGroup {
+		go s.leader.run(ctx, s.gateways)
+	}
 	callers, wait := startCallers(ctx, s)
 	s.run(*duration)
 	cancel()
