--- a/test/soak/oracle_test.go
+++ b/test/soak/oracle_test.go
@@ -218,7 +218,8 @@
 				late = append(late, fmt.Sprintf("%s at %s", r, run.At.Format("15:04:05.000")))
 			}
 		}
-		if r.sound && r.sentAt.After(last.Add(soundAfter)) && !r.gateway.wasDisturbed(r.sentAt.Add(-contactTime), r.endedAt) && o.isAllowed(r) {
+		if r.sound && r.sentAt.After(last.Add(soundAfter)) && !r.gateway.wasDisturbed(r.sentAt.Add(-contactTime), r.endedAt) && o.isAllowed(r) &&
+			!o.schedule.mayAllPause(r.sentAt, r.endedAt) {
 			sound++
 			if r.status == http.StatusOK && r.end == endAnswered {
 				served++
--- a/test/soak/schedule_test.go
+++ b/test/soak/schedule_test.go
@@ -49,6 +49,8 @@
 	service  *standin.FaultyService
 	cause    crashCause
 	version  int
+	// allPaused are the times in which all workers may pause.
+	allPaused []interval
 	// leader reports for the group that the workers form, nil if they form none.
 	leader *leader
 	// keyless are the times in which a configuration without keys may be in force.
@@ -97,7 +99,7 @@
 
 // wasKeyless reports whether a configuration without keys may have been in force between two times.
 func (s *schedule) wasKeyless(from, to time.Time) bool {
-	return slices.ContainsFunc(s.keyless, func(k interval) bool { return k.from.Before(to) && k.to.After(from) })
+	return overlaps(s.keyless, from, to)
 }
 
 func (s *schedule) configureTenants(tenants string) {
@@ -253,8 +255,24 @@
 // pauseWorkers makes workers ask for pauses with some of their answers, or with all of them.
 func (s *schedule) pauseWorkers(count int) {
 	shares := []float64{0.1, 0.4, 1}
-	s.service.Pause(count, shares[s.random.IntN(len(shares))], between(s.random, 300*time.Millisecond, 4*time.Second),
-		between(s.random, 500*time.Millisecond, 6*time.Second))
+	share := shares[s.random.IntN(len(shares))]
+	length, duration := between(s.random, 300*time.Millisecond, 4*time.Second), between(s.random, 500*time.Millisecond, 6*time.Second)
+	s.service.Pause(count, share, length, duration)
+	if count == allWorkers {
+		from := time.Now()
+		s.allPaused = append(s.allPaused, interval{from, from.Add(duration + length + returnTime)})
+	}
+}
+
+// returnTime is the time in which workers return from a pause: gateways return within a quarter of it.
+const returnTime = time.Second
+
+// mayAllPause reports whether all workers may have paused at a time between two.
+func (s *schedule) mayAllPause(from, to time.Time) bool { return overlaps(s.allPaused, from, to) }
+
+// overlaps reports whether an interval overlaps the time between two times.
+func overlaps(intervals []interval, from, to time.Time) bool {
+	return slices.ContainsFunc(intervals, func(i interval) bool { return i.from.Before(to) && i.to.After(from) })
 }
 
 // replaceWorker makes a worker leave, and adds one if there are few.
@@ -289,10 +307,5 @@
 func (s *schedule) wasStoreDisturbed(from, to time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, f := range s.storeFaults {
-		if f.from.Before(to) && f.to.After(from) {
-			return true
-		}
-	}
-	return false
+	return overlaps(s.storeFaults, from, to)
 }
