Test of the retry budget in fleets under random failures

Cause: the tests of the budget set the number of gateways themselves. Which disturbances make it change was not measured.

Change: fleets of 3, 9 and 40 gateways whose real membership sees ends, starts and cuts in any order, in virtual time, under requests that all fail; and a test of the number among which shared limits are divided.

--- a/pkg/gateway/memoryfleet_test.go
+++ b/pkg/gateway/memoryfleet_test.go
@@ -158,7 +158,9 @@
 
 // add adds a gateway whose address is its name.
 func (f *memoryFleet) add(name string, ready bool) {
-	n := platform.Settings{Name: name, PeerAddress: name, CallerAddress: name, Zone: "zone", Region: "region", Seeds: []string{memoryName(0)}}
+	n := platform.Settings{Name: name, PeerAddress: name, CallerAddress: name, Zone: "zone", Region: "region", Seeds: []string{memoryName(0)},
+		RetryLimits: platform.RetryLimits{Ratio: 0.2, Allowance: 94, Window: 10 * time.Second},
+	}
 	g := New(n, NewFleet(n, hclog.NewNullLogger()), hclog.NewNullLogger(), metrics.NewRegistry())
 	g.ApplyConfiguration(configuration("1"), "test")
 	p := NewPeers(n, g, peer.Credentials{}, hclog.NewNullLogger())
--- /dev/null
+++ b/pkg/gateway/retryfleet_test.go
@@ -0,0 +1,117 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// retryLoad sends requests that all fail to the gateways of a fleet, and again where the retry budget allows it.
+type retryLoad struct {
+	fleet             *memoryFleet
+	random            *rand.Rand
+	requests, retries []time.Time
+}
+
+// run sends requests at a rate per second for a time.
+func (l *retryLoad) run(rate float64, duration time.Duration) {
+	const step = 50 * time.Millisecond
+	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(step) {
+		for n := rate * step.Seconds(); n > 0; n-- {
+			if l.random.Float64() < n {
+				l.request(memoryName(l.random.IntN(len(l.fleet.stop))))
+			}
+		}
+	}
+}
+
+func (l *retryLoad) request(name string) {
+	l.fleet.network.mu.Lock()
+	p := l.fleet.network.peers[name]
+	l.fleet.network.mu.Unlock()
+	if p == nil {
+		return // it does not run
+	}
+	now := time.Now()
+	l.requests = append(l.requests, now)
+	p.gateway.recordRequest("plain", now)
+	for range 2 {
+		if !p.gateway.withdrawRetry("plain", now) {
+			return
+		}
+		l.retries = append(l.retries, now)
+	}
+}
+
+// most returns the largest part of the budget that was used in a window; 1 is all of it.
+func (l *retryLoad) most() float64 {
+	const window = 10 * time.Second
+	count := func(times []time.Time, from, to time.Time) float64 {
+		first, _ := slices.BinarySearchFunc(times, from, time.Time.Compare)
+		end, _ := slices.BinarySearchFunc(times, to, time.Time.Compare)
+		return float64(end - first)
+	}
+	most := 0.0
+	for from := l.requests[0]; from.Before(l.requests[len(l.requests)-1]); from = from.Add(100 * time.Millisecond) {
+		to := from.Add(window)
+		requests := max(count(l.requests, from, to), count(l.requests, from.Add(-window), from), count(l.requests, from.Add(-window/2), to.Add(-window/2)))
+		most = max(most, count(l.retries, from, to)/(0.2*requests+94))
+	}
+	return most
+}
+
+// BUDGET: gateways that ended, started, stopped and were cut off in any order spent more retries together than are allowed.
+func TestFleetKeepsTheRetryBudgetUnderRandomFailures(t *testing.T) {
+	for _, gateways := range []int{3, 9, 40} {
+		for seed := range uint64(4) {
+			synctest.Test(t, func(t *testing.T) {
+				random := rand.New(rand.NewPCG(seed, uint64(gateways)))
+				f := startMemoryFleet(gateways, false)
+				defer f.stopAll()
+				load := &retryLoad{fleet: f, random: random}
+				load.run(5+random.Float64()*100, 15*time.Second)
+				rate := 5 + random.Float64()*100
+				for range 30 {
+					f.disturb(memoryName(random.IntN(gateways)), random.IntN(4))
+					load.run(rate, time.Duration(random.IntN(3000))*time.Millisecond)
+				}
+				if most := load.most(); most > 1 {
+					t.Errorf("%d gateways, seed %d: %.2f of the budget used in a window, %d retries of %d requests", gateways, seed, most, len(load.retries), len(load.requests))
+				}
+			})
+		}
+	}
+}
+
+// The number of gateways that may spend shared limits was that of those heard from: one at a start, and the own part of a
+// divided fleet.
+func TestSharedLimitsAreDividedAmongAllThatMayUseThem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startMemoryFleet(9, true)
+		defer f.stopAll()
+		sharing := func(i int) int {
+			p := f.network.peers[memoryName(i)]
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return p.sharingCount(time.Now())
+		}
+		time.Sleep(3 * time.Second)
+		is.Equal(sharing(0), 9)
+		for i := range 4 {
+			f.setSide(memoryName(i), 1)
+		}
+		time.Sleep(30 * time.Second)
+		is.Equal(sharing(0), 9) // the smaller part
+		is.Equal(sharing(8), 5)
+		f.add("edge-900", false)
+		is.Equal(f.network.peers["edge-900"].sharingCount(time.Now()), 0) // nobody has told it of any
+		f.network.peers["edge-900"].introduce(f.listed(f.network.peers["edge-900"].table.Self().Entry), time.Now())
+		is.Equal(f.network.peers["edge-900"].sharingCount(time.Now()), 1+len(f.network.peers["edge-900"].listed))
+		delete(f.network.peers, "edge-900")
+	})
+}
