--- a/pkg/gateway/doc.go
+++ b/pkg/gateway/doc.go
@@ -9,7 +9,9 @@
 // A request passes these steps, each in a file of its own: serve.go finds route and
 // organisation; permits.go waits for a permit; attempt.go runs attempts until one is final, or until a
 // group refuses the request before its leader has reported, which sends it back to the queue;
-// response.go forwards the response to the caller.
+// response.go forwards the response to the caller. availability.go asks package availability whether an upstream may
+// get a request now; nothing is sent that it does not allow.
+// A stop is planned: plannedstop.go takes what can end before the process does.
 // A request that is known to crash upstreams is not sent to any (crashes.go).
 //
 // Lock order: Gateway.mu may be held when Fleet.mu or permits.mu is taken, and silenceReporter.mu when
--- a/pkg/gateway/pause_test.go
+++ b/pkg/gateway/pause_test.go
@@ -174,12 +174,12 @@
 // BUDGET: the same where each answer asks for rest, with times that are no whole seconds, too.
 func TestGatewaysKeepThePausesOfUpstreamsThatAllRest(t *testing.T) {
 	for _, c := range []struct {
-		kind, pause string
-		rate        int
-	}{{"safe", "5", 7}, {"stream", "4", 67}, {"once", "2.5", 67}} {
+		kind, pause    string
+		rate, gateways int
+	}{{"safe", "5", 7, 3}, {"stream", "4", 67, 3}, {"once", "2.5", 67, 3}, {"live", "3", 200, 40}} {
 		t.Run(c.kind, func(t *testing.T) {
 			t.Parallel()
-			f := newPauseFleet(t, 3, 3, func(int) string { return c.pause })
+			f := newPauseFleet(t, c.gateways, 3, func(int) string { return c.pause })
 			f.run("/"+c.kind+"/x", c.rate, 6*time.Second)
 			f.checkPauses()
 		})
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -244,7 +244,7 @@
 	c.permitWait = time.Since(c.startedAt)
 	c.gateway.observe("wait", c.permitWait)
 	if err != nil {
-		c.reject(http.StatusServiceUnavailable, 0, "left-while-waiting")
+		c.rejectWaiting()
 		return final
 	}
 	if decision.Outcome == permit.Rejected {
@@ -260,6 +260,15 @@
 	return c.runAttempts(ctx)
 }
 
+// rejectWaiting answers a request that has not been sent and whose context has ended.
+func (c *call) rejectWaiting() {
+	if c.gateway.calls.Err() != nil {
+		c.reject(http.StatusServiceUnavailable, stoppingRetryAfter, reasonStopping)
+		return
+	}
+	c.reject(http.StatusServiceUnavailable, 0, "left-while-waiting")
+}
+
 // cost returns the expected work in tokens; a prompt token costs a tenth of an output token.
 func (c *call) cost() int64 {
 	const outputTokenCost = 10
