--- a/pkg/gateway/plannedstop_test.go
+++ b/pkg/gateway/plannedstop_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/coltsfootpitch/coltsfootpitch/pkg/peer"
 	"github.com/coltsfootpitch/coltsfootpitch/platform"
+	"github.com/coltsfootpitch/coltsfootpitch/platform/standin"
 )
 
 // stopBed is a gateway process that is told to stop, in calm.
@@ -74,6 +75,19 @@
 	err    error
 }
 
+// lateReader reads after a delay.
+type lateReader struct {
+	io.Reader
+	delay time.Duration
+}
+
+// Read implements io.Reader.
+func (r *lateReader) Read(p []byte) (int, error) {
+	time.Sleep(r.delay)
+	r.delay = 0
+	return r.Reader.Read(p)
+}
+
 // send sends a request and reads the answer.
 func (b *stopBed) send(r *stopRequest, begin time.Time) {
 	time.Sleep(time.Until(begin.Add(r.connectAt)))
@@ -85,14 +99,16 @@
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	exchange := func(id string, work, bodyDelay time.Duration) (int, error) {
-		const body = "body"
-		head := "POST /once/" + strconv.FormatInt(work.Milliseconds(), 10) + " HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key-1\r\n" +
-			"X-Attempt-Id: " + id + "\r\nX-Deadline-Ms: " + strconv.FormatInt(r.timeout.Milliseconds(), 10) + "\r\nContent-Length: 4\r\n\r\n"
-		if _, err := conn.Write([]byte(head)); err != nil {
+		path := "http://h/once/" + strconv.FormatInt(work.Milliseconds(), 10)
+		req, err := http.NewRequest(http.MethodPost, path, &lateReader{Reader: strings.NewReader("body"), delay: bodyDelay})
+		if err != nil {
 			return 0, err
 		}
-		time.Sleep(bodyDelay)
-		if _, err := conn.Write([]byte(body)); err != nil {
+		req.ContentLength = -1 // the head is sent before the body
+		req.Header.Set("Authorization", "Bearer key-1")
+		standin.SetAttemptID(req, id)
+		standin.SetTimeout(req, r.timeout)
+		if err := req.Write(conn); err != nil {
 			return 0, err
 		}
 		resp, err := http.ReadResponse(reader, nil)
