Show with review case 6 that a stream of a crashed worker ends as complete

Workers answer streams without a length. One of six is killed in the middle of its streams; their consumers get a proper end with fewer events than were due.

--- a/review/kit2/case_config.go
+++ b/review/kit2/case_config.go
@@ -27,7 +27,8 @@
 	stopWatch := watchMemory(gateways)
 	c := newConsumers()
 	for i := range 16 {
-		c.add(gateways[i%2].caller, 100*time.Millisecond, 2500*time.Millisecond, booking(600))
+		// The pauses differ, so that the consumers do not keep in step.
+		c.add(gateways[i%2].caller, time.Duration(40+7*i)*time.Millisecond, 2500*time.Millisecond, booking(600))
 	}
 	time.Sleep(5 * time.Second)
 	version := 1
--- a/review/kit2/main.go
+++ b/review/kit2/main.go
@@ -12,6 +12,10 @@
 var cases = map[string]func(trouble bool){}
 
 func main() {
+	if len(os.Args) == 4 && os.Args[1] == "serve-streams" {
+		serveStreams(os.Args[2], os.Args[3])
+		return
+	}
 	if len(os.Args) != 4 {
 		fmt.Fprintln(os.Stderr, "usage: kit2 CASE ROOT RECORD")
 		os.Exit(2)
