--- a/review/kit2/client.go
+++ b/review/kit2/client.go
@@ -27,7 +27,6 @@
 	answer  string
 	problem string
 	kept    bool
-	key     string
 }
 
 var attemptCount atomic.Int64
@@ -38,7 +37,6 @@
 	conn    net.Conn
 	reader  *bufio.Reader
 	used    bool
-	key     string
 }
 
 func dial(gateway string) (*channel, error) {
@@ -46,16 +44,16 @@
 	if err != nil {
 		return nil, err
 	}
-	return &channel{gateway: gateway, conn: conn, reader: bufio.NewReader(conn), key: apiKey}, nil
+	return &channel{gateway: gateway, conn: conn, reader: bufio.NewReader(conn)}, nil
 }
 
 // send sends a request and reads its answer. The channel is closed unless it can be used again.
 func (c *channel) send(method, target string, body []byte, timeLimit time.Duration) *attempt {
-	a := &attempt{id: fmt.Sprintf("a%06d", attemptCount.Add(1)), target: target, gateway: c.gateway, kept: c.used, key: c.key, sentAt: time.Now()}
+	a := &attempt{id: fmt.Sprintf("a%06d", attemptCount.Add(1)), target: target, gateway: c.gateway, kept: c.used, sentAt: time.Now()}
 	c.used = true
 	_ = c.conn.SetDeadline(a.sentAt.Add(timeLimit))
 	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\n",
-		method, target, hostName, a.id, timeLimit.Milliseconds(), c.key)
+		method, target, hostName, a.id, timeLimit.Milliseconds(), apiKey)
 	if len(body) > 0 {
 		head += fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	}
@@ -119,10 +117,6 @@
 
 // add starts a consumer that sends the request of next to a gateway, with a pause after each answer.
 func (c *consumers) add(gateway string, pause, timeLimit time.Duration, next func() (method, target string, body []byte)) {
-	c.addWithKey(apiKey, gateway, pause, timeLimit, next)
-}
-
-func (c *consumers) addWithKey(key, gateway string, pause, timeLimit time.Duration, next func() (method, target string, body []byte)) {
 	c.wg.Go(func() {
 		var ch *channel
 		for {
@@ -140,7 +134,6 @@
 					ch = nil
 					continue
 				}
-				ch.key = key
 			}
 			method, target, body := next()
 			a := ch.send(method, target, body, timeLimit)
@@ -196,6 +189,6 @@
 		if a.status == 0 {
 			end = a.problem
 		}
-		fmt.Fprintf(recordTo, "%s %.3f s %s key %s %s %dms; ran:%s\n", a.id, a.sentAt.Sub(startedAt).Seconds(), a.gateway, a.key, end, a.endedAt.Sub(a.sentAt).Milliseconds(), ranAt[a.id])
+		fmt.Fprintf(recordTo, "%s %.3f s %s %s %dms; ran:%s\n", a.id, a.sentAt.Sub(startedAt).Seconds(), a.gateway, end, a.endedAt.Sub(a.sentAt).Milliseconds(), ranAt[a.id])
 	}
 }
--- a/review/kit2/process.go
+++ b/review/kit2/process.go
@@ -248,18 +248,6 @@
 	return 0
 }
 
-// logLines returns the lines of the process's log that contain a text.
-func (p *process) logLines(text string) []string {
-	all, _ := os.ReadFile(p.logPath)
-	var out []string
-	for _, line := range strings.Split(string(all), "\n") {
-		if strings.Contains(line, text) {
-			out = append(out, line)
-		}
-	}
-	return out
-}
-
 // watchMemory acts as the platform: a process that exceeds memory_mb is killed, and started again after a short
 // delay. It returns a function that ends it and returns how often each process was killed, and the highest memory of
 // any of them in MB.
--- a/review/kit2/store.go
+++ b/review/kit2/store.go
@@ -23,8 +23,6 @@
 	objects  map[string]map[string]*object
 	history  []change
 	dropped  int64
-	// turnsAway is set while the store answers the machines with 503.
-	turnsAway bool
 }
 
 type metadata struct {
@@ -119,7 +117,8 @@
 	c.revision, c.at = s.revision, time.Now()
 	s.history = append(s.history, c)
 	s.dropHistory()
-	s.notify()
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 // dropHistory drops what is older than historyTime.
@@ -130,29 +129,6 @@
 	}
 }
 
-func (s *store) notify() {
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
-// turnAway lets the store answer the machines with 503 and cut their watches, or serve them again.
-func (s *store) turnAway(on bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.turnsAway = on
-	s.notify()
-}
-
-// isTurningAway answers a call with 503 if the store turns it away.
-func (s *store) isTurningAway(w http.ResponseWriter) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.turnsAway {
-		w.WriteHeader(http.StatusServiceUnavailable)
-	}
-	return s.turnsAway
-}
-
 func reply(w http.ResponseWriter, status int, v any) {
 	text, err := json.Marshal(v)
 	if err != nil {
@@ -165,9 +141,6 @@
 
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if s.isTurningAway(w) {
-		return
-	}
 	parts := strings.Split(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
 	kind := parts[0]
 	q := r.URL.Query()
@@ -222,9 +195,6 @@
 	waitMillis, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	end := time.After(time.Duration(waitMillis) * time.Millisecond)
 	for {
-		if s.isTurningAway(w) {
-			return
-		}
 		s.mu.Lock()
 		s.dropHistory()
 		if from < s.dropped {
